--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+GOLANGCI_LINT_VERSION := v2.15.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+GOBIN := $(shell go env GOPATH)/bin
+KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
+SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+TEST_FLAGS ?=
+
+export CGO_ENABLED := 1
+
+.PHONY: build test lint format generate demo measure soak fuzz clean tools
+
+build:
+	go build -o bin/nutmegnotch .
+	go build -o bin/nutmegnotch-emulator ./cmd/nutmegnotch-emulator
+
+test: build
+	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
+	go test -race -timeout 20m $(SKIP) $(TEST_FLAGS) ./...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "run gofmt"; exit 1; }
+	go vet ./...
+	$(GOBIN)/golangci-lint run ./...
+
+format:
+	$(GOBIN)/golangci-lint fmt ./...
+
+generate:
+	PATH="$(GOBIN):$$PATH" protoc --go_out=. --go_opt=module=nutmegnotch io/peer/peerpb/peer.proto
+
+tools:
+	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	@test -x $(GOBIN)/protoc-gen-go || go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/io/peer/node.go
@@ -0,0 +1,325 @@
+// Package peer keeps the sessions between nutmegnotch processes: yamux over
+// TCP, with length-delimited protobuf frames on each stream.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"nutmegnotch/core"
+	"nutmegnotch/io/peer/peerpb"
+)
+
+// Times and sizes of sessions.
+const (
+	dialTimeout       = 2 * time.Second
+	redialDelay       = 200 * time.Millisecond
+	helloTimeout      = 2 * time.Second
+	keepAliveInterval = time.Second
+	writeTimeout      = 3 * time.Second
+	controlQueueLen   = 256
+)
+
+// Handler serves a stream that a peer opened. The stream is closed when it
+// returns.
+type Handler func(ctx context.Context, s *Stream)
+
+// Config is what a Node needs. Control receives every frame of the control
+// streams except Hello; it must not block. Up and Down tell of sessions.
+type Config struct {
+	Self     *peerpb.Hello
+	Handlers map[peerpb.StreamKind]Handler
+	Control  func(from *Session, f *peerpb.Frame)
+	Up       func(s *Session)
+	Down     func(s *Session)
+	Log      *zap.Logger
+}
+
+// Node owns all sessions of a process.
+type Node struct {
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	ops    chan func(*table)
+	done   chan struct{}
+	wg     *conc.WaitGroup
+}
+
+// table is the state of the node's task: the live sessions by peer id, oldest
+// first, and the addresses it keeps dialling.
+type table struct {
+	sessions map[string][]*Session
+	dialing  map[string]context.CancelFunc
+}
+
+// New starts a node without sessions.
+func New(cfg Config) *Node {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg:    cfg,
+		ctx:    ctx,
+		cancel: cancel,
+		ops:    make(chan func(*table)),
+		done:   make(chan struct{}),
+		wg:     conc.NewWaitGroup(),
+	}
+	go n.run()
+	return n
+}
+
+// run is the task that owns the table of sessions.
+func (n *Node) run() {
+	defer close(n.done)
+	t := &table{sessions: map[string][]*Session{}, dialing: map[string]context.CancelFunc{}}
+	for {
+		select {
+		case op := <-n.ops:
+			op(t)
+		case <-n.ctx.Done():
+			for _, list := range t.sessions {
+				for _, s := range list {
+					s.Close()
+				}
+			}
+			return
+		}
+	}
+}
+
+// do runs op in the node's task. It reports false when the node has stopped.
+func (n *Node) do(op func(*table)) bool {
+	ran := make(chan struct{})
+	select {
+	case n.ops <- func(t *table) { op(t); close(ran) }:
+		<-ran
+		return true
+	case <-n.done:
+		return false
+	}
+}
+
+// Done is closed when the node has stopped.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Stop closes all sessions and waits for their goroutines.
+func (n *Node) Stop() {
+	n.cancel()
+	<-n.done
+	n.wg.Wait()
+}
+
+// Serve accepts sessions until the listener or the node is closed.
+func (n *Node) Serve(l net.Listener) error {
+	stop := context.AfterFunc(n.ctx, func() { l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if n.ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept peer: %w", err)
+		}
+		n.wg.Go(func() { n.serveConn(conn, false) })
+	}
+}
+
+// Keep dials an address and dials again whenever the session ends, until Drop.
+func (n *Node) Keep(address string) {
+	n.do(func(t *table) {
+		if t.dialing[address] != nil {
+			return
+		}
+		ctx, cancel := context.WithCancel(n.ctx)
+		t.dialing[address] = cancel
+		n.wg.Go(func() { n.dialLoop(ctx, address) })
+	})
+}
+
+// Drop stops dialling an address. A live session stays until it ends.
+func (n *Node) Drop(address string) {
+	n.do(func(t *table) {
+		if cancel := t.dialing[address]; cancel != nil {
+			cancel()
+			delete(t.dialing, address)
+		}
+	})
+}
+
+func (n *Node) dialLoop(ctx context.Context, address string) {
+	d := net.Dialer{Timeout: dialTimeout}
+	for ctx.Err() == nil {
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err == nil {
+			n.serveConn(conn, true)
+		} else {
+			n.cfg.Log.Debug("dial peer failed", zap.String("address", address), zap.Error(err))
+		}
+		select {
+		case <-time.After(redialDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// serveConn runs one session until it ends.
+func (n *Node) serveConn(conn net.Conn, dialed bool) {
+	defer conn.Close()
+	stop := context.AfterFunc(n.ctx, func() { conn.Close() })
+	defer stop()
+	s, err := n.handshake(conn, dialed)
+	if err != nil {
+		n.cfg.Log.Debug("peer handshake failed", zap.Stringer("remote", conn.RemoteAddr()), zap.Error(err))
+		return
+	}
+	defer s.Close()
+	if !n.do(func(t *table) { t.sessions[s.Hello.Id] = append(t.sessions[s.Hello.Id], s) }) {
+		return
+	}
+	if n.cfg.Up != nil {
+		n.cfg.Up(s)
+	}
+	s.run()
+	n.do(func(t *table) { t.remove(s) })
+	if n.cfg.Down != nil {
+		n.cfg.Down(s)
+	}
+}
+
+func (t *table) remove(s *Session) {
+	list := t.sessions[s.Hello.Id]
+	kept := make([]*Session, 0, len(list))
+	for _, other := range list {
+		if other != s {
+			kept = append(kept, other)
+		}
+	}
+	t.sessions[s.Hello.Id] = kept
+	if len(kept) == 0 {
+		delete(t.sessions, s.Hello.Id)
+	}
+}
+
+func (n *Node) handshake(conn net.Conn, dialed bool) (*Session, error) {
+	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, fmt.Errorf("set handshake deadline: %w", err)
+	}
+	mux, err := newMux(conn, dialed)
+	if err != nil {
+		return nil, err
+	}
+	control, err := n.openControl(mux, dialed)
+	if err != nil {
+		mux.Close()
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		mux.Close()
+		return nil, fmt.Errorf("lift handshake deadline: %w", err)
+	}
+	return newSession(n, mux, control), nil
+}
+
+func newMux(conn net.Conn, dialed bool) (*yamux.Session, error) {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = 4096
+	cfg.EnableKeepAlive = true
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.StreamCloseTimeout = time.Minute
+	cfg.LogOutput = io.Discard
+	if dialed {
+		mux, err := yamux.Client(conn, cfg)
+		if err != nil {
+			return nil, fmt.Errorf("start yamux client: %w", err)
+		}
+		return mux, nil
+	}
+	mux, err := yamux.Server(conn, cfg)
+	if err != nil {
+		return nil, fmt.Errorf("start yamux server: %w", err)
+	}
+	return mux, nil
+}
+
+// openControl opens or accepts the control stream and exchanges Hello frames.
+func (n *Node) openControl(mux *yamux.Session, dialed bool) (*Stream, error) {
+	var conn net.Conn
+	var err error
+	if dialed {
+		conn, err = mux.Open()
+	} else {
+		conn, err = mux.Accept()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("open control stream: %w", err)
+	}
+	s := newStream(conn, nil)
+	if err := s.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, fmt.Errorf("set hello deadline: %w", err)
+	}
+	if err := s.Send(&peerpb.Frame{Body: &peerpb.Frame_Hello{Hello: n.cfg.Self}}); err != nil {
+		return nil, fmt.Errorf("send hello: %w", err)
+	}
+	f, err := s.Receive()
+	if err != nil {
+		return nil, fmt.Errorf("receive hello: %w", err)
+	}
+	if f.GetHello().GetId() == "" {
+		return nil, fmt.Errorf("first control frame is not a hello: %w", core.ErrInvalid)
+	}
+	s.peer = f.GetHello()
+	return s, s.SetDeadline(time.Time{})
+}
+
+// Sessions returns the live sessions, one for each peer.
+func (n *Node) Sessions() []*Session {
+	var all []*Session
+	n.do(func(t *table) {
+		for _, list := range t.sessions {
+			all = append(all, list[len(list)-1])
+		}
+	})
+	return all
+}
+
+// Session returns the newest live session with a peer, or nil.
+func (n *Node) Session(id string) *Session {
+	var s *Session
+	n.do(func(t *table) {
+		if list := t.sessions[id]; len(list) > 0 {
+			s = list[len(list)-1]
+		}
+	})
+	return s
+}
+
+// Open opens a stream to a peer. ErrNotFound means that there is no session,
+// so that nothing was sent.
+func (n *Node) Open(id string, kind peerpb.StreamKind, requestID string) (*Stream, error) {
+	s := n.Session(id)
+	if s == nil {
+		return nil, fmt.Errorf("open stream to peer %q: no session: %w", id, core.ErrNotFound)
+	}
+	return s.Open(kind, requestID)
+}
+
+// Broadcast queues a control frame to every peer of a role; an empty role means
+// all peers.
+func (n *Node) Broadcast(role string, f *peerpb.Frame) {
+	for _, s := range n.Sessions() {
+		if role == "" || s.Hello.Role == role {
+			s.Control(f)
+		}
+	}
+}
--- /dev/null
+++ b/io/peer/stream.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"nutmegnotch/io/peer/peerpb"
+)
+
+// MaxFrameBytes bounds one frame. A larger one ends its stream.
+const MaxFrameBytes = 1 << 20
+
+// Stream carries frames of one conversation. Send may be called by one
+// goroutine and Receive by another.
+type Stream struct {
+	conn net.Conn
+	r    *bufio.Reader
+	peer *peerpb.Hello
+	open *peerpb.Open
+}
+
+func newStream(conn net.Conn, hello *peerpb.Hello) *Stream {
+	return &Stream{conn: conn, r: bufio.NewReader(conn), peer: hello}
+}
+
+// Peer returns what the process at the other end said of itself.
+func (s *Stream) Peer() *peerpb.Hello { return s.peer }
+
+// Opening returns the frame that opened the stream.
+func (s *Stream) Opening() *peerpb.Open { return s.open }
+
+// Send writes one frame.
+func (s *Stream) Send(f *peerpb.Frame) error {
+	if _, err := protodelim.MarshalTo(s.conn, f); err != nil {
+		return fmt.Errorf("send frame: %w", err)
+	}
+	return nil
+}
+
+// Receive reads one frame of at most MaxFrameBytes.
+func (s *Stream) Receive() (*peerpb.Frame, error) {
+	f := &peerpb.Frame{}
+	if err := (protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}).UnmarshalFrom(s.r, f); err != nil {
+		return nil, fmt.Errorf("receive frame: %w", err)
+	}
+	return f, nil
+}
+
+// SetDeadline bounds all later sends and receives. The zero time lifts the
+// bound.
+func (s *Stream) SetDeadline(t time.Time) error { return s.conn.SetDeadline(t) }
+
+// Close ends the sending direction; the peer's Receive then meets io.EOF.
+// Receive still works until the peer closes too.
+func (s *Stream) Close() error { return s.conn.Close() }
