--- a/cmd/nutmegnotch-emulator/main.go
+++ b/cmd/nutmegnotch-emulator/main.go
@@ -3,19 +3,9 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/alecthomas/kong"
+	"nutmegnotch/emulator/cli"
 )
 
-type commands struct{}
-
-func main() {
-	var c commands
-	p := kong.Must(&c, kong.Name("nutmegnotch-emulator"))
-	if _, err := p.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-}
+func main() { os.Exit(cli.Main(os.Args[1:])) }
--- a/core/config/checkpoint.go
+++ b/core/config/checkpoint.go
@@ -11,6 +11,8 @@
 type state struct {
 	Objects  []Object  `json:"objects"`
 	Outcomes []Outcome `json:"outcomes"`
+	// PreviousEntrySet is the entry set before the current one.
+	PreviousEntrySet []core.EntryInfo `json:"previous_entry_set,omitempty"`
 }
 
 type checkpoint struct {
@@ -20,7 +22,7 @@
 }
 
 func (f *Fold) state() *state {
-	s := &state{Objects: f.Objects(""), Outcomes: make([]Outcome, 0, len(f.order))}
+	s := &state{Objects: f.Objects(""), Outcomes: make([]Outcome, 0, len(f.order)), PreviousEntrySet: f.previous.Entries}
 	for _, id := range f.order {
 		s.Outcomes = append(s.Outcomes, f.outcomes[id])
 	}
@@ -102,6 +104,7 @@
 		}
 		f.remember(o)
 	}
+	f.setPrevious(core.EntrySet{Entries: s.PreviousEntrySet})
 	f.next = next
 	return f, nil
 }
--- a/core/config/fold.go
+++ b/core/config/fold.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"nutmegnotch/core"
 )
 
@@ -23,6 +25,8 @@
 	outcomes map[string]Outcome
 	order    []string
 	cfg      core.Configuration
+	// previous is the entry set before the current one.
+	previous core.EntrySet
 	// paths, models and tokens map what must be unique to its owner.
 	paths  map[string]string
 	models map[string]string
@@ -82,6 +86,21 @@
 	return list
 }
 
+// PreviousEntrySet returns the entry set before the current one.
+func (f *Fold) PreviousEntrySet() core.EntrySet { return f.previous }
+
+func (f *Fold) setPrevious(s core.EntrySet) {
+	f.hash ^= entrySetHash(f.previous) ^ entrySetHash(s)
+	f.previous = s
+}
+
+func entrySetHash(s core.EntrySet) uint64 {
+	if len(s.Entries) == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(fmt.Sprintf("p %q", s.Entries))
+}
+
 // Configuration returns the immutable configuration at NextOffset.
 func (f *Fold) Configuration() core.Configuration {
 	f.shared = true
@@ -102,6 +121,9 @@
 		return Outcome{}, false, fmt.Errorf("record %d does not follow record %d: %w", r.Offset, f.next-1, core.ErrInvalid)
 	}
 	f.next++
+	if len(r.Data) > MaxRecordBytes {
+		return Outcome{}, false, nil
+	}
 	var c Change
 	if err := json.Unmarshal(r.Data, &c); err != nil || c.Kind != kindChange || c.ChangeID == "" || len(c.ChangeID) > MaxChangeIDLen {
 		return Outcome{}, false, nil
@@ -150,6 +172,9 @@
 	if err := f.checkUnique(v); err != nil {
 		return reject(err.Error())
 	}
+	if v.entrySet != nil {
+		f.setPrevious(f.cfg.EntrySet)
+	}
 	if exists {
 		f.unset(current)
 	}
--- a/core/config/freshness.go
+++ b/core/config/freshness.go
@@ -37,7 +37,10 @@
 	LogRead     time.Time
 	Established bool
 	EntrySet    core.EntrySet
-	Peers       []Heard
+	// Previous is the entry set before the change at EntrySetVersion.
+	Previous        core.EntrySet
+	EntrySetVersion int64
+	Peers           []Heard
 }
 
 // ConfirmedAt returns the latest time up to which the process is known to miss
@@ -96,8 +99,10 @@
 	return times[need-1]
 }
 
-func (f Freshness) member(id string) bool {
-	for _, e := range f.EntrySet.Entries {
+func (f Freshness) member(id string) bool { return contains(f.EntrySet, id) }
+
+func contains(s core.EntrySet, id string) bool {
+	for _, e := range s.Entries {
 		if e.ID == id {
 			return true
 		}
@@ -120,13 +125,38 @@
 		return true
 	}
 	held := 0
-	if f.member(f.Self) {
-		held++
+	for _, e := range f.EntrySet.Entries {
+		if f.holds(e.ID, offset, now) {
+			held++
+		}
+	}
+	return held >= f.EntrySet.Majority() && f.EntrySetSettled(now)
+}
+
+// EntrySetSettled reports whether a majority of the previous entry set has
+// folded its replacement, so that those entries no longer confirm each other
+// under the previous set. Entries that were dropped count as stopped.
+func (f Freshness) EntrySetSettled(now time.Time) bool {
+	if len(f.Previous.Entries) == 0 {
+		return true
+	}
+	settled := 0
+	for _, e := range f.Previous.Entries {
+		if !f.member(e.ID) || f.holds(e.ID, f.EntrySetVersion, now) {
+			settled++
+		}
+	}
+	return settled >= f.Previous.Majority()
+}
+
+func (f Freshness) holds(id string, offset int64, now time.Time) bool {
+	if id == f.Self {
+		return f.NextOffset > offset
 	}
 	for _, p := range f.Peers {
-		if p.ID != f.Self && f.member(p.ID) && p.NextOffset > offset && now.Sub(p.At) < SettleTime {
-			held++
+		if p.ID == id {
+			return p.NextOffset > offset && now.Sub(p.At) < SettleTime
 		}
 	}
-	return held >= f.EntrySet.Majority()
+	return false
 }
--- a/core/errors.go
+++ b/core/errors.go
@@ -9,6 +9,9 @@
 	// ErrUnavailable reports that a peer or the log gave no answer. The effect
 	// of the call is unknown.
 	ErrUnavailable = errors.ConstError("service unavailable")
+	// ErrNotAppended reports an append that did not reach the log. It had no
+	// effect. It comes together with ErrUnavailable.
+	ErrNotAppended = errors.ConstError("record was not appended")
 	// ErrRateLimited reports that the log refused an append. It had no effect.
 	ErrRateLimited = errors.ConstError("rate limit exceeded")
 	// ErrNotReady reports state that has not been read far enough to answer.
--- /dev/null
+++ b/emulator/cli/hosts.go
@@ -0,0 +1,36 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"nutmegnotch/core"
+	"nutmegnotch/emulator/hostlist"
+)
+
+// HostsCommand runs the stand-in of the platform's host list.
+type HostsCommand struct {
+	Listen string `required:"" help:"Address to listen on."`
+	File   string `type:"existingfile" help:"JSON array with the first list of hosts."`
+}
+
+// Run serves until a signal.
+func (c HostsCommand) Run() error {
+	var hosts []core.Host
+	if c.File != "" {
+		data, err := os.ReadFile(c.File)
+		if err != nil {
+			return fmt.Errorf("read hosts: %w", err)
+		}
+		if err := json.Unmarshal(data, &hosts); err != nil {
+			return fmt.Errorf("file %q: %w", c.File, err)
+		}
+		if err := hostlist.Check(hosts); err != nil {
+			return fmt.Errorf("file %q: %w", c.File, err)
+		}
+	}
+	s := hostlist.New(hosts)
+	defer s.Close()
+	return Serve(c.Listen, s)
+}
--- /dev/null
+++ b/emulator/hostlist/server.go
@@ -0,0 +1,176 @@
+// Package hostlist is a stand-in for the platform's list of live and leaving
+// hosts. It can be told to lag behind.
+package hostlist
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"nutmegnotch/core"
+)
+
+// Faults is what the stand-in does wrong. It is the JSON body of POST /faults.
+type Faults struct {
+	// LagMS shows a list only so long after it was put.
+	LagMS int64 `json:"lag_ms,omitempty"`
+	// Outage answers 503.
+	Outage bool `json:"outage,omitempty"`
+}
+
+// version is one list with the time it was put.
+type version struct {
+	at    time.Time
+	hosts []core.Host
+}
+
+// state is owned by the task of the stand-in. versions are in order of time.
+type state struct {
+	versions []version
+	faults   Faults
+}
+
+// visible returns the newest list that is older than the lag.
+func (st *state) visible(now time.Time) []core.Host {
+	limit := now.Add(-time.Duration(st.faults.LagMS) * time.Millisecond)
+	i := len(st.versions) - 1
+	for i > 0 && st.versions[i].at.After(limit) {
+		i--
+	}
+	return st.versions[i].hosts
+}
+
+// Server is the stand-in. It is an http.Handler.
+type Server struct {
+	router *httprouter.Router
+	ops    chan func(*state)
+	stop   chan struct{}
+	done   chan struct{}
+}
+
+// maxVersions bounds the lists that are kept for the lag.
+const maxVersions = 1000
+
+// New starts a stand-in with a first list.
+func New(hosts []core.Host) *Server {
+	s := &Server{
+		router: httprouter.New(),
+		ops:    make(chan func(*state)),
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
+	}
+	s.router.GET("/hosts", s.get)
+	s.router.PUT("/hosts", s.put)
+	s.router.POST("/faults", s.setFaults)
+	go s.run(&state{versions: []version{{hosts: hosts}}})
+	return s
+}
+
+// Close ends the stand-in.
+func (s *Server) Close() {
+	close(s.stop)
+	<-s.done
+}
+
+// Done is closed when the stand-in has ended.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Server) run(st *state) {
+	defer close(s.done)
+	for {
+		select {
+		case op := <-s.ops:
+			op(st)
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *Server) do(op func(*state)) {
+	ran := make(chan struct{})
+	select {
+	case s.ops <- func(st *state) { op(st); close(ran) }:
+		<-ran
+	case <-s.done:
+	}
+}
+
+// Put replaces the list.
+func (s *Server) Put(hosts []core.Host) {
+	s.do(func(st *state) {
+		st.versions = append(st.versions, version{at: time.Now(), hosts: hosts})
+		if len(st.versions) > maxVersions {
+			st.versions = st.versions[1:]
+		}
+	})
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) { s.do(func(st *state) { st.faults = f }) }
+
+func (s *Server) get(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	hosts := []core.Host{}
+	var f Faults
+	s.do(func(st *state) { hosts, f = append(hosts, st.visible(time.Now())...), st.faults })
+	if f.Outage {
+		http.Error(w, `{"error":"host list is out of service"}`, http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(hosts)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var hosts []core.Host
+	if err := decode(r, &hosts); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := Check(hosts); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Put(hosts)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f Faults
+	if err := decode(r, &f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decode(r *http.Request, v any) error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	return d.Decode(v)
+}
+
+// Check reports the first row that the host list could not hold.
+func Check(hosts []core.Host) error {
+	seen := map[string]bool{}
+	for i, h := range hosts {
+		if h.ID == "" || seen[h.ID] {
+			return fmt.Errorf("host %d: id %q is empty or appears twice: %w", i, h.ID, core.ErrInvalid)
+		}
+		if h.State != core.HostLive && h.State != core.HostLeaving {
+			return fmt.Errorf("host %q: state is %q, it must be live or leaving: %w", h.ID, h.State, core.ErrInvalid)
+		}
+		if h.Role != core.RoleEntry && h.Role != core.RoleAgent {
+			return fmt.Errorf("host %q: role is %q, it must be entry or agent: %w", h.ID, h.Role, core.ErrInvalid)
+		}
+		seen[h.ID] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/io/platformlog/client.go
@@ -0,0 +1,181 @@
+// Package platformlog is the client of the platform's append-only log service.
+package platformlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// Defaults and limits of the client.
+const (
+	DefaultTimeout = 2 * time.Second
+	maxAnswerBytes = 128 << 20
+	maxErrorBytes  = 512
+)
+
+// Client implements core.Log over HTTP. It is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var _ core.Log = (*Client)(nil)
+
+// New returns a client of the log at an address, which is host:port or an
+// http URL. A call fails with ErrUnavailable after the timeout, to which Read
+// adds its wait. A zero timeout means DefaultTimeout.
+func New(address string, timeout time.Duration) *Client {
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     time.Minute,
+	}
+	return NewWithTransport(address, timeout, t)
+}
+
+// NewWithTransport is New with a transport of the caller.
+func NewWithTransport(base string, timeout time.Duration, t http.RoundTripper) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), timeout: timeout, http: &http.Client{Transport: t}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+type answer struct {
+	Offset      *int64   `json:"offset"`
+	FirstOffset int64    `json:"first_offset"`
+	NextOffset  int64    `json:"next_offset"`
+	Records     []record `json:"records"`
+}
+
+type record struct {
+	Offset     int64  `json:"offset"`
+	TimeUnixMS int64  `json:"time_unix_ms"`
+	Data       []byte `json:"data"`
+}
+
+// Append adds one record. ErrRateLimited, ErrInvalid and ErrNotAppended mean
+// that it had no effect; any other error leaves that open.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.path(stream, "/records"), bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("append to stream %q: %w: %w", stream, err, core.ErrInvalid)
+	}
+	a, err := c.call(req)
+	if err != nil {
+		return 0, fmt.Errorf("append to stream %q: %w", stream, err)
+	}
+	if a.Offset == nil {
+		return 0, fmt.Errorf("append to stream %q: answer has no offset: %w", stream, core.ErrUnavailable)
+	}
+	return *a.Offset, nil
+}
+
+// Read returns records from an offset on.
+func (c *Client) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (core.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	q := url.Values{
+		"from":    {strconv.FormatInt(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.path(stream, "/records?"+q.Encode()), nil)
+	if err != nil {
+		return core.Batch{}, fmt.Errorf("read stream %q: %w: %w", stream, err, core.ErrInvalid)
+	}
+	a, err := c.call(req)
+	b := core.Batch{FirstOffset: a.FirstOffset, NextOffset: a.NextOffset}
+	if err != nil {
+		return b, fmt.Errorf("read stream %q from %d: %w", stream, from, err)
+	}
+	for _, r := range a.Records {
+		b.Records = append(b.Records, core.Record{Offset: r.Offset, Time: time.UnixMilli(r.TimeUnixMS), Data: r.Data})
+	}
+	return b, nil
+}
+
+// Offsets returns a batch that holds only the first and the next offset.
+func (c *Client) Offsets(ctx context.Context, stream string) (core.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.path(stream, ""), nil)
+	if err != nil {
+		return core.Batch{}, fmt.Errorf("read offsets of stream %q: %w: %w", stream, err, core.ErrInvalid)
+	}
+	a, err := c.call(req)
+	if err != nil {
+		return core.Batch{}, fmt.Errorf("read offsets of stream %q: %w", stream, err)
+	}
+	return core.Batch{FirstOffset: a.FirstOffset, NextOffset: a.NextOffset}, nil
+}
+
+func (c *Client) path(stream, rest string) string {
+	return c.base + "/streams/" + url.PathEscape(stream) + rest
+}
+
+func (c *Client) call(req *http.Request) (answer, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer{}, transportError(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return answer{}, fmt.Errorf("read answer: %w: %w", err, core.ErrUnavailable)
+	}
+	if err := statusError(resp.StatusCode, body); err != nil && resp.StatusCode != http.StatusGone {
+		return answer{}, err
+	}
+	var a answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return answer{}, fmt.Errorf("decode answer: %w: %w", err, core.ErrUnavailable)
+	}
+	if resp.StatusCode == http.StatusGone {
+		return a, fmt.Errorf("first offset is %d: %w", a.FirstOffset, core.ErrExpired)
+	}
+	return a, nil
+}
+
+// transportError tells a connection that was never made from one that broke.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w: %w", err, core.ErrNotAppended, core.ErrUnavailable)
+	}
+	return fmt.Errorf("%w: %w", err, core.ErrUnavailable)
+}
+
+func statusError(status int, body []byte) error {
+	text := strings.TrimSpace(string(body[:min(len(body), maxErrorBytes)]))
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusTooManyRequests:
+		return fmt.Errorf("log answered 429: %w", core.ErrRateLimited)
+	case status >= 400 && status < 500:
+		return fmt.Errorf("log answered %d: %s: %w", status, text, core.ErrInvalid)
+	}
+	return fmt.Errorf("log answered %d: %s: %w", status, text, core.ErrUnavailable)
+}
