--- a/core/config/checkpoint.go
+++ b/core/config/checkpoint.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 
@@ -59,6 +60,9 @@
 // CheckpointOffset returns the offset of a checkpoint record, and false for any
 // other record.
 func CheckpointOffset(data []byte) (int64, bool) {
+	if !bytes.Contains(data, []byte(kindCheckpoint)) {
+		return 0, false
+	}
 	var c struct {
 		Kind   string `json:"kind"`
 		Offset int64  `json:"offset"`
--- /dev/null
+++ b/options/options.go
@@ -0,0 +1,131 @@
+// Package options holds the settings of both roles. They come from one TOML
+// file, which is read strictly: unknown keys, wrong types and values out of
+// range are errors that name file, line, key, value and allowed range.
+package options
+
+import (
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// Kinds of backend servers.
+const (
+	BackendEngine = "engine"
+	BackendDesk   = "desk"
+)
+
+// Duration is a time.Duration that is written like "1m30s".
+type Duration time.Duration
+
+// UnmarshalText parses a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText formats the duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Settings are the settings of one process.
+type Settings struct {
+	ID            string `toml:"id"`
+	Role          string `toml:"role"`
+	FailureDomain string `toml:"failure_domain"`
+	Region        string `toml:"region"`
+	LogLevel      string `toml:"log_level"`
+
+	Listen   Listen   `toml:"listen"`
+	Log      Log      `toml:"log"`
+	HostList HostList `toml:"host_list"`
+	Claims   Claims   `toml:"claims"`
+	Entry    Entry    `toml:"entry"`
+	Agent    Agent    `toml:"agent"`
+	Group    Group    `toml:"group"`
+}
+
+// Listen holds the addresses of the process. Caller is for entries only.
+// PeerAdvertised is the address that peers dial; it defaults to Peer.
+type Listen struct {
+	Caller         string `toml:"caller"`
+	Admin          string `toml:"admin"`
+	Peer           string `toml:"peer"`
+	PeerAdvertised string `toml:"peer_advertised"`
+}
+
+// Log describes the platform's log service.
+type Log struct {
+	Address   string   `toml:"address"`
+	Retention Duration `toml:"retention"`
+	Timeout   Duration `toml:"timeout"`
+}
+
+// HostList describes the platform's host list.
+type HostList struct {
+	Address string   `toml:"address"`
+	Timeout Duration `toml:"timeout"`
+}
+
+// Claims describes the claim streams. All processes must agree on it.
+type Claims struct {
+	Window     Duration `toml:"window"`
+	Partitions int      `toml:"partitions"`
+}
+
+// Entry holds the settings of entries.
+type Entry struct {
+	ReplyMemoryBytes   int64    `toml:"reply_memory_bytes"`
+	UploadTimeout      Duration `toml:"upload_timeout"`
+	DrainDelay         Duration `toml:"drain_delay"`
+	RetryBudget        float64  `toml:"retry_budget"`
+	RetryBurst         int      `toml:"retry_burst"`
+	BootstrapTokenHash string   `toml:"bootstrap_token_hash"`
+}
+
+// Agent holds the settings of agents.
+type Agent struct {
+	Service          string   `toml:"service"`
+	BackendAddress   string   `toml:"backend_address"`
+	BackendKind      string   `toml:"backend_kind"`
+	ReplyMemoryBytes int64    `toml:"reply_memory_bytes"`
+	DrainTimeout     Duration `toml:"drain_timeout"`
+}
+
+// Group makes an agent a rank of a group. Name is empty without a group.
+// RankAddresses holds the peer address of each rank, in rank order.
+type Group struct {
+	Name          string   `toml:"name"`
+	Rank          int      `toml:"rank"`
+	RankAddresses []string `toml:"rank_addresses"`
+}
+
+// Default returns the settings that hold when the file says nothing.
+func Default() Settings {
+	return Settings{
+		LogLevel: "info",
+		Log:      Log{Retention: Duration(24 * time.Hour), Timeout: Duration(2 * time.Second)},
+		HostList: HostList{Timeout: Duration(2 * time.Second)},
+		Claims:   Claims{Window: Duration(6 * time.Hour), Partitions: 4},
+		Entry: Entry{
+			ReplyMemoryBytes: 256 << 20,
+			UploadTimeout:    Duration(30 * time.Second),
+			DrainDelay:       Duration(2 * time.Second),
+			RetryBudget:      0.1,
+			RetryBurst:       10,
+		},
+		Agent: Agent{
+			BackendKind:      BackendEngine,
+			ReplyMemoryBytes: 64 << 20,
+			DrainTimeout:     Duration(10 * time.Minute),
+		},
+	}
+}
+
+// Info returns how the process appears in the entry set.
+func (s Settings) Info() core.EntryInfo {
+	return core.EntryInfo{ID: s.ID, Address: s.Listen.PeerAdvertised, Domain: s.FailureDomain, Region: s.Region}
+}
