--- /dev/null
+++ b/io/admin/access.go
@@ -0,0 +1,91 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/julienschmidt/httprouter"
+
+	"nutmegnotch/core"
+)
+
+// allOrganisations is the scope that permits everything.
+const allOrganisations = "*"
+
+// maxOperatorLen bounds the X-Operator header.
+const maxOperatorLen = 60
+
+// identity is who makes a call. Operator is what the caller says of itself.
+type identity struct {
+	team     string
+	operator string
+	scope    []string
+}
+
+func (id identity) author() string {
+	if id.operator == "" {
+		return id.team
+	}
+	return id.team + "/" + id.operator
+}
+
+// mayChange reports whether the identity may change an object.
+func (id identity) mayChange(object string) bool {
+	if slices.Contains(id.scope, allOrganisations) {
+		return true
+	}
+	kind, name, _ := strings.Cut(object, "/")
+	return kind == core.KindContract && slices.Contains(id.scope, name)
+}
+
+// mayRead reports whether the identity may read an object. Services, failure
+// domains and the entry set hold no secrets of an organisation.
+func (id identity) mayRead(object string) bool {
+	kind, _, _ := strings.Cut(object, "/")
+	return id.mayChange(object) || kind == core.KindService || kind == core.KindDomain || kind == core.KindEntrySet
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity)
+
+// authorized answers 401 unless the call has the token of a team.
+func (s *Server) authorized(h handler) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		id, known := s.identify(token)
+		if !ok || !known {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeError(w, http.StatusUnauthorized, string(core.CodeUnauthorized), "bearer token is missing or unknown")
+			return
+		}
+		id.operator = r.Header.Get("X-Operator")
+		if len(id.operator) > maxOperatorLen {
+			writeError(w, http.StatusBadRequest, string(core.CodeBadRequest), "X-Operator is too long")
+			return
+		}
+		h(w, r, p, id)
+	}
+}
+
+// identify compares the token with that of every team, so that the time does
+// not depend on which one matches.
+func (s *Server) identify(token string) (identity, bool) {
+	sum := sha256.Sum256([]byte(token))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	teams := s.cfg.Configuration.Current().Teams
+	var id identity
+	found := false
+	for _, t := range teams {
+		if subtle.ConstantTimeCompare(hash, []byte(t.TokenHash)) == 1 {
+			id, found = identity{team: t.Name, scope: t.Organisations}, true
+		}
+	}
+	bootstrap := s.cfg.BootstrapTokenHash
+	if len(teams) == 0 && bootstrap != "" && subtle.ConstantTimeCompare(hash, []byte(bootstrap)) == 1 {
+		id, found = identity{team: "bootstrap", scope: []string{allOrganisations}}, true
+	}
+	return id, found
+}
--- a/io/configlog/read.go
+++ b/io/configlog/read.go
@@ -24,7 +24,7 @@
 // before a usable checkpoint have expired: the reader looks for a checkpoint
 // that covers at least all before first.
 type reader struct {
-	requests chan int64
+	requests chan readRequest
 	results  chan readResult
 	busy     bool
 	after    time.Time
@@ -35,24 +35,29 @@
 	reached  bool
 }
 
+type readRequest struct {
+	from int64
+	wait time.Duration
+}
+
 type readResult struct {
-	from   int64
+	waited bool
 	sentAt time.Time
 	batch  core.Batch
 	err    error
 }
 
 func newReader() reader {
-	return reader{requests: make(chan int64, 1), results: make(chan readResult, 1), seek: noSeek}
+	return reader{requests: make(chan readRequest, 1), results: make(chan readResult, 1), seek: noSeek}
 }
 
 // readLoop asks the log for one batch at a time.
 func (t *task) readLoop() {
 	for {
 		select {
-		case from := <-t.reader.requests:
-			r := readResult{from: from, sentAt: time.Now()}
-			r.batch, r.err = t.f.cfg.Log.Read(t.ctx, core.StreamConfig, from, readLimit, t.f.cfg.Wait)
+		case q := <-t.reader.requests:
+			r := readResult{waited: q.wait > 0, sentAt: time.Now()}
+			r.batch, r.err = t.f.cfg.Log.Read(t.ctx, core.StreamConfig, q.from, readLimit, q.wait)
 			select {
 			case t.reader.results <- r:
 			case <-t.ctx.Done():
@@ -75,8 +80,13 @@
 	if t.reader.seek != noSeek {
 		from = t.reader.seek
 	}
+	q := readRequest{from: from, wait: t.f.cfg.Wait}
+	if !t.reader.reached {
+		// The first read, and the first after a failure, must not wait to confirm.
+		q.wait = 0
+	}
 	t.reader.busy = true
-	t.reader.requests <- from
+	t.reader.requests <- q
 }
 
 func (t *task) handleRead(r readResult) {
@@ -99,7 +109,7 @@
 	} else {
 		t.apply(r.batch.Records)
 	}
-	if now := time.Now(); len(r.batch.Records) == 0 && now.Sub(r.sentAt) < minReadTime {
+	if now := time.Now(); len(r.batch.Records) == 0 && r.waited && now.Sub(r.sentAt) < minReadTime {
 		// The log did not wait. Asking again at once would only load it.
 		t.reader.after = now.Add(retryDelay)
 	}
