--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -2,10 +2,14 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"nutmegnotch/core"
 )
 
 // Exit codes of all commands.
@@ -18,34 +22,76 @@
 )
 
 type commands struct {
+	JSON bool `name:"json" help:"Print JSON."`
+
+	Publish publishCommand `cmd:"" help:"Publish a new value, or the deletion, of an object."`
+	Get     getCommand     `cmd:"" help:"Print objects."`
+	Drain   drainCommand   `cmd:"" help:"Take a failure domain out of service."`
+	Restore restoreCommand `cmd:"" help:"Bring a failure domain back into service."`
+	Audit   auditCommand   `cmd:"" help:"Print the audit trail of changes."`
+	Status  statusCommand  `cmd:"" help:"Print the state of a process."`
+	Check   checkCommand   `cmd:"" help:"Check settings and object files without a server."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
 type versionCommand struct{}
 
 // Run prints the version.
-func (versionCommand) Run() error {
-	fmt.Println("nutmegnotch 0.1.0")
-	return nil
+func (versionCommand) Run(out *output) error {
+	return out.print(map[string]string{"version": "0.1.0"}, "nutmegnotch 0.1.0\n")
+}
+
+// exitError is an error with the exit code that it leads to.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func badInput(format string, args ...any) error {
+	return &exitError{code: ExitBadInput, err: fmt.Errorf(format, args...)}
+}
+
+// exitCode maps an error to the exit code of the process.
+func exitCode(err error) int {
+	var e *exitError
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &e):
+		return e.code
+	case errors.Is(err, core.ErrInvalid):
+		return ExitBadInput
+	}
+	return ExitFailed
 }
 
 // Main runs the command line with the given arguments and returns the exit
 // code of the process.
-func Main(args []string) int {
+func Main(args []string) int { return run(args, os.Stdout, os.Stderr) }
+
+func run(args []string, stdout, stderr io.Writer) int {
 	var c commands
-	p, err := kong.New(&c, kong.Name("nutmegnotch"))
+	exited := -1
+	p, err := kong.New(&c, kong.Name("nutmegnotch"), kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exited = code }))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
 	ctx, err := p.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(stderr, "nutmegnotch:", err)
 		return ExitBadInput
 	}
-	if err := ctx.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return ExitFailed
+	err = ctx.Run(&output{w: stdout, json: c.JSON})
+	if err != nil {
+		fmt.Fprintln(stderr, "nutmegnotch:", err)
 	}
-	return ExitDone
+	return exitCode(err)
 }
--- /dev/null
+++ b/io/cli/output.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// output prints results as text or JSON.
+type output struct {
+	w    io.Writer
+	json bool
+}
+
+// print writes v as JSON, or the text.
+func (o *output) print(v any, text string) error {
+	if !o.json {
+		_, err := io.WriteString(o.w, text)
+		return err
+	}
+	e := json.NewEncoder(o.w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return fmt.Errorf("print result: %w", err)
+	}
+	return nil
+}
