--- /dev/null
+++ b/core/config/bench_test.go
@@ -0,0 +1,116 @@
+package config_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/config"
+)
+
+func contractChange(b *testing.B, i int, basedOn int64, id string) config.Change {
+	b.Helper()
+	name := fmt.Sprintf("organisation-%d", i)
+	sum := sha256.Sum256([]byte(name))
+	value, err := json.Marshal(core.Contract{
+		Organisation: name, CallerKeyHashes: []string{hex.EncodeToString(sum[:])}, Services: []string{"runners", "desk"},
+		RequestsPerSecond: 20, TokensPerSecond: 10_000, Concurrency: 50, ReplyTimeMS: 60_000, ReplyMemoryBytes: 8 << 20, MaxPriority: 5, Weight: 10,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return config.Change{ChangeID: id, Author: "ops/operator", Object: "contract/" + name, BasedOn: basedOn, Value: value}
+}
+
+// contracts folds one contract for each organisation, and changes of them until
+// the outcomes are full.
+func contracts(b *testing.B, n int) (*config.Fold, []core.Record) {
+	b.Helper()
+	f := config.New()
+	var records []core.Record
+	add := func(c config.Change) {
+		r := record(b, f.NextOffset(), c)
+		records = append(records, r)
+		fold(b, f, []core.Record{r})
+	}
+	fold(b, f, []core.Record{{Offset: 0}})
+	for i := 0; i < config.MaxOutcomes; i++ {
+		o, _ := f.Object(fmt.Sprintf("contract/organisation-%d", i%n))
+		add(contractChange(b, i%n, o.Version, fmt.Sprintf("0191c2d0-0000-7000-8000-%012d", i)))
+	}
+	return f, records
+}
+
+var sizes = []int{100, 400, 1300}
+
+func BenchmarkFold(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			_, records := contracts(b, n)
+			b.ResetTimer()
+			for b.Loop() {
+				f := fold(b, config.New(), append([]core.Record{{Offset: 0}}, records...))
+				if got, want := f.NextOffset(), int64(len(records)+1); got != want {
+					b.Fatalf("next offset: got %d, want %d", got, want)
+				}
+			}
+			b.ReportMetric(float64(b.N)*float64(len(records))/b.Elapsed().Seconds(), "records/s")
+		})
+	}
+}
+
+// BenchmarkPublishedChange folds single changes and hands out the configuration
+// after each, as the follower does.
+func BenchmarkPublishedChange(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			f, _ := contracts(b, n)
+			i := 0
+			for b.Loop() {
+				o, _ := f.Object("contract/organisation-1")
+				i++
+				fold(b, f, []core.Record{record(b, f.NextOffset(), contractChange(b, 1, o.Version, fmt.Sprint("change-", i)))})
+				_ = f.Configuration()
+			}
+		})
+	}
+}
+
+func BenchmarkState(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			source, _ := contracts(b, n)
+			data, err := source.EncodeState()
+			if err != nil {
+				b.Fatal(err)
+			}
+			next := source.NextOffset()
+			var kept []*config.Fold
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			const copies = 5
+			for range copies {
+				f, err := config.DecodeState(next, data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				kept = append(kept, f)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				if _, err := kept[0].EncodeCheckpoint(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/copies, "state_bytes")
+			b.ReportMetric(float64(len(data)), "checkpoint_bytes")
+			runtime.KeepAlive(kept)
+		})
+	}
+}
--- a/core/config/fold.go
+++ b/core/config/fold.go
@@ -139,7 +139,8 @@
 // decide returns the outcome of a change that is folded for the first time and
 // applies it when it is accepted.
 func (f *Fold) decide(c Change, offset int64) Outcome {
-	o := Outcome{ChangeID: c.ChangeID, Object: c.Object, Offset: offset, Digest: c.Digest()}
+	v, err := c.decode()
+	o := Outcome{ChangeID: c.ChangeID, Object: c.Object, Offset: offset, Digest: c.digest(v)}
 	current, exists := f.objects[c.Object]
 	o.Version = current.Version
 	reject := func(reason string) Outcome {
@@ -149,7 +150,7 @@
 	if offset == 0 {
 		return reject("offset 0 cannot be a version")
 	}
-	if err := c.Check(); err != nil {
+	if err != nil {
 		return reject(err.Error())
 	}
 	if c.BasedOn != current.Version {
@@ -165,10 +166,6 @@
 		o.Result, o.Version = Accepted, 0
 		return o
 	}
-	v, err := decodeValue(c.Object, c.Value)
-	if err != nil {
-		return reject(err.Error())
-	}
 	if err := f.checkUnique(v); err != nil {
 		return reject(err.Error())
 	}
--- a/core/config/record.go
+++ b/core/config/record.go
@@ -52,36 +52,48 @@
 
 // Check reports whether the change is valid on its own, before it is published.
 func (c Change) Check() error {
+	_, err := c.decode()
+	return err
+}
+
+// decode checks the change and decodes its value, which a deletion lacks.
+func (c Change) decode() (value, error) {
 	if c.ChangeID == "" || len(c.ChangeID) > MaxChangeIDLen {
-		return fmt.Errorf("change_id must have 1 to %d bytes: %w", MaxChangeIDLen, core.ErrInvalid)
+		return value{}, fmt.Errorf("change_id must have 1 to %d bytes: %w", MaxChangeIDLen, core.ErrInvalid)
 	}
 	if len(c.Author) > MaxAuthorLen {
-		return fmt.Errorf("author must have at most %d bytes: %w", MaxAuthorLen, core.ErrInvalid)
+		return value{}, fmt.Errorf("author must have at most %d bytes: %w", MaxAuthorLen, core.ErrInvalid)
 	}
 	if c.BasedOn < 0 {
-		return fmt.Errorf("based_on is %d, it must not be negative: %w", c.BasedOn, core.ErrInvalid)
+		return value{}, fmt.Errorf("based_on is %d, it must not be negative: %w", c.BasedOn, core.ErrInvalid)
 	}
 	if c.Delete != (len(c.Value) == 0) {
-		return fmt.Errorf("a change holds either a value or \"delete\":true: %w", core.ErrInvalid)
+		return value{}, fmt.Errorf("a change holds either a value or \"delete\":true: %w", core.ErrInvalid)
 	}
 	if c.Delete {
 		if c.Object == core.ObjectEntrySet {
-			return fmt.Errorf("object %q cannot be deleted: %w", c.Object, core.ErrInvalid)
+			return value{}, fmt.Errorf("object %q cannot be deleted: %w", c.Object, core.ErrInvalid)
 		}
 		_, _, err := SplitName(c.Object)
-		return err
+		return value{}, err
 	}
-	_, err := decodeValue(c.Object, c.Value)
-	return err
+	return decodeValue(c.Object, c.Value)
 }
 
 // Digest identifies the content of the change without its id and author. Two
 // changes that share an id and differ in their digest are a mistake of the
 // sender.
 func (c Change) Digest() string {
+	v, _ := c.decode()
+	return c.digest(v)
+}
+
+// digest uses the canonical value if there is one, since the log may hold the
+// value with other white space than its author wrote.
+func (c Change) digest(v value) string {
 	d := xxhash.New()
 	value := []byte(c.Value)
-	if v, err := decodeValue(c.Object, c.Value); err == nil {
+	if v.canonical != nil {
 		value = v.canonical
 	}
 	fmt.Fprintf(d, "%q %d %t %q", c.Object, c.BasedOn, c.Delete, value)
--- /dev/null
+++ b/io/configlog/follower_test.go
@@ -0,0 +1,362 @@
+package configlog_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/config"
+	emulator "nutmegnotch/emulator/platformlog"
+	"nutmegnotch/io/configlog"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/io/platformlog"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// valve counts the calls to the log and can cut a process off from it.
+type valve struct {
+	closed atomic.Bool
+	calls  atomic.Int64
+	next   *http.Transport
+}
+
+func (v *valve) RoundTrip(r *http.Request) (*http.Response, error) {
+	v.calls.Add(1)
+	if v.closed.Load() {
+		return nil, errors.New("cut off from the log")
+	}
+	return v.next.RoundTrip(r)
+}
+
+// hosts is a host list that lists the given hosts.
+type hosts struct{ list atomic.Pointer[[]core.Host] }
+
+func (h *hosts) Hosts(context.Context) ([]core.Host, error) { return *h.list.Load(), nil }
+
+type process struct {
+	*configlog.Follower
+	valve   *valve
+	node    *peer.Node
+	address string
+	stop    func()
+}
+
+// cluster runs followers in one process over one stand-in of the log.
+type cluster struct {
+	t     *testing.T
+	log   *emulator.Server
+	url   string
+	hosts *hosts
+	live  []*process
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, log: emulator.New(emulator.Config{}), hosts: &hosts{}}
+	c.hosts.list.Store(&[]core.Host{})
+	srv := httptest.NewServer(c.log)
+	c.url = srv.URL
+	t.Cleanup(func() {
+		for _, p := range c.live {
+			p.stop()
+		}
+		c.log.Close()
+		srv.Close()
+	})
+	return c
+}
+
+// start runs a process that dials the others that run.
+func (c *cluster) start(id, role string, edit func(*configlog.Config), dial ...*process) *process {
+	c.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p := &process{address: l.Addr().String(), valve: &valve{next: &http.Transport{}}}
+	log := platformlog.NewWithTransport(c.url, 500*time.Millisecond, p.valve)
+	cfg := configlog.Config{
+		Self: core.EntryInfo{ID: id, Address: p.address, Domain: "d", Region: "r"}, Role: role, Log: log, Hosts: c.hosts,
+		Exchange: 50 * time.Millisecond, Wait: 200 * time.Millisecond, EntrySetDelay: 300 * time.Millisecond,
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	p.Follower = configlog.New(cfg)
+	p.node = peer.New(peer.Config{
+		Self:    &peerpb.Hello{Id: id, Role: role, Incarnation: p.address, Address: p.address, FailureDomain: "d", Region: "r"},
+		Control: func(s *peer.Session, f *peerpb.Frame) { p.Control(s, f) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() { defer close(served); _ = p.node.Serve(l) }()
+	go p.Run(ctx, p.node)
+	for _, other := range dial {
+		p.node.Keep(other.address)
+	}
+	stopped := false
+	p.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		p.node.Stop()
+		<-served
+		<-p.Done()
+		p.valve.next.CloseIdleConnections()
+	}
+	c.live = append(c.live, p)
+	return p
+}
+
+// three starts three entries and waits until they form the entry set.
+func (c *cluster) three() []*process {
+	c.t.Helper()
+	a := c.start("a", core.RoleEntry, nil)
+	b := c.start("b", core.RoleEntry, nil, a)
+	d := c.start("c", core.RoleEntry, nil, a, b)
+	for _, p := range []*process{a, b, d} {
+		wait(c.t, "entry set of three", 10*time.Second, func() bool { return len(p.Current().EntrySet.Entries) == 3 })
+	}
+	return []*process{a, b, d}
+}
+
+func wait(t *testing.T, what string, limit time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not reached within %s", what, limit)
+		}
+	}
+}
+
+func drain(id, domain string, basedOn int64) config.Change {
+	return config.Change{ChangeID: id, Author: "test", Object: "domain/" + domain, BasedOn: basedOn,
+		Value: json.RawMessage(fmt.Sprintf(`{"name":%q,"state":"drained"}`, domain))}
+}
+
+func publish(t *testing.T, p *process, c config.Change, limit time.Duration, want config.Result) config.Outcome {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	o, err := p.Publish(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Result != want {
+		t.Fatalf("publish %s: got %s (%s), want %s", c.ChangeID, o.Result, o.Reason, want)
+	}
+	return o
+}
+
+// Guards against an accepted change that is not in force everywhere, against
+// two winners of a race, and against a change that runs twice because the
+// answer to its append was lost.
+func TestPublish(t *testing.T) {
+	c := newCluster(t)
+	ps := c.three()
+	publish(t, ps[0], drain("one", "x", 0), 5*time.Second, config.Accepted)
+	for _, p := range ps {
+		wait(t, "domain x drained", 5*time.Second, func() bool { return p.Current().Drained("x") })
+	}
+
+	results := make(chan config.Outcome, 2)
+	for i, p := range ps[:2] {
+		go func() {
+			o, err := p.Publish(context.Background(), drain(fmt.Sprint("race", i), "y", 0))
+			if err != nil {
+				t.Error(err)
+			}
+			results <- o
+		}()
+	}
+	first, second := <-results, <-results
+	if first.Result == config.Lost {
+		first, second = second, first
+	}
+	if first.Result != config.Accepted || second.Result != config.Lost || second.Winner != first.ChangeID {
+		t.Errorf("race: got %+v and %+v, want one accepted and one lost to it", first, second)
+	}
+
+	c.log.SetFaults(emulator.Faults{LoseAppendAnswers: 2, LoseStream: core.StreamConfig})
+	o := publish(t, ps[2], drain("lost-answer", "z", 0), 5*time.Second, config.Accepted)
+	again := publish(t, ps[1], drain("lost-answer", "z", 0), 5*time.Second, config.Accepted)
+	if again != o {
+		t.Errorf("repeat: got %+v, want %+v", again, o)
+	}
+	if _, err := ps[0].Publish(context.Background(), drain("lost-answer", "other", 0)); !errors.Is(err, core.ErrInvalid) {
+		t.Errorf("reused change id: got %v, want ErrInvalid", err)
+	}
+	for _, p := range ps[1:] {
+		wait(t, "equal state", 5*time.Second, func() bool { return p.Current().StateHash == ps[0].Current().StateHash })
+	}
+}
+
+// Guards against a log outage that stops entries which confirm each other,
+// against a false "accepted" during it, and against a process that starts in it
+// and stays without configuration.
+func TestLogOutage(t *testing.T) {
+	c := newCluster(t)
+	ps := c.three()
+	publish(t, ps[0], drain("before", "x", 0), 5*time.Second, config.Accepted)
+	c.log.SetFaults(emulator.Faults{Outage: emulator.OutageHang})
+	publish(t, ps[0], drain("during", "y", 0), time.Second, config.Unknown)
+	time.Sleep(config.FreshnessBound + time.Second)
+	for i, p := range ps {
+		if !p.Confirmed(time.Now()) {
+			t.Errorf("entry %d: not confirmed by the majority", i)
+		}
+	}
+	late := c.start("late", core.RoleAgent, nil, ps...)
+	wait(t, "snapshot from a peer", 5*time.Second, func() bool {
+		return late.Current().Drained("x") && late.Confirmed(time.Now())
+	})
+	if got, want := late.Current().StateHash, ps[0].Current().StateHash; got != want {
+		t.Errorf("hash after snapshot: got %x, want %x", got, want)
+	}
+
+	// Only one entry is left: without log and majority all must stop.
+	ps[1].stop()
+	ps[2].stop()
+	for _, p := range []*process{ps[0], late} {
+		wait(t, "refusal without majority", config.FreshnessBound+2*time.Second, func() bool { return !p.Confirmed(time.Now()) })
+	}
+	c.log.SetFaults(emulator.Faults{})
+	wait(t, "confirmation by the log", 5*time.Second, func() bool { return ps[0].Confirmed(time.Now()) })
+}
+
+// Guards against a process that is cut off from the log and keeps an old
+// configuration while it has a peer, and against one that has neither and goes
+// on after the bound.
+func TestCutOffFromTheLog(t *testing.T) {
+	c := newCluster(t)
+	ps := c.three()
+	cut := ps[2]
+	cut.valve.closed.Store(true)
+	o := publish(t, ps[0], drain("one", "x", 0), 5*time.Second, config.Accepted)
+	wait(t, "change through a peer", 2*time.Second, func() bool { return cut.Current().Drained("x") })
+	time.Sleep(config.FreshnessBound + 500*time.Millisecond)
+	if !cut.Confirmed(time.Now()) {
+		t.Error("process with confirmed peers: not confirmed")
+	}
+	if got, ok := ps[1].Outcome(context.Background(), "one"); !ok || got != o {
+		t.Errorf("outcome at another entry: got %+v, want %+v", got, o)
+	}
+	lonely := c.start("lonely", core.RoleAgent, nil)
+	wait(t, "confirmation by the log", 5*time.Second, func() bool { return lonely.Confirmed(time.Now()) })
+	lonely.valve.closed.Store(true)
+	began := time.Now()
+	wait(t, "refusal without log and peers", config.FreshnessBound+time.Second, func() bool { return !lonely.Confirmed(time.Now()) })
+	if got, least := time.Since(began), config.FreshnessBound-time.Second; got < least {
+		t.Errorf("refused after %s, want at least %s", got, least)
+	}
+	// A report without an echo may be old, for example after a pause.
+	lonely.Control(&peer.Session{Hello: &peerpb.Hello{Id: "peer", Role: core.RoleEntry}}, &peerpb.Frame{Body: &peerpb.Frame_Position{
+		Position: &peerpb.Position{Confirmed: true, Established: true, Seq: 1}}})
+	time.Sleep(200 * time.Millisecond)
+	if lonely.Confirmed(time.Now()) {
+		t.Error("report of unknown age: got confirmed, want not confirmed")
+	}
+}
+
+// Guards against records that expire before a checkpoint covers them, and
+// against a reader that cannot start from the checkpoint.
+func TestExpiredRecords(t *testing.T) {
+	c := newCluster(t)
+	short := func(cfg *configlog.Config) {
+		cfg.Retention, cfg.CheckpointDelay = 2*time.Second, 50*time.Millisecond
+	}
+	writer := c.start("writer", core.RoleEntry, short)
+	for i := range 5 {
+		publish(t, writer, drain(fmt.Sprint("change", i), fmt.Sprint("d", i), 0), 5*time.Second, config.Accepted)
+	}
+	log := platformlog.New(c.url, 0)
+	defer log.Close()
+	covered := int64(0)
+	wait(t, "checkpoint of all changes", 10*time.Second, func() bool {
+		b, err := log.Read(context.Background(), core.StreamConfig, 0, 100, 0)
+		for _, r := range b.Records {
+			if n, ok := config.CheckpointOffset(r.Data); ok {
+				covered = n
+			}
+		}
+		return err == nil && covered > 5
+	})
+	c.log.SetFaults(emulator.Faults{ExpireBefore: covered})
+	reader := c.start("reader", core.RoleAgent, nil)
+	wait(t, "state from the checkpoint", 5*time.Second, func() bool {
+		return reader.Current().Drained("d4") && reader.Confirmed(time.Now())
+	})
+	if got, want := reader.Current().StateHash, writer.Current().StateHash; got != want {
+		t.Errorf("hash: got %x, want %x", got, want)
+	}
+}
+
+// Guards against a position that goes back when old records or an old snapshot
+// arrive late.
+func TestPositionNeverGoesBack(t *testing.T) {
+	c := newCluster(t)
+	p := c.start("a", core.RoleEntry, nil)
+	publish(t, p, drain("one", "x", 0), 5*time.Second, config.Accepted)
+	before := p.Current()
+	empty, err := config.New().EncodeState()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range []*peerpb.Frame{
+		{Body: &peerpb.Frame_Snapshot{Snapshot: &peerpb.Snapshot{NextOffset: 1, State: empty, Parts: 1}}},
+		{Body: &peerpb.Frame_Records{Records: &peerpb.Records{Records: []*peerpb.LogRecord{{Offset: 0, Data: []byte("null")}}}}},
+	} {
+		p.Control(&peer.Session{Hello: &peerpb.Hello{Id: "old"}}, f)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if got := p.Current(); got.NextOffset < before.NextOffset || !got.Drained("x") {
+		t.Errorf("offset after old frames: got %d, want at least %d", got.NextOffset, before.NextOffset)
+	}
+}
+
+// Guards against agents that load the log while an entry feeds them, and
+// against a fed agent that misses a change.
+func TestAgentIsFedByAnEntry(t *testing.T) {
+	c := newCluster(t)
+	entry := c.start("entry", core.RoleEntry, nil)
+	agent := c.start("agent", core.RoleAgent, nil, entry)
+	publish(t, entry, drain("one", "x", 0), 5*time.Second, config.Accepted)
+	wait(t, "fed agent", 5*time.Second, func() bool { return agent.Current().Drained("x") })
+	time.Sleep(500 * time.Millisecond)
+	calls := agent.valve.calls.Load()
+	publish(t, entry, drain("two", "y", 0), 5*time.Second, config.Accepted)
+	wait(t, "change through the entry", time.Second, func() bool { return agent.Current().Drained("y") })
+	time.Sleep(time.Second)
+	if got := agent.valve.calls.Load(); got != calls {
+		t.Errorf("calls to the log while fed: got %d, want none", got-calls)
+	}
+	entry.stop()
+	wait(t, "own reading after the entry went", 5*time.Second, func() bool { return agent.valve.calls.Load() > calls })
+}
+
+// Guards against an entry that stays in the set after it has gone, and against
+// members that are dropped though they are only unreachable from one side.
+func TestEntrySetFollowsHosts(t *testing.T) {
+	c := newCluster(t)
+	ps := c.three()
+	c.hosts.list.Store(&[]core.Host{{ID: "b", Role: core.RoleEntry, State: core.HostLive}})
+	ps[1].stop()
+	ps[2].stop()
+	wait(t, "removal of the entry that is gone", 10*time.Second, func() bool {
+		e := ps[0].Current().EntrySet.Entries
+		return len(e) == 2 && e[0].ID == "a" && e[1].ID == "b"
+	})
+}
--- a/options/load.go
+++ b/options/load.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -34,7 +35,7 @@
 	d := toml.NewDecoder(strings.NewReader(string(data)))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
-		return Settings{}, decodeError(name, err)
+		return Settings{}, decodeError(name, data, err)
 	}
 	if s.Listen.PeerAdvertised == "" {
 		s.Listen.PeerAdvertised = s.Listen.Peer
@@ -48,7 +49,7 @@
 }
 
 // decodeError names the place of a fault that the decoder found.
-func decodeError(name string, err error) error {
+func decodeError(name string, data []byte, err error) error {
 	var missing *toml.StrictMissingError
 	if errors.As(err, &missing) {
 		var list []error
@@ -61,7 +62,11 @@
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		line, _ := decode.Position()
-		return fmt.Errorf("%s:%d: key %q: %s: %w", name, line, strings.Join(decode.Key(), "."), decode.Error(), core.ErrInvalid)
+		key := strings.Join(decode.Key(), ".")
+		if key == "" {
+			return fmt.Errorf("%s:%d: %s: %w", name, line, decode.Error(), core.ErrInvalid)
+		}
+		return fmt.Errorf("%s:%d: key %q has the value %s, allowed: %s: %w", name, line, key, valueText(data, line), allowedType(key), core.ErrInvalid)
 	}
 	return fmt.Errorf("%s: %w: %w", name, err, core.ErrInvalid)
 }
@@ -105,3 +110,32 @@
 	_, v, _ := strings.Cut(lines[line-1], "=")
 	return strings.TrimSpace(v)
 }
+
+// allowedType names the type of a setting by its dotted key.
+func allowedType(key string) string {
+	t := reflect.TypeFor[Settings]()
+	for _, part := range strings.Split(key, ".") {
+		if t.Kind() != reflect.Struct {
+			break
+		}
+		for i := range t.NumField() {
+			if f := t.Field(i); f.Tag.Get("toml") == part {
+				t = f.Type
+				break
+			}
+		}
+	}
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		return `a duration in quotes, such as "30s"`
+	case t.Kind() == reflect.Struct:
+		return "a table"
+	case t.Kind() == reflect.Slice:
+		return "an array of strings"
+	case t.Kind() == reflect.Int || t.Kind() == reflect.Int64:
+		return "an integer"
+	case t.Kind() == reflect.Float64:
+		return "a number"
+	}
+	return "a string"
+}
