--- a/options/check.go
+++ b/options/check.go
@@ -98,6 +98,10 @@
 }
 
 func (c *checker) duration(key string, v Duration, lo, hi time.Duration) {
+	if v.malformed {
+		c.fault(key, "", allowedType(key))
+		return
+	}
 	if v.Std() < lo || v.Std() > hi {
 		c.fault(key, v.Std(), fmt.Sprintf("%s to %s", lo, hi))
 	}
--- a/options/options.go
+++ b/options/options.go
@@ -15,21 +15,28 @@
 	BackendDesk   = "desk"
 )
 
-// Duration is a time.Duration that is written like "1m30s".
-type Duration time.Duration
+// Duration is a time.Duration that is written like "1m30s". It is a struct so
+// that a bare number, which would count nanoseconds, is not accepted.
+type Duration struct {
+	d time.Duration
+	// malformed is reported by the check, which knows line and key.
+	malformed bool
+}
+
+func newDuration(d time.Duration) Duration { return Duration{d: d} }
 
-// UnmarshalText parses a duration.
+// UnmarshalText parses a duration. A malformed one is a fault of the check.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return err
+	d.d, d.malformed = v, err != nil
+	return nil
 }
 
 // MarshalText formats the duration.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.d.String()), nil }
 
 // Std returns the duration as a time.Duration.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
+func (d Duration) Std() time.Duration { return d.d }
 
 // Settings are the settings of one process.
 type Settings struct {
@@ -107,20 +114,20 @@
 func Default() Settings {
 	return Settings{
 		LogLevel: "info",
-		Log:      Log{Retention: Duration(24 * time.Hour), Timeout: Duration(2 * time.Second)},
-		HostList: HostList{Timeout: Duration(2 * time.Second)},
-		Claims:   Claims{Window: Duration(6 * time.Hour), Partitions: 4},
+		Log:      Log{Retention: newDuration(24 * time.Hour), Timeout: newDuration(2 * time.Second)},
+		HostList: HostList{Timeout: newDuration(2 * time.Second)},
+		Claims:   Claims{Window: newDuration(6 * time.Hour), Partitions: 4},
 		Entry: Entry{
 			ReplyMemoryBytes: 256 << 20,
-			UploadTimeout:    Duration(30 * time.Second),
-			DrainDelay:       Duration(2 * time.Second),
+			UploadTimeout:    newDuration(30 * time.Second),
+			DrainDelay:       newDuration(2 * time.Second),
 			RetryBudget:      0.1,
 			RetryBurst:       10,
 		},
 		Agent: Agent{
 			BackendKind:      BackendEngine,
 			ReplyMemoryBytes: 64 << 20,
-			DrainTimeout:     Duration(10 * time.Minute),
+			DrainTimeout:     newDuration(10 * time.Minute),
 		},
 	}
 }
