Add routing, retry and reply budget decisions

Cause: the entry needs an agent for each request, bounded retries and a bound on the memory held for callers. Change: core/routing, core/retry and core/reply with their baselines.

--- /dev/null
+++ b/core/reply/baseline.go
@@ -0,0 +1,39 @@
+package reply
+
+import "nutmegnotch/core"
+
+// Unbounded is a baseline that buffers every reply whole and refuses none.
+type Unbounded struct{ ledger }
+
+// NewUnbounded returns the baseline.
+func NewUnbounded() *Unbounded { return &Unbounded{newLedger()} }
+
+// Reserve implements core.ReplyBudget.
+func (b *Unbounded) Reserve(organisation string, want, _ int64) (core.Reservation, bool) {
+	return b.take(organisation, want, false), true
+}
+
+// Backpressure is a baseline that gives every reply the same window, so that
+// each slow caller slows its backend server down. It knows no organisations.
+type Backpressure struct {
+	ledger
+	limit int64
+}
+
+// NewBackpressure returns the baseline with a limit for the whole process.
+func NewBackpressure(limit int64) *Backpressure { return &Backpressure{newLedger(), limit} }
+
+// Reserve implements core.ReplyBudget.
+func (b *Backpressure) Reserve(organisation string, want, _ int64) (core.Reservation, bool) {
+	bytes := min(want, WindowBytes)
+	if b.all+bytes > b.limit {
+		return core.Reservation{}, false
+	}
+	return b.take(organisation, bytes, bytes < want), true
+}
+
+var (
+	_ core.ReplyBudget = (*Budget)(nil)
+	_ core.ReplyBudget = (*Unbounded)(nil)
+	_ core.ReplyBudget = (*Backpressure)(nil)
+)
--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,61 @@
+// Package retry decides which requests may be attempted again, and recognises
+// requests that crash backend servers.
+package retry
+
+import (
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// Limits of retries.
+const (
+	// MaxAttempts counts the first attempt too.
+	MaxAttempts = 3
+	// BudgetShare is the share of requests that may be retried per service.
+	BudgetShare = 0.1
+	// BudgetBurst is the number of retries that may follow at once.
+	BudgetBurst = 10
+)
+
+// Budget implements core.Retrier. It is not safe for concurrent use. It holds
+// one number per service, and services come from the configuration.
+type Budget struct {
+	left map[string]float64
+}
+
+// NewBudget returns a budget that permits a full burst for each service.
+func NewBudget() *Budget { return &Budget{left: map[string]float64{}} }
+
+// Request implements core.Retrier.
+func (b *Budget) Request(service string, _ time.Time) {
+	b.left[service] = min(BudgetBurst, b.of(service)+BudgetShare)
+}
+
+func (b *Budget) of(service string) float64 {
+	if left, ok := b.left[service]; ok {
+		return left
+	}
+	return BudgetBurst
+}
+
+// Retry implements core.Retrier.
+func (b *Budget) Retry(r core.Request, a core.Attempt, now time.Time) bool {
+	if a.ReplyStarted || a.Number >= MaxAttempts || !now.Before(r.Deadline) {
+		return false
+	}
+	if !a.NotRun && !r.Repeatable {
+		return false
+	}
+	left := b.of(r.Service)
+	if left < 1 {
+		return false
+	}
+	b.left[r.Service] = left - 1
+	return true
+}
+
+var (
+	_ core.Retrier    = (*Budget)(nil)
+	_ core.Quarantine = (*Quarantine)(nil)
+)
--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,75 @@
+// Package routing chooses the agent that gets a request. The policies take the
+// entry's advisory views of the agents; a stale view costs at most a truthful
+// "not run" from an agent.
+package routing
+
+import (
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// MaxReportAge is the age at which a load report no longer supports a choice.
+// Agents report every 200 ms, so an older report means that the agent stalls.
+const MaxReportAge = 2 * time.Second
+
+// Candidate reports whether the agent may get the request at all: it is
+// reachable, ready, reports, serves the service, the model and the adapter, and
+// is not in a drained failure domain.
+func Candidate(r core.Request, v *core.AgentView, now time.Time) bool {
+	switch {
+	case v.Drained, v.Address == "", v.Load.State != core.AgentReady:
+		return false
+	case v.Load.Service != r.Service, now.Sub(v.ReportedAt) > MaxReportAge:
+		return false
+	case r.Model != "" && !contains(v.Load.Models, r.Model):
+		return false
+	}
+	return r.Adapter == "" || contains(v.Load.Models, r.Adapter)
+}
+
+func contains(list []string, s string) bool {
+	for _, have := range list {
+		if have == s {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether the corrected load leaves room for the request.
+// Requests of priority 0 leave a part of a busy server to higher priorities. An
+// idle server takes any request that its limit covers.
+func fits(r core.Request, v *core.AgentView) bool {
+	tokens, count := v.Load.HeldTokens+v.SentTokens, v.Load.HeldCount+v.SentCount
+	if tokens+r.Cost() > v.Load.LimitTokens || count+1 > v.Load.LimitCount {
+		return false
+	}
+	if r.Priority > 0 || count == 0 {
+		return true
+	}
+	return float64(tokens+r.Cost()) <= (1-priorityHeadroom)*float64(v.Load.LimitTokens)
+}
+
+// loadOf returns the corrected load with the request added as a share of the
+// limit, by tokens or by count, whichever is higher. A cold server has a small
+// limit and so a high share.
+func loadOf(r core.Request, v *core.AgentView) float64 {
+	byTokens := ratio(v.Load.HeldTokens+v.SentTokens+r.Cost(), v.Load.LimitTokens)
+	byCount := ratio(int64(v.Load.HeldCount+v.SentCount+1), int64(v.Load.LimitCount))
+	return max(byTokens, byCount)
+}
+
+func ratio(held, limit int64) float64 {
+	if limit <= 0 {
+		return float64(held)
+	}
+	return float64(held) / float64(limit)
+}
+
+var (
+	_ core.Router = (*Policy)(nil)
+	_ core.Router = (*RoundRobin)(nil)
+	_ core.Router = LeastConnections{}
+	_ core.Router = (*TwoChoices)(nil)
+)
