Add the HTTP front for callers

Cause: callers reach the system by HTTP/1.1 with a caller key. Change: io/caller identifies caller and service, reads the body within limits and writes replies and refusals; core gets the code upload_timeout.

--- a/core/request.go
+++ b/core/request.go
@@ -48,6 +48,7 @@
 	CodeForbidden        Code = "forbidden"
 	CodeNotFound         Code = "not_found"
 	CodeTooLarge         Code = "too_large"
+	CodeUploadTimeout    Code = "upload_timeout"
 	CodeKeyRequired      Code = "idempotency_key_required"
 	CodeKeyMismatch      Code = "idempotency_key_mismatch"
 	CodeKeyExpired       Code = "idempotency_key_expired"
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -9,7 +9,7 @@
 // Bounds of the quarantine's memory. When one is reached, the oldest item is
 // forgotten.
 const (
-	MaxCrashes      = 4096
+	MaxCrashes      = 1024
 	MaxFingerprints = 16384
 	// MaxCoRunners bounds the requests of one crash that are remembered.
 	MaxCoRunners = 1024
@@ -100,34 +100,29 @@
 	}
 }
 
-// guilty reports whether the fingerprint was on two crashed servers while a
-// request beside it was on only one of them. Requests that were together each
-// time cannot be told apart until the third crash.
+// guilty reports whether the fingerprint is the only one that was on all of its
+// two crashed servers. Requests that were together each time cannot be told
+// apart until one of them runs alone; the third crash convicts them all, so that
+// no request crashes a fourth server.
 func (q *Quarantine) guilty(fp uint64) bool {
 	ids := q.suspects[fp]
 	if len(ids) >= convictAfter {
 		return true
 	}
-	if len(ids) < 2 {
-		return false
-	}
-	return !sameMembers(q.crashes[ids[0]], q.crashes[ids[1]])
+	return len(ids) == 2 && onlyCommon(fp, q.crashes[ids[0]], q.crashes[ids[1]])
 }
 
-func sameMembers(a, b []uint64) bool {
-	if len(a) != len(b) {
-		return false
+func onlyCommon(fp uint64, a, b []uint64) bool {
+	in := make(map[uint64]bool, len(a))
+	for _, other := range a {
+		in[other] = other != fp
 	}
-	in := map[uint64]bool{}
-	for _, fp := range a {
-		in[fp] = true
-	}
-	for _, fp := range b {
-		if !in[fp] {
+	for _, other := range b {
+		if in[other] {
 			return false
 		}
 	}
-	return true
+	return len(a) > 0
 }
 
 func (q *Quarantine) convict(fp uint64) {
--- /dev/null
+++ b/io/caller/body.go
@@ -0,0 +1,80 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// retryMemory is when reply memory may be free again.
+const retryMemory = time.Second
+
+// readBody reads a body of at most limit bytes into reserved memory. The
+// reservation is the announced length, or the limit for a chunked body.
+func (f *Front) readBody(id identity, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, func(), *core.Refusal) {
+	if r.ContentLength > limit {
+		closeAfter(w)
+		return nil, nil, refuse(core.CodeTooLarge, "the body is larger than the service permits")
+	}
+	want := r.ContentLength
+	if want < 0 {
+		want = limit
+	}
+	free := func() {}
+	if want > 0 {
+		release, ok := f.cfg.Reserve(r.Context(), id.contract.Organisation, want, id.contract.ReplyMemoryBytes)
+		if !ok {
+			closeAfter(w)
+			return nil, nil, &core.Refusal{Code: core.CodeReplyMemory, NotRun: true, RetryAfter: retryMemory,
+				Message: "no memory is free for the upload"}
+		}
+		free = release
+	}
+	body, refusal := f.readAll(w, r, limit)
+	if refusal != nil {
+		free()
+		return nil, nil, refusal
+	}
+	return body, free, nil
+}
+
+func (f *Front) readAll(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *core.Refusal) {
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(time.Now().Add(f.cfg.UploadTimeout)); err != nil {
+		return nil, refuse(core.CodeBadRequest, "the upload cannot be bounded in time")
+	}
+	body, err := readUpTo(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuse(core.CodeTooLarge, "the body is larger than the service permits")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		closeAfter(w)
+		return nil, refuse(core.CodeUploadTimeout, "the body did not arrive in time")
+	case err != nil:
+		closeAfter(w)
+		return nil, refuse(core.CodeBadRequest, "the body could not be read whole")
+	}
+	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		return nil, refuse(core.CodeBadRequest, "the connection was lost")
+	}
+	return body, nil
+}
+
+// readUpTo reads all of r into one buffer of the announced size.
+func readUpTo(r io.Reader, announced int64) ([]byte, error) {
+	if announced < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, announced)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// closeAfter ends the connection after the refusal, since the rest of the
+// upload is not read.
+func closeAfter(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
--- /dev/null
+++ b/io/caller/front.go
@@ -0,0 +1,140 @@
+// Package caller is the HTTP/1.1 front end for callers. It identifies the
+// caller and the service, reads the request within limits, and writes replies
+// and refusals. It never logs bodies, headers or query strings.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"nutmegnotch/core"
+)
+
+// CompletionsPath takes the requests of model services.
+const CompletionsPath = "/v1/completions"
+
+// RequestIDHeader carries the request id to the caller and to the backend
+// server.
+const RequestIDHeader = "X-Request-Id"
+
+// Default limits of a Front.
+const (
+	DefaultUploadTimeout = 30 * time.Second
+	DefaultStallTimeout  = 10 * time.Minute
+	DefaultMaxBodyBytes  = 1 << 20
+	// MaxBodyBytes bounds any setting of a body limit.
+	MaxBodyBytes = 64 << 20
+)
+
+// Request is one caller's request, read whole and checked. Its fields may not
+// be changed, except that DropBody frees the body.
+type Request struct {
+	core.Request
+	Method string
+	// Path holds the query too.
+	Path        string
+	Header      http.Header
+	Body        []byte
+	RequestHash [32]byte
+	Contract    core.Contract
+	ServiceInfo core.Service
+	// ConfigOffset is the NextOffset of the configuration that was used.
+	ConfigOffset int64
+	freeBody     func()
+}
+
+// DropBody gives back the memory of the body. It may be called more than once.
+func (r *Request) DropBody() {
+	r.Body = nil
+	if r.freeBody != nil {
+		r.freeBody()
+		r.freeBody = nil
+	}
+}
+
+// Config is what a Front needs.
+type Config struct {
+	Source core.ConfigSource
+	// Reserve sets memory aside for an upload of the organisation.
+	Reserve func(ctx context.Context, organisation string, bytes, limit int64) (release func(), ok bool)
+	// Serve handles a checked request. It ends in exactly one of Refuse, Finish
+	// and Abort of the reply.
+	Serve func(ctx context.Context, r *Request, w *Reply)
+	// Gate may refuse all requests, for example during a stop.
+	Gate          func() (core.Refusal, bool)
+	UploadTimeout time.Duration
+	// StallTimeout bounds the time in which a caller accepts no part of a write
+	// of at most WriteBytes.
+	StallTimeout time.Duration
+	Log          *zap.Logger
+}
+
+// Front is the http.Handler for callers.
+type Front struct {
+	cfg    Config
+	router *httprouter.Router
+}
+
+// New returns a front end. Unset limits get their defaults.
+func New(cfg Config) *Front {
+	if cfg.UploadTimeout <= 0 {
+		cfg.UploadTimeout = DefaultUploadTimeout
+	}
+	if cfg.StallTimeout <= 0 {
+		cfg.StallTimeout = DefaultStallTimeout
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	f := &Front{cfg: cfg, router: httprouter.New()}
+	f.router.RedirectTrailingSlash = false
+	f.router.RedirectFixedPath = false
+	f.router.HandleMethodNotAllowed = false
+	f.router.POST(CompletionsPath, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		f.handle(w, r, f.readCompletion)
+	})
+	f.router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.handle(w, r, f.readPlain)
+	})
+	return f
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.router.ServeHTTP(w, r) }
+
+// reader turns an HTTP request of a known caller into a Request.
+type reader func(id identity, w http.ResponseWriter, r *http.Request) (*Request, *core.Refusal)
+
+func (f *Front) handle(w http.ResponseWriter, r *http.Request, read reader) {
+	reply := newReply(w, uuid.NewString(), f.cfg.StallTimeout)
+	id, refusal := f.identify(r)
+	if refusal != nil {
+		reply.Refuse(*refusal)
+		f.logEnd(reply, "", "")
+		return
+	}
+	req, refusal := read(id, w, r)
+	if refusal != nil {
+		reply.Refuse(*refusal)
+		f.logEnd(reply, id.contract.Organisation, "")
+		return
+	}
+	defer req.DropBody()
+	req.ID = reply.id
+	f.cfg.Serve(r.Context(), req, reply)
+	f.logEnd(reply, req.Organisation, req.Service)
+	reply.end()
+}
+
+// logEnd logs what became of a request.
+func (f *Front) logEnd(w *Reply, organisation, service string) {
+	f.cfg.Log.Info("request ended",
+		zap.String("request_id", w.id), zap.String("organisation", organisation), zap.String("service", service),
+		zap.Int("status", w.status), zap.String("code", string(w.code)), zap.Bool("cut", w.aborted),
+		zap.Int64("reply_bytes", w.written), zap.Duration("elapsed", time.Since(w.started)))
+}
--- /dev/null
+++ b/io/caller/identify.go
@@ -0,0 +1,104 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"path"
+	"strings"
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// retryStale is when a process without a confirmed configuration may have one
+// again.
+const retryStale = time.Second
+
+// identity is the caller's organisation under one configuration.
+type identity struct {
+	config   core.Configuration
+	contract core.Contract
+}
+
+// KeyHash returns the form in which a contract holds a caller key.
+func KeyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// StaleRefusal refuses new work while the configuration is not confirmed.
+func StaleRefusal() core.Refusal {
+	return core.Refusal{
+		Code: core.CodeStaleConfig, NotRun: true, RetryAfter: retryStale,
+		Message: "the configuration is not confirmed at present",
+	}
+}
+
+func refuse(code core.Code, message string) *core.Refusal {
+	return &core.Refusal{Code: code, Message: message, NotRun: true}
+}
+
+// identify checks everything that needs neither service nor body.
+func (f *Front) identify(r *http.Request) (identity, *core.Refusal) {
+	if !r.ProtoAtLeast(1, 1) {
+		return identity{}, refuse(core.CodeBadRequest, "HTTP/1.1 is required, since HTTP/1.0 cannot show a reply that was cut short")
+	}
+	if f.cfg.Gate != nil {
+		if refusal, closed := f.cfg.Gate(); closed {
+			return identity{}, &refusal
+		}
+	}
+	if !f.cfg.Source.Confirmed(time.Now()) {
+		refusal := StaleRefusal()
+		return identity{}, &refusal
+	}
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return identity{}, refuse(core.CodeUnauthorized, "a bearer caller key is required")
+	}
+	cfg := f.cfg.Source.Current()
+	organisation, ok := cfg.KeyOrganisations[KeyHash(strings.TrimSpace(key))]
+	if !ok {
+		return identity{}, refuse(core.CodeUnauthorized, "the caller key is not known")
+	}
+	contract, ok := cfg.Contracts[organisation]
+	if !ok {
+		return identity{}, refuse(core.CodeUnauthorized, "the organisation has no contract")
+	}
+	return identity{config: cfg, contract: contract}, nil
+}
+
+// plainService returns the plain service with the longest prefix of the path.
+func plainService(cfg core.Configuration, p string) (core.Service, bool) {
+	var best core.Service
+	for _, s := range cfg.Services {
+		if s.Kind == core.ServicePlain && s.PathPrefix != "" && strings.HasPrefix(p, s.PathPrefix) &&
+			len(s.PathPrefix) > len(best.PathPrefix) {
+			best = s
+		}
+	}
+	return best, best.PathPrefix != ""
+}
+
+// modelService returns the model service that serves the model.
+func modelService(cfg core.Configuration, model string) (core.Service, bool) {
+	best, found := core.Service{}, false
+	for _, s := range cfg.Services {
+		if s.Kind != core.ServiceModel || (found && s.Name > best.Name) {
+			continue
+		}
+		for _, m := range s.Models {
+			if m == model {
+				best, found = s, true
+			}
+		}
+	}
+	return best, found
+}
+
+// cleanPath reports whether the path has no dot segments or empty segments,
+// which could mean another service or path to the backend server.
+func cleanPath(p string) bool {
+	return strings.HasPrefix(p, "/") && (path.Clean(p) == p || path.Clean(p)+"/" == p)
+}
