--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -74,6 +74,9 @@
 	p.aborted = true
 }
 
+// Aborted reports whether the reply is cut short.
+func (p *Reply) Aborted() bool { return p.aborted }
+
 // end raises the abort after everything else has been done.
 func (p *Reply) end() {
 	if p.aborted {
