--- a/core/reply/budget.go
+++ b/core/reply/budget.go
@@ -14,6 +14,10 @@
 	// granted to any organisation. Above it an organisation may hold at most as
 	// much as is still free, so that there is always room for another one.
 	openShare = 0.9
+	// MaxWindows bounds the windows of one organisation. A window holds its slot
+	// of a backend server for as long as its caller reads: without a bound, the
+	// slow readers of BenchmarkSlowReaders took all 192 slots.
+	MaxWindows = 32
 )
 
 // Budget implements core.ReplyBudget for the product. It is not safe for
@@ -42,6 +46,9 @@
 	if own+bytes > organisationLimit || all+bytes > b.limit {
 		return core.Reservation{}, false
 	}
+	if bytes < want && b.windows[organisation] >= MaxWindows {
+		return core.Reservation{}, false
+	}
 	if !below(all+bytes, b.limit, openShare) && own+bytes > b.limit-all {
 		return core.Reservation{}, false
 	}
@@ -57,11 +64,13 @@
 	nextID uint64
 	all    int64
 	byOrg  map[string]int64
-	live   map[uint64]core.Reservation
+	// windows counts the window reservations of each organisation.
+	windows map[string]int
+	live    map[uint64]core.Reservation
 }
 
 func newLedger() ledger {
-	return ledger{byOrg: map[string]int64{}, live: map[uint64]core.Reservation{}}
+	return ledger{byOrg: map[string]int64{}, windows: map[string]int{}, live: map[uint64]core.Reservation{}}
 }
 
 func (l *ledger) take(organisation string, bytes int64, window bool) core.Reservation {
@@ -70,6 +79,9 @@
 	l.live[r.ID] = r
 	l.byOrg[organisation] += bytes
 	l.all += bytes
+	if window {
+		l.windows[organisation]++
+	}
 	return r
 }
 
@@ -82,7 +94,11 @@
 	delete(l.live, r.ID)
 	l.all -= have.Bytes
 	l.byOrg[have.Organisation] -= have.Bytes
+	if have.Window {
+		l.windows[have.Organisation]--
+	}
 	if l.byOrg[have.Organisation] == 0 {
+		delete(l.windows, have.Organisation)
 		delete(l.byOrg, have.Organisation)
 	}
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -51,9 +51,7 @@
 		x.close()
 		return c.refused(ctx, v, err, number)
 	}
-	res := c.relay(ctx, x, view, number)
-	c.afterRun(res, view, exclusive, number)
-	return res
+	return c.relay(ctx, x, number, func(end *peerpb.ReplyEnd) { c.ended(end, view, exclusive, number) })
 }
 
 // awaitVerdict returns the agent's verdict. After an error nobody knows whether
@@ -125,17 +123,17 @@
 }
 
 // relay passes the reply on.
-func (c *call) relay(ctx context.Context, x *exchange, view core.AgentView, number int) result {
+func (c *call) relay(ctx context.Context, x *exchange, number int, onEnd func(*peerpb.ReplyEnd)) result {
 	// The relay has time limits of its own.
 	_ = x.s.SetDeadline(time.Time{})
 	l := newRelay(x, c.r.ID, c.reservation.Bytes)
 	l.repeatable, l.deadline, l.idle, l.metrics = c.r.Repeatable, c.r.Deadline, c.e.cfg.ReplyIdle, c.e.metrics
-	ended := make(chan struct{})
-	go func() { defer close(ended); l.run(ctx) }()
+	l.ended = onEnd
+	done := make(chan struct{})
+	go func() { defer close(done); l.run(ctx) }()
 	writeErr := c.copyReply(l)
-	<-ended
-	c.e.views.load(&peerpb.Hello{Id: view.Load.AgentID}, l.end.GetLoad())
-	if l.err == nil && writeErr == nil && !l.leaving {
+	<-done
+	if l.err == nil && writeErr == nil && !l.dropping {
 		return c.finish(l)
 	}
 	return c.broken(l, writeErr, number)
@@ -178,7 +176,7 @@
 // broken ends a reply that the caller did not get whole.
 func (c *call) broken(l *relay, writeErr error, number int) result {
 	c.count(l.err)
-	if writeErr != nil || l.leaving || errors.Is(l.err, errGone) {
+	if writeErr != nil || l.dropping || errors.Is(l.err, errGone) {
 		c.e.metrics.callersGone.Add(1)
 		c.w.Abort(core.CodeConnectionBroken)
 		return result{done: true, attempt: core.Attempt{Crashed: l.end.GetCrashed()}}
@@ -194,15 +192,17 @@
 	return result{refusal: c.unknown(l.code(), "the backend server gave no whole reply"), attempt: a}
 }
 
-// afterRun tells the quarantine what the run showed.
-func (c *call) afterRun(res result, view core.AgentView, exclusive bool, number int) {
+// ended takes what the agent's end frame shows: its load, a good completion that
+// clears a suspect, or a crash on an exclusive run.
+func (c *call) ended(end *peerpb.ReplyEnd, view core.AgentView, exclusive bool, number int) {
+	c.e.views.load(&peerpb.Hello{Id: view.Load.AgentID}, end.GetLoad())
 	switch {
-	case res.attempt.Crashed && exclusive:
+	case end.GetComplete():
+		c.e.suspects.completed(c.r.Fingerprint)
+	case end.GetCrashed() && exclusive:
 		c.e.suspects.observed(fmt.Sprintf("request/%s/%d", c.r.ID, number), c.r.Fingerprint)
 		c.e.log.Warn("backend server crashed on an exclusive run", zap.String("request_id", c.r.ID),
 			zap.String("agent", view.Load.AgentID))
-	case res.done && !res.attempt.ReplyStarted && !res.attempt.Crashed && res.refusal.Code == "" && !c.w.Aborted():
-		c.e.suspects.completed(c.r.Fingerprint)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,8 +161,14 @@
 	e.suspects.attach(n)
 }
 
-// ServeHTTP answers a caller.
-func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.front.ServeHTTP(w, r) }
+// ServeHTTP answers a caller. During a stop it asks callers to reconnect
+// elsewhere, so that few connections are left when the listener closes.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	e.front.ServeHTTP(w, r)
+}
 
 // Metrics returns the metrics of the entry, for expvar.Publish.
 func (e *Entry) Metrics() *expvar.Map { return e.metrics.all }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -27,6 +27,7 @@
 	s      *peer.Stream
 	frames chan *peerpb.Frame
 	out    chan *peerpb.Frame
+	sent   chan struct{}
 	stop   context.CancelFunc
 	ctx    context.Context
 	wg     *conc.WaitGroup
@@ -40,7 +41,7 @@
 		return nil, fmt.Errorf("open request stream: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &exchange{s: s, frames: make(chan *peerpb.Frame), out: make(chan *peerpb.Frame),
+	return &exchange{s: s, frames: make(chan *peerpb.Frame), out: make(chan *peerpb.Frame), sent: make(chan struct{}),
 		ctx: ctx, stop: cancel, wg: conc.NewWaitGroup()}, nil
 }
 
@@ -68,6 +69,7 @@
 }
 
 func (x *exchange) send(head *peerpb.RequestHead, body []byte, credit int64) {
+	defer close(x.sent)
 	if x.s.Send(&peerpb.Frame{Body: &peerpb.Frame_RequestHead{RequestHead: head}}) != nil {
 		return
 	}
@@ -101,6 +103,7 @@
 	defer t.Stop()
 	select {
 	case x.out <- &peerpb.Frame{Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{Reason: reason}}}:
+	case <-x.sent:
 	case <-t.C:
 	}
 }
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -93,10 +93,8 @@
 // once makes one attempt, unless the request may not run now or no agent can
 // take it; then it reports false.
 func (c *call) once(ctx context.Context, number int) (result, bool) {
-	if number > 1 {
-		if refusal, refused := c.e.check(c.r.Fingerprint); refused {
-			return result{refusal: refusal}, false
-		}
+	if refusal, refused := c.e.check(c.r.Fingerprint); refused {
+		return result{refusal: refusal}, false
 	}
 	p := c.e.suspects.enter(c.r.Fingerprint)
 	defer c.e.suspects.leave(c.r.Fingerprint, p)
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -33,6 +33,9 @@
 	deadline   time.Time
 	idle       time.Duration
 	metrics    *metrics
+	// ended is told of the agent's end frame at once, before the caller has read
+	// the reply.
+	ended func(end *peerpb.ReplyEnd)
 
 	// out lends pieces to the writer, which returns each by ack. It is closed
 	// when the reply has ended or failed; head, end and err may be read then.
@@ -46,7 +49,7 @@
 	credit   int64
 	owed     int64
 	received int64
-	leaving  bool
+	dropping bool
 	head     *peerpb.ReplyHead
 	end      *peerpb.ReplyEnd
 	err      error
@@ -115,7 +118,7 @@
 
 // offer returns the piece to lend next, if none is lent.
 func (l *relay) offer() (chan<- []byte, []byte) {
-	if l.lent > 0 || l.buf.n == 0 || l.leaving {
+	if l.lent > 0 || l.buf.n == 0 || l.dropping {
 		return nil, nil
 	}
 	return l.out, l.buf.peek(pieceBytes)
@@ -134,7 +137,7 @@
 func (l *relay) returned() {
 	n := l.lent
 	l.lent = 0
-	if l.leaving {
+	if l.dropping {
 		return
 	}
 	l.buf.pop(n)
@@ -183,7 +186,7 @@
 	}
 	l.received += n
 	l.credit -= n
-	if l.leaving {
+	if l.dropping {
 		l.owed += n
 		return
 	}
@@ -200,11 +203,13 @@
 		l.err = errWrongID
 	case !e.GetComplete():
 		l.end = e
+		l.ended(e)
 		l.err = fmt.Errorf("agent reports %q: %w", e.GetCode(), errCut)
 	case l.head == nil || e.GetTotalBytes() != l.received:
 		l.err = errProtocol
 	default:
 		l.end = e
+		l.ended(e)
 	}
 }
 
@@ -228,14 +233,14 @@
 // callerGone ends a repeatable run. Others run to their end, so that the agent
 // stores the reply for a repeat of the key; what they send is dropped.
 func (l *relay) callerGone() {
-	if l.leaving {
+	if l.dropping {
 		return
 	}
 	if l.repeatable {
 		l.err = errGone
 		return
 	}
-	l.leaving = true
+	l.dropping = true
 	l.owed += int64(l.buf.n)
 	l.metrics.replyBytesBuffer.Add(-int64(l.buf.n))
 	l.buf.clear()
