Test the entry role against fake agents

Cause: the pipeline's promises (whole replies, truthful refusals, bounded retries and memory) had no tests. Change: tests over real sessions with fake agents.

--- /dev/null
+++ b/entry/harness_test.go
@@ -0,0 +1,278 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"nutmegnotch/core"
+	"nutmegnotch/entry"
+	"nutmegnotch/io/caller"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// source is a core.ConfigSource that tests change.
+type source struct {
+	cfg   atomic.Pointer[core.Configuration]
+	stale atomic.Bool
+}
+
+func (s *source) Current() core.Configuration { return *s.cfg.Load() }
+func (s *source) Confirmed(time.Time) bool    { return !s.stale.Load() }
+func (s *source) Changed() <-chan struct{}    { return nil }
+
+func (s *source) drain(domains ...string) {
+	cfg := s.Current()
+	cfg.Domains = map[string]core.Domain{}
+	for _, d := range domains {
+		cfg.Domains[d] = core.Domain{Name: d, State: core.DomainDrained}
+	}
+	s.cfg.Store(&cfg)
+}
+
+func newSource() *source {
+	services := []string{"text", "desk"}
+	contract := func(org string) core.Contract {
+		return core.Contract{Organisation: org, Services: services, ReplyTimeMS: 5000, ReplyMemoryBytes: 1 << 20, Weight: 1}
+	}
+	s := &source{}
+	s.cfg.Store(&core.Configuration{
+		Contracts:        map[string]core.Contract{"trails": contract("trails"), "other": contract("other")},
+		KeyOrganisations: map[string]string{caller.KeyHash("k1"): "trails", caller.KeyHash("k2"): "other"},
+		Services: map[string]core.Service{
+			"text": {Name: "text", Kind: core.ServiceModel, Models: []string{"m"}, Repeatable: true, MaxOutputTokens: 100,
+				MaxBodyBytes: 1 << 16, BytesPerToken: 1000, MaxReplyBytes: 100_000},
+			"desk": {Name: "desk", Kind: core.ServicePlain, PathPrefix: "/desk", MaxBodyBytes: 1 << 16, MaxReplyBytes: 8 << 10},
+		},
+	})
+	return s
+}
+
+type openLimiter struct{}
+
+func (openLimiter) Acquire(context.Context, core.Contract, core.Request) (func(), core.Refusal, bool) {
+	return func() {}, core.Refusal{}, true
+}
+
+// conversation is one request as the fake agent sees it.
+type conversation struct {
+	s    *peer.Stream
+	head *peerpb.RequestHead
+}
+
+func (c conversation) verdict(v *peerpb.Verdict) {
+	_ = c.s.Send(&peerpb.Frame{Body: &peerpb.Frame_Verdict{Verdict: v}})
+}
+
+func (c conversation) replyHead(id string) {
+	_ = c.s.Send(&peerpb.Frame{Body: &peerpb.Frame_ReplyHead{ReplyHead: &peerpb.ReplyHead{RequestId: id, Status: 200}}})
+}
+
+func (c conversation) chunk(id string, data []byte) {
+	_ = c.s.Send(&peerpb.Frame{Body: &peerpb.Frame_ReplyChunk{ReplyChunk: &peerpb.ReplyChunk{RequestId: id, Data: data}}})
+}
+
+func (c conversation) end(e *peerpb.ReplyEnd) {
+	_ = c.s.Send(&peerpb.Frame{Body: &peerpb.Frame_ReplyEnd{ReplyEnd: e}})
+}
+
+// readBody reads the body frames and reports whether the body was whole.
+func (c conversation) readBody() bool {
+	for {
+		f, err := c.s.Receive()
+		if err != nil {
+			return false
+		}
+		if f.GetBodyChunk().GetLast() {
+			return true
+		}
+	}
+}
+
+// answer sends a whole reply, as the entry's credit permits.
+func (c conversation) answer(data []byte) {
+	c.readBody()
+	c.verdict(&peerpb.Verdict{Admitted: true})
+	c.replyHead(c.head.RequestId)
+	total := int64(len(data))
+	for len(data) > 0 {
+		f, err := c.s.Receive()
+		if err != nil || f.GetCancel() != nil {
+			return
+		}
+		n := min(int64(len(data)), f.GetReplyCredit().GetBytes())
+		c.chunk(c.head.RequestId, data[:n])
+		data = data[n:]
+	}
+	c.end(&peerpb.ReplyEnd{RequestId: c.head.RequestId, Complete: true, TotalBytes: total})
+}
+
+// fakeAgent serves request streams by a function.
+type fakeAgent struct {
+	host  core.Host
+	serve func(c conversation)
+	found *peerpb.LookupResult
+	runs  atomic.Int64
+	node  *peer.Node
+}
+
+func (a *fakeAgent) request(_ context.Context, s *peer.Stream) {
+	f, err := s.Receive()
+	if err != nil || f.GetRequestHead() == nil {
+		return
+	}
+	a.runs.Add(1)
+	a.serve(conversation{s, f.GetRequestHead()})
+}
+
+func (a *fakeAgent) lookup(_ context.Context, s *peer.Stream) {
+	if _, err := s.Receive(); err == nil {
+		_ = s.Send(&peerpb.Frame{Body: &peerpb.Frame_LookupResult{LookupResult: a.found}})
+	}
+}
+
+func (a *fakeAgent) start(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.host.Address, a.host.Role, a.host.State = l.Addr().String(), core.RoleAgent, core.HostLive
+	a.node = peer.New(peer.Config{
+		Self: &peerpb.Hello{Id: a.host.ID, Role: core.RoleAgent, Incarnation: "1", Address: a.host.Address,
+			Service: a.host.Service, FailureDomain: a.host.Domain},
+		Handlers: map[peerpb.StreamKind]peer.Handler{
+			peerpb.StreamKind_STREAM_KIND_REQUEST: a.request, peerpb.StreamKind_STREAM_KIND_LOOKUP: a.lookup},
+	})
+	done := make(chan struct{})
+	go func() { defer close(done); _ = a.node.Serve(l) }()
+	reports := make(chan struct{})
+	go func() { defer close(reports); a.report() }()
+	t.Cleanup(func() { a.node.Stop(); <-done; <-reports })
+}
+
+func (a *fakeAgent) report() {
+	for seq := uint64(1); ; seq++ {
+		a.node.Broadcast(core.RoleEntry, &peerpb.Frame{Body: &peerpb.Frame_Load{Load: &peerpb.Load{
+			AgentId: a.host.ID, Incarnation: "1", Service: a.host.Service, FailureDomain: a.host.Domain, State: "ready",
+			Models: []string{"m"}, LimitTokens: 1e6, LimitCount: 1000, Seq: seq}}})
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-a.node.Done():
+			return
+		}
+	}
+}
+
+type hostList []core.Host
+
+func (h hostList) Hosts(context.Context) ([]core.Host, error) { return h, nil }
+
+// rig is one entry with fake agents.
+type rig struct {
+	t    *testing.T
+	e    *entry.Entry
+	src  *source
+	url  string
+	stop context.CancelFunc
+	err  chan error
+}
+
+func newRig(t *testing.T, change func(*entry.Config), agents ...*fakeAgent) *rig {
+	t.Helper()
+	g := &rig{t: t, src: newSource(), err: make(chan error, 1)}
+	var hosts hostList
+	for _, a := range agents {
+		a.start(t)
+		hosts = append(hosts, a.host)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := &peerpb.Hello{Id: "e1", Role: core.RoleEntry, FailureDomain: "d1"}
+	cfg := entry.Config{Self: self, Listener: l, Source: g.src, Hosts: hosts, Limiter: openLimiter{},
+		DrainDelay: 50 * time.Millisecond, HostInterval: 20 * time.Millisecond, Seed: 1}
+	if change != nil {
+		change(&cfg)
+	}
+	if g.e, err = entry.New(cfg); err != nil {
+		t.Fatal(err)
+	}
+	n := peer.New(peer.Config{Self: self, Control: g.e.Control, Up: g.e.Up, Down: g.e.Down})
+	g.e.Attach(n)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stop, g.url = cancel, "http://"+l.Addr().String()
+	go func() { g.err <- g.e.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-g.e.Done(); n.Stop(); http.DefaultClient.CloseIdleConnections() })
+	waitFor(t, "agents are ready", func() bool { return g.e.Status().AgentsReady == len(agents) })
+	return g
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("after 10 s it does not hold that %s", what)
+		}
+	}
+}
+
+// post sends a request; an empty idempotency key means a model request.
+func (g *rig) post(key, idempotencyKey string) *http.Response {
+	g.t.Helper()
+	path, body := "/v1/completions", `{"model":"m","prompt":"How much water do four mules need?","stream":true}`
+	if idempotencyKey != "" {
+		path, body = "/desk/book", "deposit"
+	}
+	req, err := http.NewRequest(http.MethodPost, g.url+path, bytes.NewBufferString(body))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return resp
+}
+
+// refusal is the error of a refusal body.
+type refusal struct {
+	Code           string `json:"code"`
+	NotRun         bool   `json:"not_run"`
+	OutcomeUnknown bool   `json:"outcome_unknown"`
+}
+
+// read returns status, body and refusal of a reply.
+func read(t *testing.T, resp *http.Response) (int, string, refusal) {
+	t.Helper()
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(fmt.Errorf("read reply: %w", err))
+	}
+	var body struct {
+		Error refusal `json:"error"`
+	}
+	_ = json.Unmarshal(data, &body)
+	return resp.StatusCode, string(data), body.Error
+}
+
+func agentOf(id, service, domain string, serve func(conversation)) *fakeAgent {
+	return &fakeAgent{host: core.Host{ID: id, Service: service, Domain: domain}, serve: serve}
+}
