Bound the kernel's send buffers and test the exchange of crashes

Cause: the kernel may hold several MiB for a slow caller beside the reservation; the exchange of crashes between entries and io/caller had no tests. Change: callers' sockets get a send buffer of 32 KiB; a request whose caller has gone or whose deadline has passed is not sent; the missing tests.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,9 @@
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	retryOther     = time.Second
+	// callerSendBuffer bounds what the kernel holds for one slow caller beside
+	// the reservation. Without it Linux grows the buffer to several MiB.
+	callerSendBuffer = 32 << 10
 )
 
 // Limiter holds the contract limits of organisations over all entries.
@@ -191,7 +194,7 @@
 	}
 	srv := &http.Server{
 		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(e.log),
+		ErrorLog: zap.NewStdLog(e.log), ConnContext: boundSendBuffer,
 	}
 	failed := make(chan error, 1)
 	var wg conc.WaitGroup
@@ -211,6 +214,14 @@
 	return err
 }
 
+func boundSendBuffer(ctx context.Context, c net.Conn) context.Context {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// A connection that has failed meanwhile needs no bound.
+		_ = tcp.SetWriteBuffer(callerSendBuffer)
+	}
+	return ctx
+}
+
 func (e *Entry) listen() (net.Listener, error) {
 	if e.cfg.Listener != nil {
 		return e.cfg.Listener, nil
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -10,7 +10,9 @@
 	"strings"
 	"testing"
 
+	"nutmegnotch/core"
 	"nutmegnotch/entry"
+	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
 )
 
@@ -28,14 +30,19 @@
 		c.chunk(c.head.RequestId, []byte("second"))
 		c.end(&peerpb.ReplyEnd{RequestId: c.head.RequestId, Complete: true, TotalBytes: 12})
 	}))
-	resp := g.post("k1", "")
+	resp, err := http.DefaultClient.Do(g.request("k1", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
 	first := make([]byte, 6)
 	if _, err := io.ReadFull(resp.Body, first); err != nil {
 		t.Fatal(err)
 	}
 	close(more)
-	if _, rest, _ := read(t, resp); string(first)+rest != "first second" {
-		t.Errorf("reply: got %q, want %q", string(first)+rest, "first second")
+	rest, err := io.ReadAll(resp.Body)
+	if got := string(first) + string(rest); err != nil || got != "first second" {
+		t.Errorf("reply: got %q %v, want %q", got, err, "first second")
 	}
 }
 
@@ -68,7 +75,10 @@
 				<-seen
 				c.rest(cv)
 			}))
-			resp := g.post("k1", "")
+			resp, err := http.DefaultClient.Do(g.request("k1", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
 			defer resp.Body.Close()
 			if _, err := io.ReadFull(resp.Body, make([]byte, 4)); err != nil {
 				t.Fatal(err)
@@ -112,7 +122,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			a1, a2 := agentOf("a1", "desk", "d1", s.cut), agentOf("a2", "desk", "d1", s.cut)
 			g := newRig(t, nil, a1, a2)
-			status, _, got := read(t, g.post("k1", "key"))
+			status, _, got := g.ask("k1", "key")
 			if status != http.StatusBadGateway || got.NotRun || !got.OutcomeUnknown {
 				t.Errorf("answer: got %d %+v, want 502 with outcome_unknown", status, got)
 			}
@@ -123,7 +133,7 @@
 	}
 	t.Run("before the head", func(t *testing.T) {
 		g := newRig(t, nil)
-		if status, _, got := read(t, g.post("k1", "key")); status != http.StatusServiceUnavailable || !got.NotRun {
+		if status, _, got := g.ask("k1", "key"); status != http.StatusServiceUnavailable || !got.NotRun {
 			t.Errorf("answer: got %d %+v, want 503 not run", status, got)
 		}
 	})
@@ -135,7 +145,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			// The entry is in d1 and asks the agent there first.
 			g := newRig(t, nil, agentOf("a1", "text", "d1", s.cut), agentOf("a2", "text", "d2", hello))
-			if status, body, _ := read(t, g.post("k1", "")); status != 200 || body != "hello" {
+			if status, body, _ := g.ask("k1", ""); status != 200 || body != "hello" {
 				t.Errorf("answer: got %d %q, want 200 %q", status, body, "hello")
 			}
 		})
@@ -156,7 +166,7 @@
 	g := newRig(t, nil, agents...)
 	const requests = 100
 	for i := range requests {
-		if _, _, got := read(t, g.post("k1", fmt.Sprint("key", i))); got.Code != "overloaded" || !got.NotRun {
+		if _, _, got := g.ask("k1", fmt.Sprint("key", i)); got.Code != "overloaded" || !got.NotRun {
 			t.Fatalf("answer: got %+v, want overloaded and not run", got)
 		}
 	}
@@ -169,7 +179,7 @@
 	}
 
 	mixed := newRig(t, nil, agentOf("b1", "text", "d1", func(conversation) {}), agentOf("b2", "text", "d2", refuse))
-	if _, _, got := read(t, mixed.post("k1", "")); got.NotRun {
+	if _, _, got := mixed.ask("k1", ""); got.NotRun {
 		t.Errorf("after an attempt that may have run: got %+v, want not_run false", got)
 	}
 }
@@ -181,7 +191,7 @@
 	g := newRig(t, nil, a1, a2)
 	g.src.drain("d1")
 	for range 20 {
-		if status, _, got := read(t, g.post("k1", "")); status != 200 {
+		if status, _, got := g.ask("k1", ""); status != 200 {
 			t.Fatalf("answer: got %d %+v, want 200", status, got)
 		}
 	}
@@ -189,11 +199,11 @@
 		t.Errorf("requests in the drained domain: got %d, want 0", got)
 	}
 	g.src.drain("d1", "d2")
-	if _, _, got := read(t, g.post("k1", "")); got.Code != "domain_drained" || !got.NotRun {
+	if _, _, got := g.ask("k1", ""); got.Code != "domain_drained" || !got.NotRun {
 		t.Errorf("answer: got %+v, want domain_drained and not run", got)
 	}
 	g.src.stale.Store(true)
-	if _, _, got := read(t, g.post("k1", "")); got.Code != "stale_configuration" || !got.NotRun || g.e.Ready() {
+	if _, _, got := g.ask("k1", ""); got.Code != "stale_configuration" || !got.NotRun || g.e.Ready() {
 		t.Errorf("answer: got %+v, ready %v, want stale_configuration and not ready", got, g.e.Ready())
 	}
 }
@@ -224,13 +234,13 @@
 	}
 	for _, c := range cases {
 		a.found = c.found
-		if status, _, got := read(t, g.post("k1", "key")); status != c.status || got != c.want {
+		if status, _, got := g.ask("k1", "key"); status != c.status || got != c.want {
 			t.Errorf("%s: got %d %+v, want %d %+v", c.found.State, status, got, c.status, c.want)
 		}
 	}
 	other := sha256.Sum256([]byte("another request"))
 	hash <- other[:]
-	if status, _, got := read(t, g.post("k1", "key")); status != 422 || got.Code != "idempotency_key_mismatch" {
+	if status, _, got := g.ask("k1", "key"); status != 422 || got.Code != "idempotency_key_mismatch" {
 		t.Errorf("other body: got %d %+v, want 422", status, got)
 	}
 }
@@ -248,7 +258,7 @@
 	}
 	g := newRig(t, nil, agents...)
 	for range 5 {
-		read(t, g.post("k1", ""))
+		g.ask("k1", "")
 	}
 	var crashes int64
 	for _, a := range agents {
@@ -257,7 +267,7 @@
 	if crashes > 3 {
 		t.Errorf("crashes: got %d, want at most 3", crashes)
 	}
-	if status, _, got := read(t, g.post("k1", "")); status != 422 || got.Code != "crashes_backend_servers" || !got.NotRun {
+	if status, _, got := g.ask("k1", ""); status != 422 || got.Code != "crashes_backend_servers" || !got.NotRun {
 		t.Errorf("answer: got %d %+v, want 422 not run", status, got)
 	}
 }
@@ -280,8 +290,11 @@
 		body := `{"model":"m","prompt":"slow"}`
 		fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}
+	waitFor(t, "slow callers hold memory after their replies were generated", func() bool {
+		return g.e.Status().ReplyBytesHeld > 600_000 && a.served.Load() >= 6
+	})
 	for range 50 {
-		if status, body, got := read(t, g.post("k2", "")); status != 200 || len(body) != len(data) {
+		if status, body, got := g.ask("k2", ""); status != 200 || len(body) != len(data) {
 			t.Fatalf("fast organisation: got %d %+v, want 200 and %d bytes", status, got, len(data))
 		}
 		if held := g.e.Status().ReplyBytesHeld; held > bound {
@@ -303,7 +316,7 @@
 		c.answer([]byte("whole"))
 	}))
 	body := make(chan string, 1)
-	go func() { _, b, _ := read(t, g.post("k1", "")); body <- b }()
+	go func() { _, b, _ := g.ask("k1", ""); body <- b }()
 	<-started
 	g.stop()
 	waitFor(t, "the entry is not ready", func() bool { return !g.e.Ready() })
@@ -322,3 +335,48 @@
 		t.Errorf("run: got %v, want nil", err)
 	}
 }
+
+// Guards against entries that do not learn of crashes and completions which only
+// another entry saw.
+func TestEntriesExchangeCrashes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	frames := make(chan *peerpb.Frame, 64)
+	other := peer.New(peer.Config{Self: &peerpb.Hello{Id: "e2", Role: core.RoleEntry},
+		Control: func(_ *peer.Session, f *peerpb.Frame) { frames <- f }})
+	done := make(chan struct{})
+	go func() { defer close(done); _ = other.Serve(l) }()
+	t.Cleanup(func() { other.Stop(); <-done })
+	fingerprint := make(chan uint64, 1)
+	a := agentOf("a1", "text", "d1", func(c conversation) {
+		select {
+		case fingerprint <- c.head.Fingerprint:
+		default:
+		}
+		hello(c)
+	})
+	g := newRig(t, func(c *entry.Config) {
+		c.Hosts = append(c.Hosts.(hostList), core.Host{ID: "e2", Role: core.RoleEntry, Address: l.Addr().String()})
+	}, a)
+	waitFor(t, "the entries have a session", func() bool { return len(other.Sessions()) == 1 })
+	g.ask("k1", "")
+	fp := <-fingerprint
+	crash := func(id string, fps ...uint64) *peerpb.Frame {
+		return &peerpb.Frame{Body: &peerpb.Frame_CrashReport{CrashReport: &peerpb.CrashReport{CrashId: id, Fingerprints: fps}}}
+	}
+	a.node.Broadcast(core.RoleEntry, crash("one", fp, fp+1))
+	if got := (<-frames).GetCrashReport().GetCrashId(); got != "one" {
+		t.Fatalf("crash passed on: got %q, want %q", got, "one")
+	}
+	g.ask("k1", "")
+	if got := (<-frames).GetCompletionReport().GetFingerprints(); len(got) != 1 || got[0] != fp {
+		t.Fatalf("completion told: got %v, want [%d]", got, fp)
+	}
+	other.Broadcast(core.RoleEntry, crash("two", fp))
+	waitFor(t, "the crash that another entry reports is counted", func() bool {
+		status, _, _ := g.ask("k1", "")
+		return status == 422
+	})
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -121,11 +121,12 @@
 
 // fakeAgent serves request streams by a function.
 type fakeAgent struct {
-	host  core.Host
-	serve func(c conversation)
-	found *peerpb.LookupResult
-	runs  atomic.Int64
-	node  *peer.Node
+	host   core.Host
+	serve  func(c conversation)
+	found  *peerpb.LookupResult
+	runs   atomic.Int64
+	served atomic.Int64
+	node   *peer.Node
 }
 
 func (a *fakeAgent) request(_ context.Context, s *peer.Stream) {
@@ -135,6 +136,7 @@
 	}
 	a.runs.Add(1)
 	a.serve(conversation{s, f.GetRequestHead()})
+	a.served.Add(1)
 }
 
 func (a *fakeAgent) lookup(_ context.Context, s *peer.Stream) {
@@ -229,8 +231,8 @@
 	}
 }
 
-// post sends a request; an empty idempotency key means a model request.
-func (g *rig) post(key, idempotencyKey string) *http.Response {
+// request builds a request; an empty idempotency key means a model request.
+func (g *rig) request(key, idempotencyKey string) *http.Request {
 	g.t.Helper()
 	path, body := "/v1/completions", `{"model":"m","prompt":"How much water do four mules need?","stream":true}`
 	if idempotencyKey != "" {
@@ -244,11 +246,7 @@
 	if idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", idempotencyKey)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	return resp
+	return req
 }
 
 // refusal is the error of a refusal body.
@@ -258,13 +256,17 @@
 	OutcomeUnknown bool   `json:"outcome_unknown"`
 }
 
-// read returns status, body and refusal of a reply.
-func read(t *testing.T, resp *http.Response) (int, string, refusal) {
-	t.Helper()
+// ask sends a request and returns status, body and refusal of the answer.
+func (g *rig) ask(key, idempotencyKey string) (int, string, refusal) {
+	g.t.Helper()
+	resp, err := http.DefaultClient.Do(g.request(key, idempotencyKey))
+	if err != nil {
+		g.t.Fatal(err)
+	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		t.Fatal(fmt.Errorf("read reply: %w", err))
+		g.t.Fatal(fmt.Errorf("read reply: %w", err))
 	}
 	var body struct {
 		Error refusal `json:"error"`
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -71,6 +71,11 @@
 	c.e.suspects.request(c.r.Service)
 	last := result{refusal: core.Refusal{Code: core.CodeNoServer, NotRun: true, RetryAfter: retryOther}}
 	for n := 1; ; n++ {
+		if ctx.Err() != nil {
+			c.e.metrics.callersGone.Add(1)
+			c.w.Abort(core.CodeConnectionBroken)
+			return core.Refusal{}, false
+		}
 		res, tried := c.once(ctx, n)
 		if res.done {
 			return core.Refusal{}, false
@@ -96,6 +101,10 @@
 	if refusal, refused := c.e.check(c.r.Fingerprint); refused {
 		return result{refusal: refusal}, false
 	}
+	if !time.Now().Before(c.r.Deadline) {
+		return result{refusal: core.Refusal{Code: core.CodeDeadline, NotRun: true, RetryAfter: retryOther,
+			Message: "the time for the request ran out before it was sent"}}, false
+	}
 	p := c.e.suspects.enter(c.r.Fingerprint)
 	defer c.e.suspects.leave(c.r.Fingerprint, p)
 	switch {
