--- a/core/request.go
+++ b/core/request.go
@@ -12,6 +12,8 @@
 	// Repeatable reports that a second run does no harm.
 	Repeatable     bool
 	IdempotencyKey string
+	// Exclusive reports that the request must be alone on the backend server.
+	Exclusive bool
 	// Fingerprint is a hash of organisation, service, path and body.
 	Fingerprint uint64
 	// PrefixHash identifies the leading part of the prompt; 0 means none.
