--- a/core/admission/warmup.go
+++ b/core/admission/warmup.go
@@ -56,6 +56,9 @@
 		w.restart(now)
 		return
 	}
+	if o.Cancelled {
+		return
+	}
 	if !o.Good {
 		w.good = 0
 		w.windowStart = now
