Test the agent against its stand-ins

The first run of the tests found two faults: the buffer for slow readers counted chunks instead of bytes and held a run of 10 KB up, and a broken run was taken for a cancelled one when its reply ended first.

--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,308 @@
+package agent_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"nutmegnotch/agent"
+	"nutmegnotch/core"
+	"nutmegnotch/emulator/desk"
+	"nutmegnotch/emulator/engine"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// source is a fixed configuration with a failure domain that can be drained.
+type source struct {
+	service     core.Service
+	drained     atomic.Bool
+	unconfirmed atomic.Bool
+}
+
+func (s *source) Current() core.Configuration {
+	state := core.DomainActive
+	if s.drained.Load() {
+		state = core.DomainDrained
+	}
+	return core.Configuration{
+		Services: map[string]core.Service{s.service.Name: s.service},
+		Domains:  map[string]core.Domain{"d1": {Name: "d1", State: state}},
+	}
+}
+
+func (s *source) Confirmed(time.Time) bool { return !s.unconfirmed.Load() }
+func (s *source) Changed() <-chan struct{} { return nil }
+
+// claimer is a fake log of claims: the first claim of a key wins.
+type claimer struct {
+	ops      chan func()
+	holders  map[string]*peerpb.Claim
+	released map[string]bool
+	// delay holds the answer back after the claim was recorded.
+	delay time.Duration
+	// lose drops the answer after the claim was recorded.
+	lose bool
+	// won is called between the claim and its answer.
+	won func()
+}
+
+func newClaimer() *claimer {
+	c := &claimer{ops: make(chan func(), 1), holders: map[string]*peerpb.Claim{}, released: map[string]bool{}}
+	c.ops <- func() {}
+	return c
+}
+
+// locked runs op while no other call does.
+func (c *claimer) locked(op func()) {
+	token := <-c.ops
+	defer func() { c.ops <- token }()
+	op()
+}
+
+func (c *claimer) Claim(ctx context.Context, q *peerpb.Claim) (*peerpb.ClaimVerdict, error) {
+	v := &peerpb.ClaimVerdict{ClaimId: q.ClaimId, Result: peerpb.ClaimVerdict_RESULT_WON}
+	c.locked(func() {
+		if h := c.holders[string(q.KeyHash)]; h != nil {
+			v.Result = peerpb.ClaimVerdict_RESULT_LOST
+			v.Holder = &peerpb.Holder{ClaimId: h.ClaimId, AgentId: h.AgentId, AgentIncarnation: h.AgentIncarnation, RequestHash: h.RequestHash}
+			return
+		}
+		c.holders[string(q.KeyHash)] = q
+	})
+	if c.won != nil {
+		c.won()
+	}
+	select {
+	case <-time.After(c.delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if c.lose {
+		return nil, errors.New("answer lost")
+	}
+	return v, nil
+}
+
+func (c *claimer) Release(_ context.Context, q *peerpb.Claim) error {
+	c.locked(func() {
+		c.released[q.ClaimId] = true
+		if h := c.holders[string(q.KeyHash)]; h != nil && h.ClaimId == q.ClaimId {
+			delete(c.holders, string(q.KeyHash))
+		}
+	})
+	return nil
+}
+
+// rig is an entry's node connected to an agent before a stand-in.
+type rig struct {
+	t       *testing.T
+	agent   *agent.Agent
+	entry   *peer.Node
+	source  *source
+	control chan *peerpb.Frame
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+var modelService = core.Service{
+	Name: "model", Kind: core.ServiceModel, Models: []string{"m"}, Repeatable: true,
+	ColdConcurrency: 4, ColdTokens: 1000, MaxConcurrency: 64, MemoryTokens: 16000,
+	MaxBodyBytes: 1 << 20, MaxReplyBytes: 1 << 20, RequestTimeoutMS: 20000,
+}
+
+var deskService = core.Service{
+	Name: "desk", Kind: core.ServicePlain, PathPrefix: "/bookings",
+	ColdConcurrency: 16, ColdTokens: 16, MaxConcurrency: 64, MemoryTokens: 64,
+	MaxBodyBytes: 1 << 20, MaxReplyBytes: 1 << 20, RequestTimeoutMS: 20000,
+}
+
+func startRig(t *testing.T, service core.Service, backend http.Handler, edit func(*agent.Config)) *rig {
+	t.Helper()
+	server := httptest.NewServer(backend)
+	r := &rig{t: t, source: &source{service: service}, control: make(chan *peerpb.Frame, 1024), stopped: make(chan struct{})}
+	self := &peerpb.Hello{Id: "agent-1", Role: core.RoleAgent, Incarnation: "inc-1", FailureDomain: "d1", Service: service.Name}
+	cfg := agent.Config{
+		Self: self, Service: service.Name, Source: r.source, Claimer: newClaimer(),
+		Backend: strings.TrimPrefix(server.URL, "http://"), ReportInterval: 20 * time.Millisecond,
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	r.agent = agent.New(cfg)
+	node := peer.New(peer.Config{Self: self, Handlers: r.agent.Handlers(), Control: r.agent.Control, Up: r.agent.Up})
+	r.agent.Attach(node)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() { defer close(served); _ = node.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { defer close(r.stopped); _ = r.agent.Run(ctx) }()
+	r.entry = peer.New(peer.Config{
+		Self: &peerpb.Hello{Id: "entry-1", Role: core.RoleEntry},
+		Control: func(_ *peer.Session, f *peerpb.Frame) {
+			select {
+			case r.control <- f:
+			default:
+			}
+		},
+	})
+	r.entry.Keep(l.Addr().String())
+	t.Cleanup(func() {
+		cancel()
+		r.entry.Stop()
+		<-r.stopped
+		node.Stop()
+		<-served
+		server.CloseClientConnections()
+		server.Close()
+	})
+	r.await("agent ready", func() bool { return r.agent.Ready() && r.entry.Session("agent-1") != nil })
+	return r
+}
+
+func (r *rig) await(what string, cond func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	r.t.Fatalf("%s: not seen within 10 s", what)
+}
+
+// controlFrame waits for a control frame that pick accepts.
+func (r *rig) controlFrame(what string, pick func(*peerpb.Frame) bool) *peerpb.Frame {
+	r.t.Helper()
+	timeout := time.After(10 * time.Second)
+	for {
+		select {
+		case f := <-r.control:
+			if pick(f) {
+				return f
+			}
+		case <-timeout:
+			r.t.Fatalf("%s: no such control frame within 10 s", what)
+		}
+	}
+}
+
+func modelHead(id string, tokens int64) *peerpb.RequestHead {
+	return &peerpb.RequestHead{
+		RequestId: id, Organisation: "org", Service: "model", Model: "m", Method: http.MethodPost,
+		Path: "/v1/completions", Repeatable: true, PromptTokens: 10, OutputTokens: tokens,
+		Weight: 1, DeadlineInMs: 20000, Fingerprint: 7,
+	}
+}
+
+func modelBody(prompt string, tokens int64) string {
+	return fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)
+}
+
+func bookingHead(id, key string) *peerpb.RequestHead {
+	return &peerpb.RequestHead{
+		RequestId: id, Organisation: "org", Service: "desk", Method: http.MethodPost, Path: "/bookings",
+		IdempotencyKey: key, RequestHash: []byte("h"), Weight: 1, DeadlineInMs: 20000, Fingerprint: 9,
+	}
+}
+
+// open sends a head and its body.
+func (r *rig) open(head *peerpb.RequestHead, body string, credit int64) *peer.Stream {
+	r.t.Helper()
+	s, err := r.entry.Open("agent-1", peerpb.StreamKind_STREAM_KIND_REQUEST, head.RequestId)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	_ = s.SetDeadline(time.Now().Add(20 * time.Second))
+	send(r.t, s, &peerpb.Frame{Body: &peerpb.Frame_RequestHead{RequestHead: head}})
+	send(r.t, s, &peerpb.Frame{Body: &peerpb.Frame_BodyChunk{BodyChunk: &peerpb.BodyChunk{Data: []byte(body), Last: true}}})
+	if credit > 0 {
+		sendCredit(r.t, s, credit)
+	}
+	return s
+}
+
+func send(t *testing.T, s *peer.Stream, f *peerpb.Frame) {
+	t.Helper()
+	if err := s.Send(f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func sendCredit(t *testing.T, s *peer.Stream, n int64) {
+	t.Helper()
+	send(t, s, &peerpb.Frame{Body: &peerpb.Frame_ReplyCredit{ReplyCredit: &peerpb.ReplyCredit{Bytes: n}}})
+}
+
+// result is what an entry receives on a request stream.
+type result struct {
+	verdict *peerpb.Verdict
+	head    *peerpb.ReplyHead
+	body    string
+	end     *peerpb.ReplyEnd
+	err     error
+}
+
+// read receives until the end of the reply, a refusal or the end of the stream.
+func read(s *peer.Stream) result {
+	var r result
+	for r.end == nil && (r.verdict == nil || r.verdict.Admitted) {
+		f, err := s.Receive()
+		if err != nil {
+			r.err = err
+			return r
+		}
+		switch b := f.Body.(type) {
+		case *peerpb.Frame_Verdict:
+			r.verdict = b.Verdict
+		case *peerpb.Frame_ReplyHead:
+			r.head = b.ReplyHead
+		case *peerpb.Frame_ReplyChunk:
+			r.body += string(b.ReplyChunk.Data)
+		case *peerpb.Frame_ReplyEnd:
+			r.end = b.ReplyEnd
+		}
+	}
+	return r
+}
+
+// do runs one request to its end.
+func (r *rig) do(head *peerpb.RequestHead, body string) result {
+	r.t.Helper()
+	s := r.open(head, body, 1<<20)
+	defer s.Close()
+	return read(s)
+}
+
+func newEngine(t *testing.T, edit func(*engine.Options)) *engine.Engine {
+	o := engine.Options{
+		TokensPerSecond: 1000, MemoryTokens: 16000, ColdTokens: 2000, ColdFactor: 1,
+		RestartTime: 300 * time.Millisecond, CrashMarker: "CRASH",
+	}
+	if edit != nil {
+		edit(&o)
+	}
+	e := engine.New(o)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func newDesk(t *testing.T) *desk.Desk {
+	d := desk.New()
+	t.Cleanup(d.Close)
+	return d
+}
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -1,12 +1,9 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"nutmegnotch/core"
@@ -14,14 +11,6 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
-// chunkBytes is the size of one read from the backend server.
-const chunkBytes = 4 << 10
-
-// doneEvent ends a streamed model reply.
-const doneEvent = "data: [DONE]"
-
-var errCut = errors.New("reply ended before its last event")
-
 // runRepeatable runs a request that may be cancelled and sends its reply while
 // it is generated.
 func (t *serverTask) runRepeatable() {
@@ -36,17 +25,18 @@
 		t.refuse(refuse(core.CodeBadRequest, err.Error(), 0))
 		return
 	}
-	resp, err := t.call(r, true)
+	resp, err := t.call(r, true) //nolint:bodyclose // closed below and by pump
 	if err != nil {
 		t.failed(run, err, clock)
 		return
 	}
 	defer resp.Body.Close()
 	clock.restart(t.service.RequestTimeout())
-	p := newPump(resp, start, clock, t.agent.cfg.BufferBytes, t.service.MaxReplyBytes)
+	p := newPump(resp, start, clock, t.service.MaxReplyBytes)
+	chunks := buffer(p.chunks, t.agent.cfg.BufferBytes, t.gone.Done())
 	ended := make(chan bool, 1)
 	go func() { defer close(ended); ended <- t.pump(run, p, resp) }()
-	total, sent := t.sendReply(resp, p)
+	total, sent := t.sendReply(resp, chunks)
 	cancel()
 	crashed := <-ended
 	if sent {
@@ -59,8 +49,7 @@
 func (t *serverTask) pump(run context.Context, p *pump, resp *http.Response) bool {
 	p.read(run)
 	resp.Body.Close()
-	broken := p.err != nil && run.Err() == nil && !errors.Is(p.err, errTooLarge)
-	crashed := broken && t.agent.crashed(t.admitted)
+	crashed := p.broken && t.agent.crashed(t.admitted)
 	o := p.outcome(resp.StatusCode, t.service.Kind)
 	o.Crashed, o.Cancelled = crashed, t.gone.Err() != nil
 	t.free(o)
@@ -83,19 +72,20 @@
 
 // sendReply sends the head and the chunks as far as the entry permits. It
 // reports false when the stream has broken or the caller has gone.
-func (t *serverTask) sendReply(resp *http.Response, p *pump) (int64, bool) {
+func (t *serverTask) sendReply(resp *http.Response, chunks <-chan []byte) (int64, bool) {
 	head := &peerpb.ReplyHead{RequestId: t.head.RequestId, Status: int32(resp.StatusCode), Headers: headersOf(resp.Header)}
 	if !t.send(&peerpb.Frame{Body: &peerpb.Frame_ReplyHead{ReplyHead: head}}) {
 		return 0, false
 	}
 	var total int64
-	for data := range p.chunks {
+	for data := range chunks {
 		if !t.sendBytes(t.gone, data) {
 			return total, false
 		}
 		total += int64(len(data))
 	}
-	return total, true
+	// The buffer also ends when the caller has gone, and then lacks a part.
+	return total, t.gone.Err() == nil
 }
 
 // sendBytes sends data in frames as credit permits.
@@ -132,119 +122,3 @@
 	e.Load = t.agent.admission.load(time.Now())
 	t.send(&peerpb.Frame{Body: &peerpb.Frame_ReplyEnd{ReplyEnd: e}})
 }
-
-var errTooLarge = errors.New("reply exceeds max_reply_bytes")
-
-// pump reads a reply into a bounded buffer.
-type pump struct {
-	body   io.Reader
-	chunks chan []byte
-	clock  *runClock
-	start  time.Time
-	limit  int64
-	events bool
-	total  int64
-	tokens int64
-	first  time.Duration
-	last   time.Duration
-	// stalled reports that a slow reader held the run up, so that its times
-	// tell nothing of the backend server.
-	stalled bool
-	tail    []byte
-	err     error
-}
-
-func newPump(resp *http.Response, start time.Time, clock *runClock, buffer int, limit int64) *pump {
-	return &pump{
-		body:   resp.Body,
-		chunks: make(chan []byte, max(buffer/chunkBytes, 1)),
-		clock:  clock,
-		start:  start,
-		limit:  limit,
-		events: strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"),
-	}
-}
-
-// read reads until the end of the reply and closes chunks. err is set before.
-func (p *pump) read(ctx context.Context) {
-	defer close(p.chunks)
-	for {
-		buf := make([]byte, chunkBytes)
-		n, err := p.body.Read(buf)
-		if n > 0 {
-			p.note(buf[:n])
-			if p.limit > 0 && p.total > p.limit {
-				p.err = errTooLarge
-				return
-			}
-			if !p.push(ctx, buf[:n]) {
-				p.err = context.Cause(ctx)
-				return
-			}
-		}
-		if err != nil {
-			p.end(err)
-			return
-		}
-	}
-}
-
-func (p *pump) end(err error) {
-	if !errors.Is(err, io.EOF) {
-		p.err = err
-		return
-	}
-	if p.events && !bytes.Contains(p.tail, []byte(doneEvent)) {
-		p.err = errCut
-	}
-}
-
-// note counts events, which are tokens, and keeps the end of the reply.
-func (p *pump) note(data []byte) {
-	p.last = time.Since(p.start)
-	if p.total == 0 {
-		p.first = p.last
-	}
-	p.total += int64(len(data))
-	if !p.events {
-		return
-	}
-	joined := append(p.tail, data...)
-	p.tokens += int64(bytes.Count(joined, []byte("\n\n")) - bytes.Count(p.tail, []byte("\n\n")))
-	keep := min(len(joined), len(doneEvent)+4)
-	p.tail = bytes.Clone(joined[len(joined)-keep:])
-}
-
-// push hands a chunk on. The clock stands while the buffer is full.
-func (p *pump) push(ctx context.Context, data []byte) bool {
-	select {
-	case p.chunks <- data:
-		return true
-	default:
-	}
-	p.stalled = true
-	p.clock.pause()
-	defer p.clock.resume()
-	select {
-	case p.chunks <- data:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// outcome tells the admission what to learn from the run.
-func (p *pump) outcome(status int, kind core.ServiceKind) core.Outcome {
-	o := core.Outcome{Good: p.err == nil && status < http.StatusInternalServerError}
-	switch {
-	case p.stalled || (kind == core.ServiceModel && p.tokens <= 1):
-		// A single token carries no time that could be judged.
-		o.OutputTokens = 1
-	case kind == core.ServiceModel:
-		// The last event is the end mark.
-		o.OutputTokens, o.FirstToken, o.Elapsed = p.tokens-1, p.first, p.last
-	default:
-		o.FirstToken, o.Elapsed = p.first, p.last
-	}
-	return o
-}
