--- a/emulator/cli/engine.go
+++ b/emulator/cli/engine.go
@@ -13,6 +13,7 @@
 	Slowdown        float64       `default:"0.02" help:"Part by which each further request lengthens a step."`
 	MemoryTokens    int64         `default:"100000" help:"Tokens that a warm engine can hold."`
 	ColdTokens      int64         `default:"4000" help:"Tokens that an engine can hold after a start."`
+	WarmTokens      int64         `help:"Tokens of ended requests after which the engine is warm; half of its memory by default."`
 	ColdFactor      float64       `default:"4" help:"Factor on the step time after a start."`
 	RestartTime     time.Duration `default:"2s" help:"Time of a restart after a crash."`
 	CrashMarker     string        `help:"Text in a prompt that crashes the engine."`
@@ -28,6 +29,7 @@
 		Slowdown:        c.Slowdown,
 		MemoryTokens:    c.MemoryTokens,
 		ColdTokens:      c.ColdTokens,
+		WarmTokens:      c.WarmTokens,
 		ColdFactor:      c.ColdFactor,
 		RestartTime:     c.RestartTime,
 		CrashMarker:     c.CrashMarker,
--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -21,9 +21,11 @@
 	// Slowdown is the part by which each further request lengthens a step.
 	Slowdown float64
 	// MemoryTokens is what a warm engine can hold. ColdTokens is what it can
-	// hold after a start; each token served while cold adds one to it.
+	// hold after a start. It is warm when it has ended requests of WarmTokens;
+	// the default is half of what it can hold.
 	MemoryTokens int64
 	ColdTokens   int64
+	WarmTokens   int64
 	// ColdFactor multiplies the step time of an engine that has just started.
 	ColdFactor float64
 	// RestartTime is how long a collapsed engine answers nothing.
@@ -86,6 +88,9 @@
 
 // New starts a stand-in. Close ends it.
 func New(o Options) *Engine {
+	if o.WarmTokens <= 0 {
+		o.WarmTokens = (o.MemoryTokens - o.ColdTokens) / 2
+	}
 	e := &Engine{
 		opts: o,
 		ops:  make(chan func(*state)),
@@ -151,15 +156,17 @@
 }
 
 // capacity returns the tokens that the engine can hold at present.
-func (s *state) capacity() int64 { return min(s.opts.ColdTokens+s.served, s.opts.MemoryTokens) }
+func (s *state) capacity() int64 {
+	span := s.opts.MemoryTokens - s.opts.ColdTokens
+	return s.opts.ColdTokens + int64(s.warmth()*float64(span))
+}
 
-// warmth grows from 0 after a start to 1.
+// warmth grows from 0 after a start to 1 with the tokens of ended requests.
 func (s *state) warmth() float64 {
-	span := s.opts.MemoryTokens - s.opts.ColdTokens
-	if span <= 0 || s.served >= span {
+	if s.served >= s.opts.WarmTokens {
 		return 1
 	}
-	return float64(s.served) / float64(span)
+	return float64(s.served) / float64(s.opts.WarmTokens)
 }
 
 // step returns the time of one token at present.
@@ -191,9 +198,7 @@
 	s.held += tokens
 	if s.held > s.capacity() {
 		s.collapse(now)
-		return
 	}
-	s.served += tokens
 }
 
 // end finishes a run. A run of an older incarnation holds nothing any more.
@@ -206,6 +211,9 @@
 	}
 	s.held -= held
 	s.running--
+	if outcome == OutcomeDone {
+		s.served += held
+	}
 }
 
 // PromptHash identifies a prompt in runs and replies.
