Keep reservations when the agent was paused; measure a warm server too

A task call gave up after 1 s, so a process that was paused longer could lose a release and never finish leaving. Calls now wait unless the task has not been started or has ended. go test -race -count=3 ./agent ./core/admission passes.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"nutmegnotch/core"
@@ -22,10 +23,11 @@
 
 // admissionTask owns what the backend server holds.
 type admissionTask struct {
-	cfg  Config
-	ops  chan func(*admissionState)
-	done chan struct{}
-	init *admissionState
+	cfg     Config
+	ops     chan func(*admissionState)
+	started chan struct{}
+	done    chan struct{}
+	init    *admissionState
 }
 
 type admissionState struct {
@@ -65,7 +67,13 @@
 	if s.admitter == nil {
 		s.admitter = admission.New(admission.Limits{}, now)
 	}
-	return &admissionTask{cfg: cfg, ops: make(chan func(*admissionState)), done: make(chan struct{}), init: s}
+	return &admissionTask{
+		cfg:     cfg,
+		ops:     make(chan func(*admissionState)),
+		started: make(chan struct{}),
+		done:    make(chan struct{}),
+		init:    s,
+	}
 }
 
 func (t *admissionTask) run(ctx context.Context) {
@@ -81,9 +89,14 @@
 	}
 }
 
-// do runs op in the task. It reports false when the task does not run: it has
-// ended, or the agent was never started.
+// do runs op in the task. It reports false when the task has not been started
+// or has ended.
 func (t *admissionTask) do(op func(*admissionState)) bool {
+	select {
+	case <-t.started:
+	default:
+		return false
+	}
 	ran := make(chan struct{})
 	select {
 	case t.ops <- func(s *admissionState) { op(s); close(ran) }:
@@ -91,8 +104,6 @@
 		return true
 	case <-t.done:
 		return false
-	case <-time.After(retryLater):
-		return false
 	}
 }
 
@@ -214,7 +225,7 @@
 
 // load makes a load report.
 func (t *admissionTask) load(now time.Time) *peerpb.Load {
-	l := &peerpb.Load{}
+	l := t.cfg.identity()
 	t.do(func(s *admissionState) { l = s.load(now) })
 	return l
 }
@@ -227,20 +238,10 @@
 	}
 	s.seq++
 	heldTokens, heldCount, limitTokens, limitCount := s.admitter.Load()
-	l := &peerpb.Load{
-		AgentId:       s.cfg.Self.Id,
-		Incarnation:   s.cfg.Self.Incarnation,
-		Service:       s.cfg.Service,
-		FailureDomain: s.cfg.Self.FailureDomain,
-		Region:        s.cfg.Self.Region,
-		State:         string(core.AgentReady),
-		Models:        s.models,
-		HeldTokens:    heldTokens,
-		HeldCount:     int32(heldCount),
-		LimitTokens:   limitTokens,
-		LimitCount:    int32(min(limitCount, 1<<30)),
-		Seq:           s.seq,
-	}
+	l := s.cfg.identity()
+	l.State, l.Models, l.Seq = string(core.AgentReady), s.models, s.seq
+	l.HeldTokens, l.HeldCount = heldTokens, int32(heldCount)
+	l.LimitTokens, l.LimitCount = limitTokens, int32(min(limitCount, math.MaxInt32))
 	if len(l.Models) == 0 {
 		l.Models = service.Models
 	}
@@ -252,6 +253,18 @@
 	return l
 }
 
+// identity returns the report of an agent that is not ready.
+func (c Config) identity() *peerpb.Load {
+	return &peerpb.Load{
+		AgentId:       c.Self.Id,
+		Incarnation:   c.Self.Incarnation,
+		Service:       c.Service,
+		FailureDomain: c.Self.FailureDomain,
+		Region:        c.Self.Region,
+		State:         string(core.AgentNotReady),
+	}
+}
+
 func refuse(code core.Code, message string, after time.Duration) core.Refusal {
 	return core.Refusal{Code: code, Message: message, NotRun: true, RetryAfter: after}
 }
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -169,6 +169,8 @@
 	defer close(a.done)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
+	close(a.admission.started)
+	close(a.runs.started)
 	wg.Go(func() { a.admission.run(work) })
 	wg.Go(func() { a.runs.run(work) })
 	wg.Go(func() { a.releases.run(work) })
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -62,6 +62,10 @@
 	broken := !notSent && run.Err() == nil
 	crashed := broken && t.agent.crashed(t.admitted)
 	t.free(core.Outcome{Crashed: crashed, Cancelled: notSent || t.gone.Err() != nil})
+	if notSent && clock.expired.Load() {
+		t.refuse(refuse(core.CodeDeadline, "the deadline passed before the request was sent", 0))
+		return
+	}
 	if notSent {
 		t.agent.watcher.poke()
 		t.refuse(refuse(core.CodeNoServer, "the backend server does not accept connections", retryLater))
@@ -113,6 +117,9 @@
 	if err != nil {
 		e.Code, e.Message = string(core.CodeBackendFailed), err.Error()
 	}
+	if err != nil && !t.request.Repeatable {
+		e.Code = string(core.CodeOutcomeUnknown)
+	}
 	if err != nil && clock != nil && clock.expired.Load() {
 		e.Code = string(core.CodeDeadline)
 	}
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -56,6 +56,7 @@
 	maxBytes int64
 	maxAge   time.Duration
 	ops      chan func(*runTable)
+	started  chan struct{}
 	done     chan struct{}
 }
 
@@ -68,7 +69,13 @@
 }
 
 func newRunTask(maxBytes int64, maxAge time.Duration) *runTask {
-	return &runTask{maxBytes: maxBytes, maxAge: maxAge, ops: make(chan func(*runTable)), done: make(chan struct{})}
+	return &runTask{
+		maxBytes: maxBytes,
+		maxAge:   maxAge,
+		ops:      make(chan func(*runTable)),
+		started:  make(chan struct{}),
+		done:     make(chan struct{}),
+	}
 }
 
 func (t *runTask) run(ctx context.Context) {
@@ -84,7 +91,14 @@
 	}
 }
 
+// do runs op in the task. It reports false when the task has not been started
+// or has ended.
 func (t *runTask) do(op func(*runTable)) bool {
+	select {
+	case <-t.started:
+	default:
+		return false
+	}
 	ran := make(chan struct{})
 	select {
 	case t.ops <- func(r *runTable) { op(r); close(ran) }:
--- a/agent/server.go
+++ b/agent/server.go
@@ -213,7 +213,7 @@
 // call sends a request to the backend server. An error that is desk.ErrNotSent
 // proves that nothing ran.
 func (t *serverTask) call(r *http.Request, repeatable bool) (*http.Response, error) {
-	if t.service.Kind == core.ServiceModel {
+	if repeatable && t.service.Kind == core.ServiceModel {
 		return t.agent.engine.Do(r, t.accept)
 	}
 	return t.agent.desk.Do(r, repeatable, t.accept)
--- a/core/admission/overload_test.go
+++ b/core/admission/overload_test.go
@@ -75,9 +75,23 @@
 	return n / (simMeanOutput * simTokenTime.Seconds() * (1 + simSlowdown*(n-1)))
 }
 
+// scenario is the state of the server at the start, and when it loses what
+// warmed it; zero means never.
+type scenario struct {
+	name      string
+	warm      bool
+	turnsCold time.Duration
+}
+
+var (
+	simCycle  = scenario{name: "cold_start_and_turn", turnsCold: simTurnsCold}
+	simWarm   = scenario{name: "warm", warm: true}
+	scenarios = []scenario{simCycle, simWarm}
+)
+
 // simulate offers a load, as a multiple of the capacity, to a server behind an
 // admitter. Refused requests are not offered again.
-func simulate(a core.Admitter, load float64, seed uint64) result {
+func simulate(a core.Admitter, sc scenario, load float64, seed uint64) result {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var queue arrivals
 	for at, i := time.Duration(0), 0; at < simDuration; i++ {
@@ -88,8 +102,11 @@
 		}})
 	}
 	s := &server{admitter: a}
+	if sc.warm {
+		s.served = simWarmTokens
+	}
 	for t := time.Duration(0); t < simDuration; t += simStep {
-		if t == simTurnsCold {
+		if sc.turnsCold > 0 && t == sc.turnsCold {
 			s.served = 0
 		}
 		for queue.Len() > 0 && queue[0].at <= t {
@@ -188,7 +205,7 @@
 func TestOverloadCollapsesNothing(t *testing.T) {
 	for _, load := range []float64{0.5, 1, 2, 3} {
 		for seed := uint64(1); seed <= 5; seed++ {
-			got := simulate(admission.New(simLimits, start), load, seed)
+			got := simulate(admission.New(simLimits, start), simCycle, load, seed)
 			if got.collapses > 1 {
 				t.Errorf("load %v, seed %d: got %+v, want no collapse but the one at the turn to cold", load, seed, got)
 			}
@@ -197,37 +214,44 @@
 }
 
 func BenchmarkOverload(b *testing.B) {
-	for _, p := range policies {
-		for _, load := range []float64{0.5, 1, 1.5, 2, 3} {
-			b.Run(fmt.Sprintf("%s/load=%v", p.name, load), func(b *testing.B) {
-				var sum result
-				for i := range b.N {
-					r := simulate(p.make(), load, uint64(i%5+1))
-					for i, n := range r.good {
-						sum.good[i] += n
-					}
-					sum.late += r.late
-					sum.refused += r.refused
-					sum.broken += r.broken
-					sum.collapses += r.collapses
-				}
-				n := float64(b.N)
-				for i, name := range []string{"start_good/s", "warm_good/s", "turn_good/s"} {
-					length := simPhases[i]
-					if i > 0 {
-						length -= simPhases[i-1]
+	for _, sc := range scenarios {
+		for _, p := range policies {
+			for _, load := range []float64{0.5, 1, 1.5, 2, 3} {
+				b.Run(fmt.Sprintf("%s/%s/load=%v", sc.name, p.name, load), func(b *testing.B) {
+					var sum result
+					for i := range b.N {
+						sum.add(simulate(p.make(), sc, load, uint64(i%5+1)))
 					}
-					b.ReportMetric(float64(sum.good[i])/n/length.Seconds(), name)
-				}
-				b.ReportMetric(float64(sum.late)/n, "late/run")
-				b.ReportMetric(float64(sum.refused)/n, "refused/run")
-				b.ReportMetric(float64(sum.broken)/n, "broken/run")
-				b.ReportMetric(float64(sum.collapses)/n, "collapses/run")
-			})
+					sum.report(b)
+				})
+			}
 		}
 	}
 }
 
+func (r *result) add(o result) {
+	for i, n := range o.good {
+		r.good[i] += n
+	}
+	r.late += o.late
+	r.refused += o.refused
+	r.broken += o.broken
+	r.collapses += o.collapses
+}
+
+func (r *result) report(b *testing.B) {
+	n := float64(b.N)
+	from := time.Duration(0)
+	for i, name := range []string{"good_0_30s/s", "good_30_60s/s", "good_60_120s/s"} {
+		b.ReportMetric(float64(r.good[i])/n/(simPhases[i]-from).Seconds(), name)
+		from = simPhases[i]
+	}
+	b.ReportMetric(float64(r.late)/n, "late/run")
+	b.ReportMetric(float64(r.refused)/n, "refused/run")
+	b.ReportMetric(float64(r.broken)/n, "broken/run")
+	b.ReportMetric(float64(r.collapses)/n, "collapses/run")
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	for _, held := range []int{16, 256, 4096} {
 		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
