core/claim: add the fold of a partition's claim records

Verdicts depend on a bounded part of the log: a lost claim holds its key until it is released, so that a fold that starts later decides alike.

--- /dev/null
+++ b/core/claim/fold.go
@@ -0,0 +1,288 @@
+package claim
+
+import (
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// Result is the verdict of a claim.
+type Result uint8
+
+// Results. A won claim becomes void when its agent releases it; no other
+// verdict changes.
+const (
+	Unknown Result = iota
+	Won
+	Lost
+	Void
+)
+
+// Holder names a claim and its agent.
+type Holder struct {
+	ClaimID          ID
+	RequestHash      Hash
+	AgentID          string
+	AgentIncarnation string
+	AgentAddress     string
+	Offset           int64
+}
+
+// Verdict is the verdict of one claim. Holder is the claim itself when it won,
+// the claim it lost to when it lost, and empty otherwise.
+type Verdict struct {
+	Result Result
+	Holder Holder
+	Offset int64
+}
+
+// Fold is the state of one partition after its records up to an offset. It is
+// not safe for concurrent use.
+//
+// A key is held by every claim of it that is neither released nor older than
+// the window, lost claims included. A new claim wins when the key is not held
+// by another claim, and loses to the oldest holder otherwise. Its verdict thus
+// depends only on the records of the window before it, and on the releases of
+// the window before those: every fold that starts two windows back agrees.
+//
+// If lost claims did not hold the key, a verdict would depend on whether each
+// earlier claim had won, without limit, and a batcher that starts later would
+// decide otherwise than one that has run on. A lost claim therefore stays lost
+// when the holder is released, and the next new claim wins once the lost claim
+// is released too, which the batcher that reads the loss takes care of.
+//
+// A second copy of a claim ends in the verdict of the first, and extends the
+// time for which the claim is remembered, since a fold that starts between the
+// two sees only the second.
+type Fold struct {
+	hold   time.Duration
+	next   int64
+	nowMS  int64
+	slab   slab
+	claims map[ID]uint32
+	keys   map[Hash]uint32
+	lost   map[uint32]Holder
+	agents agents
+	peak   int
+}
+
+// NewFold returns the empty state of a partition that begins at an offset.
+// Claims are remembered for the window and a margin for clock differences.
+func NewFold(from int64, window time.Duration) *Fold {
+	return &Fold{
+		hold:   window + clockMargin(window),
+		next:   from,
+		claims: map[ID]uint32{},
+		keys:   map[Hash]uint32{},
+		lost:   map[uint32]Holder{},
+		agents: agents{index: map[agent]uint32{}},
+	}
+}
+
+// Lookback returns how far before the last record a fold has to start, so that
+// it agrees with all others.
+func Lookback(window time.Duration) time.Duration {
+	return 2 * (window + clockMargin(window))
+}
+
+// Next returns the first offset that is not folded.
+func (f *Fold) Next() int64 { return f.next }
+
+// Time returns the latest record time.
+func (f *Fold) Time() time.Time { return time.UnixMilli(f.nowMS) }
+
+// Len returns the number of claims and releases held.
+func (f *Fold) Len() int { return len(f.claims) }
+
+// Apply folds the record at the next offset, or a later one if the log skips
+// offsets. A record that was folded before has no effect. A malformed record
+// is skipped, by every reader alike, and reported.
+func (f *Fold) Apply(r core.Record) ([]Op, error) {
+	if r.Offset < f.next {
+		return nil, nil
+	}
+	f.next = r.Offset + 1
+	f.nowMS = max(f.nowMS, r.Time.UnixMilli())
+	f.expire()
+	ops, err := Decode(r.Data)
+	if err != nil {
+		return nil, err
+	}
+	for _, op := range ops {
+		if op.Op == OpClaim {
+			f.claim(op, r.Offset)
+		} else {
+			f.release(op.ClaimID)
+		}
+	}
+	return ops, nil
+}
+
+func (f *Fold) claim(op Op, offset int64) {
+	if i, ok := f.claims[op.ClaimID]; ok {
+		if e := f.slab.at(i); !e.released {
+			f.touch(i)
+		}
+		return
+	}
+	i := f.insert(op.ClaimID)
+	e := f.slab.at(i)
+	e.key, e.request, e.offset = op.KeyHash, op.RequestHash, offset
+	e.agent = f.agents.add(agent{op.AgentID, op.AgentIncarnation, op.AgentAddress})
+	head, held := f.keys[op.KeyHash]
+	if !held {
+		e.result = Won
+		f.keys[op.KeyHash] = i
+		return
+	}
+	e.result = Lost
+	f.lost[i] = f.holder(head)
+	for f.slab.at(head).nextOfKey != none {
+		head = f.slab.at(head).nextOfKey
+	}
+	f.slab.at(head).nextOfKey = i
+}
+
+// release frees the key, or leaves a tombstone for a claim that comes later.
+func (f *Fold) release(id ID) {
+	i, ok := f.claims[id]
+	if !ok {
+		i = f.insert(id)
+		e := f.slab.at(i)
+		e.released, e.result = true, Void
+		return
+	}
+	f.touch(i)
+	e := f.slab.at(i)
+	if e.released {
+		return
+	}
+	f.unhold(i)
+	e.released = true
+	if e.result == Won {
+		e.result = Void
+	}
+}
+
+// unhold takes a claim out of the list of its key.
+func (f *Fold) unhold(i uint32) {
+	e := f.slab.at(i)
+	head := f.keys[e.key]
+	switch {
+	case head == i && e.nextOfKey == none:
+		delete(f.keys, e.key)
+	case head == i:
+		f.keys[e.key] = e.nextOfKey
+	default:
+		for f.slab.at(head).nextOfKey != i {
+			head = f.slab.at(head).nextOfKey
+		}
+		f.slab.at(head).nextOfKey = e.nextOfKey
+	}
+	e.nextOfKey = none
+}
+
+func (f *Fold) insert(id ID) uint32 {
+	i := f.slab.add()
+	e := f.slab.at(i)
+	e.id, e.timeMS, e.agent = id, f.nowMS, none
+	f.claims[id] = i
+	f.peak = max(f.peak, len(f.claims))
+	return i
+}
+
+func (f *Fold) touch(i uint32) {
+	f.slab.at(i).timeMS = f.nowMS
+	f.slab.moveToBack(i)
+}
+
+// expire forgets what is older than the window by record time.
+func (f *Fold) expire() {
+	limit := f.nowMS - f.hold.Milliseconds()
+	for i := f.slab.front(); i != none && f.slab.at(i).timeMS < limit; i = f.slab.front() {
+		e := f.slab.at(i)
+		if !e.released {
+			f.unhold(i)
+		}
+		if e.agent != none {
+			f.agents.remove(e.agent)
+		}
+		delete(f.lost, i)
+		delete(f.claims, e.id)
+		f.slab.remove(i)
+	}
+	f.shrink()
+}
+
+// minShrink keeps small maps from being rebuilt.
+const minShrink = 4096
+
+// shrink rebuilds the maps after a peak, since maps never give memory back.
+func (f *Fold) shrink() {
+	if f.peak < minShrink || len(f.claims) > f.peak/4 {
+		return
+	}
+	claims, keys := make(map[ID]uint32, len(f.claims)), make(map[Hash]uint32, len(f.keys))
+	for id, i := range f.claims {
+		claims[id] = i
+	}
+	for k, i := range f.keys {
+		keys[k] = i
+	}
+	f.claims, f.keys, f.peak = claims, keys, len(claims)
+}
+
+func (f *Fold) holder(i uint32) Holder {
+	e := f.slab.at(i)
+	a := f.agents.list[e.agent].agent
+	return Holder{
+		ClaimID:          e.id,
+		RequestHash:      e.request,
+		AgentID:          a.id,
+		AgentIncarnation: a.incarnation,
+		AgentAddress:     a.address,
+		Offset:           e.offset,
+	}
+}
+
+// Verdict returns the verdict of a claim that was read, and Unknown otherwise.
+func (f *Fold) Verdict(id ID) Verdict {
+	i, ok := f.claims[id]
+	if !ok {
+		return Verdict{}
+	}
+	e := f.slab.at(i)
+	v := Verdict{Result: e.result, Offset: e.offset}
+	switch e.result {
+	case Won:
+		v.Holder = f.holder(i)
+	case Lost:
+		v.Holder = f.lost[i]
+	}
+	return v
+}
+
+// Owner returns the agent of a claim that was read.
+func (f *Fold) Owner(id ID) (Holder, bool) {
+	i, ok := f.claims[id]
+	if !ok || f.slab.at(i).agent == none {
+		return Holder{}, false
+	}
+	return f.holder(i), true
+}
+
+// Released reports whether a release of the claim was read.
+func (f *Fold) Released(id ID) bool {
+	i, ok := f.claims[id]
+	return ok && f.slab.at(i).released
+}
+
+// Held returns the oldest holder of a key that is younger than the window at
+// the log time now.
+func (f *Fold) Held(key Hash, now time.Time) (Holder, bool) {
+	i, ok := f.keys[key]
+	if !ok || f.slab.at(i).timeMS < now.UnixMilli()-f.hold.Milliseconds() {
+		return Holder{}, false
+	}
+	return f.holder(i), true
+}
