--- /dev/null
+++ b/core/share/demand.go
@@ -0,0 +1,196 @@
+package share
+
+import (
+	"math"
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// Times of asking homes.
+const (
+	// demandTime is the time over which demand is averaged.
+	demandTime = time.Second
+	// horizon is how much demand an entry prefetches. More credit would expire
+	// unused when demand moves to another entry.
+	horizon = 250 * time.Millisecond
+	// dryTime is how long an entry refuses without asking after all homes were
+	// short. It bounds the messages of an organisation over its limit.
+	dryTime = 50 * time.Millisecond
+	// renewTime is the interval of lease renewals.
+	renewTime = time.Second
+)
+
+// Ask is a request to a home entry, for slots or for credit.
+type Ask struct {
+	Organisation string
+	Home         string
+	Seq          uint64
+	ForSlots     bool
+	Slots        int
+	Amount       core.Amount
+}
+
+// ask is an open request for credit.
+type ask struct {
+	home   string
+	seq    uint64
+	asked  time.Time
+	amount core.Amount
+}
+
+// observe counts demand.
+func (a *account) observe(amount core.Amount, now time.Time) {
+	a.decay(now)
+	a.demand = plus(a.demand, times(amount, 1/demandTime.Seconds()))
+}
+
+func (a *account) decay(now time.Time) {
+	if d := now.Sub(a.demandAt); d > 0 {
+		a.demand = times(a.demand, math.Exp(-d.Seconds()/demandTime.Seconds()))
+		a.demandAt = now
+	}
+}
+
+// others returns the homes other than this entry, beginning with the one whose
+// turn it is.
+func (p *Pool) others(a *account) []string {
+	ids := make([]string, 0, len(a.homes))
+	for i := range a.homes {
+		if id := a.homes[(a.next+i)%len(a.homes)]; id != p.self {
+			ids = append(ids, id)
+		}
+	}
+	a.next++
+	return ids
+}
+
+// Tick returns the requests that prefetch credit and renew leases. It is called
+// about every 100 ms.
+func (p *Pool) Tick(now time.Time) []Ask {
+	p.forget(now)
+	var asks []Ask
+	for _, a := range p.orgs {
+		p.fill(a, now)
+		a.decay(now)
+		a.dropAsks(now)
+		asks = append(asks, p.prefetch(a, now)...)
+		asks = append(asks, p.renew(a, now)...)
+	}
+	return asks
+}
+
+func (a *account) dropAsks(now time.Time) {
+	kept := a.asks[:0]
+	for _, q := range a.asks {
+		if now.Sub(q.asked) < LoanLife {
+			kept = append(kept, q)
+		}
+	}
+	a.asks = kept
+}
+
+// prefetch asks one home for what the next requests are expected to need. An
+// entry with less than one request in the horizon asks when a request comes.
+func (p *Pool) prefetch(a *account, now time.Time) []Ask {
+	need := times(a.demand, horizon.Seconds())
+	if need.Requests < 1 || now.Before(a.dry) {
+		return nil
+	}
+	missing := minus(need, a.held())
+	for _, q := range a.asks {
+		missing = minus(missing, q.amount)
+	}
+	if missing.Requests < need.Requests/4 && missing.Tokens < need.Tokens/4 {
+		return nil
+	}
+	for _, home := range p.others(a) {
+		return []Ask{p.askCredit(a, home, missing, now)}
+	}
+	return nil
+}
+
+func (p *Pool) askCredit(a *account, home string, amount core.Amount, now time.Time) Ask {
+	amount = core.Amount{Requests: max(0, amount.Requests), Tokens: max(0, amount.Tokens)}
+	p.seq++
+	a.asks = append(a.asks, ask{home: home, seq: p.seq, asked: now, amount: amount})
+	return Ask{Organisation: a.name, Home: home, Seq: p.seq, Amount: amount}
+}
+
+// Granted takes the answer to a request for credit. An answer that no request
+// waits for, and a second copy of one, has no effect.
+func (p *Pool) Granted(organisation, home string, seq uint64, amount core.Amount, now time.Time) {
+	a := p.account(organisation, now)
+	if a == nil {
+		return
+	}
+	for i, q := range a.asks {
+		if q.home == home && q.seq == seq {
+			a.asks = append(a.asks[:i], a.asks[i+1:]...)
+			p.Borrowed(organisation, least(amount, q.amount), q.asked, now)
+			return
+		}
+	}
+}
+
+// Shortfall returns the homes to ask, one after the other until the request is
+// covered, for a request that Spend has refused. It is empty when all homes
+// were short a moment ago.
+func (p *Pool) Shortfall(organisation string, now time.Time) []string {
+	a := p.account(organisation, now)
+	if a == nil || now.Before(a.dry) {
+		return nil
+	}
+	return p.others(a)
+}
+
+// AskCredit prepares a request to a home for what an amount is short of.
+func (p *Pool) AskCredit(organisation, home string, amount core.Amount, now time.Time) (Ask, bool) {
+	a := p.account(organisation, now)
+	if a == nil {
+		return Ask{}, false
+	}
+	return p.askCredit(a, home, minus(amount, a.held()), now), true
+}
+
+// Dry tells that all homes were asked and were short.
+func (p *Pool) Dry(organisation string, now time.Time) {
+	if a := p.account(organisation, now); a != nil {
+		a.dry = now.Add(dryTime)
+	}
+}
+
+// AskSlot prepares a request to a home for one more slot.
+func (p *Pool) AskSlot(organisation, home string, now time.Time) (Ask, bool) {
+	a := p.account(organisation, now)
+	if a == nil {
+		return Ask{}, false
+	}
+	a.dropLeases(now)
+	want := 1
+	for _, l := range a.borrowed {
+		if l.home == home {
+			want += max(l.slots, l.want)
+		}
+	}
+	return p.askSlots(a, home, min(want, a.contract.Concurrency), now), true
+}
+
+// renew renews the leases of the slots in use and gives back the others.
+func (p *Pool) renew(a *account, now time.Time) []Ask {
+	a.dropLeases(now)
+	var asks []Ask
+	spare := 1 + a.running/8
+	if now.Sub(a.used) > renewTime {
+		spare = 0
+	}
+	need := a.running + spare
+	for _, l := range append([]lease(nil), a.borrowed...) {
+		keep := min(max(l.slots, 0), need)
+		need -= keep
+		if now.Sub(l.asked) >= renewTime && (l.slots > 0 || keep > 0) {
+			asks = append(asks, p.askSlots(a, l.home, keep, now))
+		}
+	}
+	return asks
+}
--- /dev/null
+++ b/core/share/share.go
@@ -0,0 +1,164 @@
+// Package share splits the limits of contracts over entries. The home entries
+// of an organisation own one bucket each and lend credit and concurrency slots
+// to the other entries.
+package share
+
+import (
+	"math"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/rendezvous"
+)
+
+// Times and sizes of credit.
+const (
+	// LoanLife is how long borrowed credit can be spent, from when it was asked
+	// for.
+	LoanLife = time.Second
+	// SlotLease is how long lent slots can be used without renewal.
+	SlotLease = 3 * time.Second
+	// Settle is how long a larger share waits after a change of the homes. By
+	// then each entry has seen the change or has stopped admitting.
+	Settle = 5 * time.Second
+	// Buckets hold what the contract gives in this time. That of tokens is
+	// longer, since one request may cost more than a second's tokens.
+	requestBucketTime = time.Second
+	tokenBucketTime   = 4 * time.Second
+
+	minHomes        = 4
+	requestsPerHome = 100
+	// tolerance absorbs the rounding of sums of shares. What it lets through
+	// stays as debt in the bucket.
+	tolerance = 1e-6
+)
+
+// Homes returns the number of homes of a contract in a set of n entries.
+func Homes(c core.Contract, n int) int {
+	return min(n, max(minHomes, int(math.Ceil(c.RequestsPerSecond/requestsPerHome))))
+}
+
+// rate returns what the contract gives per second.
+func rate(c core.Contract) core.Amount {
+	return core.Amount{Requests: max(0, c.RequestsPerSecond), Tokens: max(0, c.TokensPerSecond)}
+}
+
+// bucket returns the size of all buckets of a contract together. Each home can
+// hold at least one request.
+func bucket(c core.Contract) core.Amount {
+	r := rate(c)
+	b := core.Amount{
+		Requests: r.Requests * requestBucketTime.Seconds(),
+		Tokens:   r.Tokens * tokenBucketTime.Seconds(),
+	}
+	if r.Requests > 0 {
+		b.Requests = max(b.Requests, minHomes)
+	}
+	return b
+}
+
+// Burst returns how much more than rate times time may be admitted in any
+// interval: full buckets and the credit that was lent just before it.
+func Burst(c core.Contract) core.Amount {
+	return plus(bucket(c), times(rate(c), LoanLife.Seconds()))
+}
+
+func plus(a, b core.Amount) core.Amount {
+	return core.Amount{Requests: a.Requests + b.Requests, Tokens: a.Tokens + b.Tokens}
+}
+
+func minus(a, b core.Amount) core.Amount {
+	return core.Amount{Requests: a.Requests - b.Requests, Tokens: a.Tokens - b.Tokens}
+}
+
+func times(a core.Amount, f float64) core.Amount {
+	return core.Amount{Requests: a.Requests * f, Tokens: a.Tokens * f}
+}
+
+func least(a, b core.Amount) core.Amount {
+	return core.Amount{Requests: min(a.Requests, b.Requests), Tokens: min(a.Tokens, b.Tokens)}
+}
+
+// covers compares up to rounding.
+func covers(a, b core.Amount) bool {
+	return plus(a, core.Amount{Requests: tolerance, Tokens: tolerance}).Covers(b)
+}
+
+// epoch is the time from since on, in which the contracts and the entry set
+// gave each organisation the same homes.
+type epoch struct {
+	since     time.Time
+	set       core.EntrySet
+	contracts map[string]core.Contract
+}
+
+// position is the place of this entry among the homes of an organisation.
+// index is -1 for an entry that is not a home.
+type position struct{ index, homes int }
+
+// fraction is the part of the contract's credit that the position owns.
+func (p position) fraction() float64 {
+	if p.index < 0 {
+		return 0
+	}
+	return 1 / float64(p.homes)
+}
+
+// slots is the number of concurrency slots that the position owns.
+func (p position) slots(concurrency int) int {
+	if p.index < 0 || concurrency <= 0 {
+		return 0
+	}
+	n := concurrency / p.homes
+	if p.index < concurrency%p.homes {
+		n++
+	}
+	return n
+}
+
+// homes returns the ids of the homes of an organisation in an epoch.
+func (e epoch) homes(organisation string) []string {
+	c, ok := e.contracts[organisation]
+	if !ok {
+		return nil
+	}
+	top := rendezvous.Top(organisation, e.set.Entries, Homes(c, len(e.set.Entries)))
+	ids := make([]string, len(top))
+	for i, h := range top {
+		ids[i] = h.ID
+	}
+	return ids
+}
+
+func positionIn(homes []string, self string) position {
+	for i, id := range homes {
+		if id == self {
+			return position{index: i, homes: len(homes)}
+		}
+	}
+	return position{index: -1, homes: len(homes)}
+}
+
+// sameHomes reports whether both epochs give each organisation the same homes.
+func sameHomes(a, b epoch) bool {
+	if len(a.set.Entries) != len(b.set.Entries) {
+		return false
+	}
+	ids := make(map[string]bool, len(a.set.Entries))
+	for _, e := range a.set.Entries {
+		ids[e.ID] = true
+	}
+	for _, e := range b.set.Entries {
+		if !ids[e.ID] {
+			return false
+		}
+	}
+	n := len(a.set.Entries)
+	for name, c := range b.contracts {
+		old, ok := a.contracts[name]
+		if !ok || Homes(old, n) != Homes(c, n) {
+			return false
+		}
+	}
+	return true
+}
--- a/io/claimlog/abandon.go
+++ b/io/claimlog/abandon.go
@@ -71,7 +71,10 @@
 				delete(all, id)
 			}
 		case now := <-tick.C:
-			if due := takeDue(all, now); !busy && len(due) > 0 {
+			if busy {
+				continue
+			}
+			if due := takeDue(all, now); len(due) > 0 {
 				busy = true
 				c.wg.Go(func() { results <- c.releaseAll(due) })
 			}
