--- a/core/share/demand.go
+++ b/core/share/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 
 	"nutmegnotch/core"
@@ -70,7 +71,8 @@
 func (p *Pool) Tick(now time.Time) []Ask {
 	p.forget(now)
 	var asks []Ask
-	for _, a := range p.orgs {
+	for _, name := range p.names() {
+		a := p.orgs[name]
 		p.fill(a, now)
 		a.decay(now)
 		a.dropAsks(now)
@@ -80,6 +82,17 @@
 	return asks
 }
 
+// names returns the organisations with state, sorted so that equal histories
+// give equal requests.
+func (p *Pool) names() []string {
+	names := make([]string, 0, len(p.orgs))
+	for name := range p.orgs {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 func (a *account) dropAsks(now time.Time) {
 	kept := a.asks[:0]
 	for _, q := range a.asks {
@@ -160,6 +173,23 @@
 	}
 }
 
+// SlotHomes returns the homes to ask one after the other for a slot. It is
+// empty when none had one a moment ago.
+func (p *Pool) SlotHomes(organisation string, now time.Time) []string {
+	a := p.account(organisation, now)
+	if a == nil || now.Before(a.noSlots) {
+		return nil
+	}
+	return p.others(a)
+}
+
+// NoSlots tells that all homes were asked for a slot and had none.
+func (p *Pool) NoSlots(organisation string, now time.Time) {
+	if a := p.account(organisation, now); a != nil {
+		a.noSlots = now.Add(dryTime)
+	}
+}
+
 // AskSlot prepares a request to a home for one more slot.
 func (p *Pool) AskSlot(organisation, home string, now time.Time) (Ask, bool) {
 	a := p.account(organisation, now)
@@ -169,14 +199,18 @@
 	a.dropLeases(now)
 	want := 1
 	for _, l := range a.borrowed {
-		if l.home == home {
-			want += max(l.slots, l.want)
+		switch {
+		case l.home == home && l.open:
+			want += l.want
+		case l.home == home:
+			want += l.slots
 		}
 	}
 	return p.askSlots(a, home, min(want, a.contract.Concurrency), now), true
 }
 
-// renew renews the leases of the slots in use and gives back the others.
+// renew renews the leases of the slots in use, gives back the others, and asks
+// for slots for requests whose lease has ended.
 func (p *Pool) renew(a *account, now time.Time) []Ask {
 	a.dropLeases(now)
 	var asks []Ask
@@ -184,13 +218,38 @@
 	if now.Sub(a.used) > renewTime {
 		spare = 0
 	}
-	need := a.running + spare
+	need := max(0, a.running+spare-max(0, a.ownSlots()-a.lentSlots("")))
 	for _, l := range append([]lease(nil), a.borrowed...) {
-		keep := min(max(l.slots, 0), need)
+		keep := min(l.slots, need)
 		need -= keep
-		if now.Sub(l.asked) >= renewTime && (l.slots > 0 || keep > 0) {
+		if now.Sub(l.asked) >= renewTime && l.slots > 0 {
 			asks = append(asks, p.askSlots(a, l.home, keep, now))
 		}
 	}
+	if a.running > a.usable() && !a.asking() {
+		for _, home := range p.others(a) {
+			return append(asks, p.askSlots(a, home, a.borrowedFrom(home)+a.running-a.usable(), now))
+		}
+	}
 	return asks
 }
+
+// asking reports a request for slots within the last renewal interval that has
+// no answer.
+func (a *account) asking() bool {
+	for _, l := range a.borrowed {
+		if l.open {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *account) borrowedFrom(home string) int {
+	for _, l := range a.borrowed {
+		if l.home == home {
+			return l.slots
+		}
+	}
+	return 0
+}
--- a/core/share/pool.go
+++ b/core/share/pool.go
@@ -14,6 +14,8 @@
 // the last 5 s gives it. Whatever set each entry has seen, one set was in force
 // within the last 5 s at all of them, so the shares never sum to more than one.
 // The first set counts as a change, since a process can't know what was before.
+// Slots count the sets of the last 8 s, since what an entry lends just before
+// it stops is used until the lease ends.
 type Pool struct {
 	self   string
 	seq    uint64
@@ -43,6 +45,7 @@
 	next     int
 	dry      time.Time
 
+	noSlots  time.Time
 	running  int
 	lent     []lending
 	borrowed []lease
@@ -54,6 +57,8 @@
 	expires time.Time
 }
 
+var _ core.Credits = (*Pool)(nil)
+
 // New returns the pool of an entry. now is the start of the process; seq must
 // be above every number that an earlier process of this entry has used.
 func New(self string, seq uint64, now time.Time) *Pool {
@@ -85,9 +90,9 @@
 	}
 }
 
-// prune forgets the epochs that ended before the last 5 s.
+// prune forgets the epochs that count no more.
 func (p *Pool) prune(now time.Time) {
-	for len(p.epochs) > 1 && now.Sub(p.epochs[1].since) >= Settle {
+	for len(p.epochs) > 1 && now.Sub(p.epochs[1].since) >= slotSettle {
 		p.epochs = p.epochs[1:]
 		p.gen++
 	}
@@ -106,10 +111,10 @@
 		p.locate(a)
 		// Nothing was spent before: the bucket has filled since the oldest
 		// epoch that counts has settled.
-		if settled := p.epochs[0].since.Add(Settle); settled.Before(now) {
+		if settled := p.oldest(now).since.Add(Settle); settled.Before(now) {
 			a.filled = settled
 		}
-		a.fraction = a.share()
+		a.fraction = a.share(now)
 		p.orgs[organisation] = a
 	}
 	p.fill(a, now)
@@ -123,17 +128,33 @@
 	}
 	a.gen = p.gen
 	a.places = a.places[:0]
-	for _, e := range p.epochs {
+	for i, e := range p.epochs {
 		a.homes = e.homes(a.name)
-		a.places = append(a.places, positionIn(a.homes, p.self))
+		at := positionIn(a.homes, p.self)
+		if i+1 < len(p.epochs) {
+			at.until = p.epochs[i+1].since
+		}
+		a.places = append(a.places, at)
 	}
 }
 
+// oldest returns the oldest epoch that counts for credit.
+func (p *Pool) oldest(now time.Time) epoch {
+	for i, e := range p.epochs[1:] {
+		if now.Sub(e.since) < Settle {
+			return p.epochs[i]
+		}
+	}
+	return p.epochs[len(p.epochs)-1]
+}
+
 // share is the part of the credit that this entry owns now.
-func (a *account) share() float64 {
+func (a *account) share(now time.Time) float64 {
 	f := 1.0
 	for _, at := range a.places {
-		f = min(f, at.fraction())
+		if at.until.IsZero() || now.Sub(at.until) < Settle {
+			f = min(f, at.fraction())
+		}
 	}
 	return f
 }
@@ -151,7 +172,7 @@
 func (p *Pool) fill(a *account, now time.Time) {
 	p.prune(now)
 	p.locate(a)
-	f := a.share()
+	f := a.share(now)
 	if f > a.fraction {
 		a.filled = now
 	}
@@ -214,8 +235,8 @@
 	r := rate(a.contract)
 	s := max(ratio(missing.Requests, r.Requests), ratio(missing.Tokens, r.Tokens))
 	w := max(minWait, time.Duration(s*float64(time.Second)))
-	if len(p.epochs) > 1 && a.share() == 0 && len(p.epochs[0].set.Entries) == 0 {
-		w += p.epochs[1].since.Add(Settle).Sub(now)
+	if len(p.oldest(now).set.Entries) == 0 && len(p.epochs) > 1 {
+		w += max(0, p.epochs[1].since.Add(Settle).Sub(now))
 	}
 	return w
 }
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -21,6 +21,9 @@
 	// Settle is how long a larger share waits after a change of the homes. By
 	// then each entry has seen the change or has stopped admitting.
 	Settle = 5 * time.Second
+	// slotSettle is the same for slots: what an entry lends at the end of that
+	// time is used until its lease ends.
+	slotSettle = Settle + SlotLease
 	// Buckets hold what the contract gives in this time. That of tokens is
 	// longer, since one request may cost more than a second's tokens.
 	requestBucketTime = time.Second
@@ -93,8 +96,12 @@
 }
 
 // position is the place of this entry among the homes of an organisation.
-// index is -1 for an entry that is not a home.
-type position struct{ index, homes int }
+// index is -1 for an entry that is not a home. until is the end of its epoch,
+// zero for the newest one.
+type position struct {
+	index, homes int
+	until        time.Time
+}
 
 // fraction is the part of the contract's credit that the position owns.
 func (p position) fraction() float64 {
