--- a/io/credit/credit.go
+++ b/io/credit/credit.go
@@ -134,7 +134,7 @@
 	case c.ops <- func(s *state) { op(s); close(ran) }:
 		<-ran
 		return true
-	case <-c.done:
+	case <-c.ctx.Done():
 		return false
 	}
 }
@@ -247,7 +247,7 @@
 	case <-answered:
 	case <-ctx.Done():
 		c.do(func(s *state) { delete(s.waiters, seq) })
-	case <-c.done:
+	case <-c.ctx.Done():
 	}
 }
 
--- a/io/credit/link.go
+++ b/io/credit/link.go
@@ -28,8 +28,8 @@
 	queue  chan share.Ask
 	cancel context.CancelFunc
 	used   time.Time
-	// waiting holds the requests that have no answer.
-	waiting map[uint64]bool
+	// waiting holds the times of the requests that have no answer.
+	waiting map[uint64]time.Time
 }
 
 // send queues a request to a home. A request that can't be queued is lost,
@@ -48,7 +48,7 @@
 	l.used = now
 	select {
 	case l.queue <- a:
-		l.waiting[a.Seq] = true
+		l.waiting[a.Seq] = now
 		s.sent++
 	default:
 		s.answered(a.Seq)
@@ -64,6 +64,11 @@
 
 func (s *state) closeIdleLinks(now time.Time) {
 	for home, l := range s.links {
+		for seq, t := range l.waiting {
+			if now.Sub(t) > share.LoanLife {
+				delete(l.waiting, seq)
+			}
+		}
 		if now.Sub(l.used) > linkIdle {
 			l.cancel()
 			delete(s.links, home)
@@ -83,7 +88,7 @@
 		queue:   make(chan share.Ask, linkQueueLen),
 		cancel:  cancel,
 		used:    time.Now(),
-		waiting: map[uint64]bool{},
+		waiting: map[uint64]time.Time{},
 	}
 	c.wg.Go(func() {
 		defer cancel()
@@ -206,12 +211,17 @@
 		return &peerpb.Frame{Body: &peerpb.Frame_CreditGrant{CreditGrant: g}}
 	}
 	r := f.GetSlotRequest()
-	if r == nil || !confirmed {
+	if r == nil {
 		return nil
 	}
 	g := &peerpb.SlotGrant{Organisation: r.GetOrganisation(), Seq: r.GetSeq(), LeaseMs: share.SlotLease.Milliseconds()}
-	current := false
+	// Without confirmation the borrower loses its slots at once; this home
+	// counts what it lent until the leases end.
+	current := !confirmed
 	c.do(func(s *state) {
+		if !confirmed {
+			return
+		}
 		var n int
 		n, current = s.pool.LendSlots(r.GetOrganisation(), borrower, r.GetSeq(), int(r.GetSlots()), time.Now())
 		g.Slots = int32(n)
