--- a/core/share/slots.go
+++ b/core/share/slots.go
@@ -187,3 +187,14 @@
 	}
 	a.dropLeases(now)
 }
+
+// Slots returns the number of requests of an organisation that run at this
+// entry, and the number of slots that it may use.
+func (p *Pool) Slots(organisation string, now time.Time) (running, usable int) {
+	a := p.account(organisation, now)
+	if a == nil {
+		return 0, 0
+	}
+	a.dropLeases(now)
+	return a.running, a.usable()
+}
