--- /dev/null
+++ b/io/claimlog/claimlog_test.go
@@ -0,0 +1,342 @@
+package claimlog_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/claim"
+	"nutmegnotch/io/claimlog"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	won         = peerpb.ClaimVerdict_RESULT_WON
+	lost        = peerpb.ClaimVerdict_RESULT_LOST
+	void        = peerpb.ClaimVerdict_RESULT_VOID
+	notAppended = peerpb.ClaimVerdict_RESULT_NOT_APPENDED
+	unknown     = peerpb.ClaimVerdict_RESULT_UNKNOWN
+)
+
+// fakeLog is a log in memory with faults. lose and limit count the appends
+// that lose their answer after the effect, and that meet the rate limit.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[string][]core.Record
+	grown   chan struct{}
+	delay   time.Duration
+	lose    atomic.Int64
+	limit   atomic.Int64
+	down    atomic.Bool
+	noReads atomic.Bool
+	appends atomic.Int64
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{streams: map[string][]core.Record{}, grown: make(chan struct{})}
+}
+
+func (l *fakeLog) Append(_ context.Context, stream string, data []byte) (int64, error) {
+	time.Sleep(l.delay)
+	if l.down.Load() {
+		return 0, core.ErrUnavailable
+	}
+	if l.limit.Add(-1) >= 0 {
+		return 0, core.ErrRateLimited
+	}
+	l.appends.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := int64(len(l.streams[stream]))
+	l.streams[stream] = append(l.streams[stream], core.Record{Offset: n, Time: time.Now(), Data: data})
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if l.lose.Add(-1) >= 0 {
+		return 0, core.ErrUnavailable
+	}
+	return n, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (core.Batch, error) {
+	timeout := time.After(wait)
+	for {
+		if l.down.Load() || l.noReads.Load() {
+			return core.Batch{}, core.ErrUnavailable
+		}
+		l.mu.Lock()
+		all, grown := l.streams[stream], l.grown
+		l.mu.Unlock()
+		b := core.Batch{NextOffset: int64(len(all))}
+		if from < b.NextOffset {
+			b.Records = all[from:min(from+int64(limit), b.NextOffset)]
+		}
+		if len(b.Records) > 0 || wait == 0 {
+			return b, nil
+		}
+		select {
+		case <-grown:
+		case <-timeout:
+			return b, nil
+		case <-ctx.Done():
+			return core.Batch{}, ctx.Err()
+		}
+	}
+}
+
+// fakeConfig is a configuration that never changes.
+type fakeConfig core.Configuration
+
+func (c fakeConfig) Current() core.Configuration { return core.Configuration(c) }
+func (c fakeConfig) Confirmed(time.Time) bool    { return true }
+func (c fakeConfig) Changed() <-chan struct{}    { return nil }
+
+// bench is some entries and one agent over loopback.
+type bench struct {
+	log      *fakeLog
+	batchers map[string]*claimlog.Batcher
+	nodes    map[string]*peer.Node
+	claimer  *claimlog.Claimer
+	config   fakeConfig
+}
+
+func newBench(t testing.TB, entries, partitions int) *bench {
+	b := &bench{log: newFakeLog(), batchers: map[string]*claimlog.Batcher{}, nodes: map[string]*peer.Node{}}
+	for i := range entries {
+		b.config.EntrySet.Entries = append(b.config.EntrySet.Entries, core.EntryInfo{ID: fmt.Sprint("entry-", i)})
+	}
+	self := &peerpb.Hello{Id: "agent", Role: core.RoleAgent, Incarnation: "one", Address: "127.0.0.1:1"}
+	up := make(chan struct{}, entries)
+	agent := peer.New(peer.Config{Self: self, Up: func(*peer.Session) { up <- struct{}{} }})
+	var served sync.WaitGroup
+	for _, e := range b.config.EntrySet.Entries {
+		batcher := claimlog.NewBatcher(claimlog.BatcherConfig{
+			Self: e.ID, Log: b.log, Config: b.config, Partitions: partitions, Window: time.Hour,
+			Wait: time.Second, Idle: 100 * time.Millisecond,
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := peer.New(peer.Config{Self: &peerpb.Hello{Id: e.ID, Role: core.RoleEntry}, Handlers: map[peerpb.StreamKind]peer.Handler{
+			peerpb.StreamKind_STREAM_KIND_CLAIM: batcher.ServeStream,
+		}})
+		served.Go(func() { _ = n.Serve(l) })
+		agent.Keep(l.Addr().String())
+		b.batchers[e.ID], b.nodes[e.ID] = batcher, n
+		t.Cleanup(func() { batcher.Stop(); n.Stop() })
+	}
+	b.claimer = claimlog.NewClaimer(claimlog.ClaimerConfig{
+		Self: self, Peers: agent, Config: b.config, Partitions: partitions, Window: time.Hour, Wait: 2 * time.Second,
+	})
+	t.Cleanup(func() { b.claimer.Stop(); agent.Stop() })
+	for range entries {
+		<-up
+	}
+	for n := range partitions {
+		first := claim.Batchers(n, b.config.EntrySet, 1)[0].ID
+		eventually(t, "partition is ready", func() bool { return b.batchers[first].Ready(context.Background(), n) })
+	}
+	return b
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("not within 5 s: %s", what)
+}
+
+func (b *bench) new(key string) *peerpb.Claim {
+	return b.claimer.New("org", "desk", key, make([]byte, claim.HashBytes), time.Now().Add(time.Second))
+}
+
+func (b *bench) claim(key string) *peerpb.ClaimVerdict {
+	return b.claimer.Claim(context.Background(), b.new(key))
+}
+
+func want(t *testing.T, v *peerpb.ClaimVerdict, r peerpb.ClaimVerdict_Result) {
+	t.Helper()
+	if v.GetResult() != r {
+		t.Fatalf("verdict: got %v, want %v", v, r)
+	}
+}
+
+// Guards against a second winner, a loser without holder, and a key that stays
+// held after its release.
+func TestClaimAndRelease(t *testing.T) {
+	b := newBench(t, 2, 4)
+	c := b.new("k")
+	want(t, b.claimer.Claim(context.Background(), c), won)
+	want(t, b.claimer.Claim(context.Background(), c), won)
+	v := b.claim("k")
+	want(t, v, lost)
+	if got := v.GetHolder(); got.GetClaimId() != c.ClaimId || got.GetAgentIncarnation() != "one" || got.GetAgentAddress() == "" {
+		t.Errorf("holder: got %v, want claim %s", got, c.ClaimId)
+	}
+	n := int32(claim.Partition(claim.Hash(c.KeyHash), 4))
+	r := &peerpb.ReleaseRequest{Partition: n, ClaimId: c.ClaimId}
+	first := b.batchers[claim.Batchers(int(n), b.config.EntrySet, 1)[0].ID]
+	want(t, first.Release(context.Background(), r, "agent", "two"), notAppended)
+	b.claimer.Abandon(c)
+	eventually(t, "release is read back", func() bool { return b.claimer.Abandoned() == 0 })
+	want(t, b.claimer.Claim(context.Background(), c), void)
+	want(t, b.claim("k"), won)
+}
+
+// Guards against verdicts that are guessed when answers of appends are lost,
+// and against refusals by the rate limit that reach the agent too early.
+func TestLostAnswersAndRateLimit(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.log.lose.Store(3)
+	want(t, b.claim("a"), won)
+	want(t, b.claim("a"), lost)
+	b.log.lose.Store(0)
+	b.log.limit.Store(3)
+	want(t, b.claim("b"), won)
+	b.log.limit.Store(1 << 30)
+	want(t, b.claim("c"), notAppended)
+	b.log.limit.Store(0)
+	want(t, b.claim("c"), won)
+}
+
+// Guards against claims that wait during an outage, and against a claim of
+// unknown outcome that holds its key for ever.
+func TestOutage(t *testing.T) {
+	b := newBench(t, 2, 1)
+	b.log.lose.Store(1 << 30)
+	b.log.noReads.Store(true)
+	want(t, b.claim("k"), unknown)
+	b.log.down.Store(true)
+	eventually(t, "refusal at once", func() bool {
+		start := time.Now()
+		return b.claim("other").GetResult() == notAppended && time.Since(start) < 100*time.Millisecond
+	})
+	b.log.lose.Store(0)
+	b.log.noReads.Store(false)
+	b.log.down.Store(false)
+	eventually(t, "release after the outage", func() bool { return b.claimer.Abandoned() == 0 })
+	want(t, b.claim("k"), won)
+}
+
+// Guards against two winners when two batchers work at once, and against a
+// batcher that disagrees with another about a claim.
+func TestTwoBatchers(t *testing.T) {
+	b := newBench(t, 2, 1)
+	b.log.lose.Store(20)
+	for _, batcher := range b.batchers {
+		batcher.Claim(context.Background(), 0, b.new("start"))
+		eventually(t, "both are ready", func() bool { return batcher.Ready(context.Background(), 0) })
+	}
+	var winners [10]atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 100 {
+		for _, batcher := range b.batchers {
+			wg.Go(func() {
+				c := b.new(fmt.Sprint(i % len(winners)))
+				v := batcher.Claim(context.Background(), 0, c)
+				if v.GetResult() == won {
+					winners[i%len(winners)].Add(1)
+				}
+				for _, other := range b.batchers {
+					if got := other.Claim(context.Background(), 0, c); v.GetResult() == won && got.GetResult() != won {
+						t.Errorf("other batcher: got %v, want %v", got, v)
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for i := range winners {
+		if got := winners[i].Load(); got != 1 {
+			t.Errorf("winners of key %d: got %d, want 1", i, got)
+		}
+	}
+}
+
+// Guards against an agent that is stuck with a preferred batcher that is gone,
+// and against partitions that are read for ever.
+func TestFailoverAndIdle(t *testing.T) {
+	b := newBench(t, 2, 1)
+	order := claim.Batchers(0, b.config.EntrySet, 2)
+	b.nodes[order[0].ID].Stop()
+	eventually(t, "next entry takes over", func() bool { return b.claim("k").GetResult() == won })
+	next := b.batchers[order[1].ID]
+	if !next.Ready(context.Background(), 0) {
+		t.Error("next entry does not read the partition that it is asked for")
+	}
+	eventually(t, "reading stops", func() bool { return !next.Ready(context.Background(), 0) })
+}
+
+func BenchmarkClaims(b *testing.B) {
+	for _, perSecond := range []int{10, 100, 600} {
+		b.Run(fmt.Sprint(perSecond), func(b *testing.B) {
+			w := newBench(b, 1, 1)
+			w.log.delay = 5 * time.Millisecond
+			var total, worst atomic.Int64
+			var wg sync.WaitGroup
+			tick := time.NewTicker(time.Second / time.Duration(perSecond))
+			defer tick.Stop()
+			n := 0
+			for b.Loop() {
+				<-tick.C
+				n++
+				wg.Go(func() {
+					start := time.Now()
+					if v := w.claim(fmt.Sprint("key ", n, start.UnixNano())); v.GetResult() != won {
+						b.Errorf("verdict: got %v, want won", v)
+					}
+					d := time.Since(start).Microseconds()
+					total.Add(d)
+					for old := worst.Load(); d > old && !worst.CompareAndSwap(old, d); old = worst.Load() {
+					}
+				})
+			}
+			wg.Wait()
+			b.ReportMetric(float64(n)/float64(w.log.appends.Load()), "claims/append")
+			b.ReportMetric(float64(total.Load())/float64(n)/1000, "ms/claim")
+			b.ReportMetric(float64(worst.Load())/1000, "ms-worst")
+		})
+	}
+}
+
+// BenchmarkReplay measures how long a batcher is not ready when the window
+// holds 400,000 claims in records of 100.
+func BenchmarkReplay(b *testing.B) {
+	log := newFakeLog()
+	config := fakeConfig{EntrySet: core.EntrySet{Entries: []core.EntryInfo{{ID: "e"}}}}
+	for i := range 4000 {
+		var ops []claim.Op
+		for j := range 100 {
+			key := claim.KeyHash("o", "s", fmt.Sprint(i, j))
+			ops = append(ops, claim.Op{Op: claim.OpClaim, ClaimID: claim.ID(key), KeyHash: key, AgentID: "a", AgentIncarnation: "i", AgentAddress: "x"})
+		}
+		data, err := claim.Encode(ops)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := log.Append(context.Background(), claim.Stream(0), data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		batcher := claimlog.NewBatcher(claimlog.BatcherConfig{Self: "e", Log: log, Config: config, Partitions: 1, Window: time.Hour})
+		for !batcher.Ready(context.Background(), 0) {
+			time.Sleep(time.Millisecond)
+		}
+		batcher.Stop()
+	}
+}
