--- a/core/share/pool.go
+++ b/core/share/pool.go
@@ -8,7 +8,8 @@
 )
 
 // Pool is the credit and the slots that one entry owns, borrows and lends. It
-// implements core.Credits. A clock that steps back gives no credit.
+// implements core.Credits. Times must come from the monotonic clock: after a
+// step back, credit that has expired would count as fresh.
 //
 // The share of an entry is the least that any entry set or number of homes of
 // the last 5 s gives it. Whatever set each entry has seen, one set was in force
--- a/io/credit/credit.go
+++ b/io/credit/credit.go
@@ -113,7 +113,9 @@
 			c.adopt(s)
 		case op := <-c.ops:
 			op(s)
-		case now := <-tick.C:
+		case <-tick.C:
+			// The tick's own time may be older than that of the last operation.
+			now := time.Now()
 			for _, a := range s.pool.Tick(now) {
 				c.send(s, a)
 			}
