--- a/core/configuration.go
+++ b/core/configuration.go
@@ -14,12 +14,23 @@
 	Domains   map[string]Domain
 	Teams     map[string]Team
 	EntrySet  EntrySet
+	// PastEntrySets holds the last entry sets with their versions, oldest first,
+	// the present one included. A process that folds several changes at once
+	// needs them to know which entries were homes in between.
+	PastEntrySets []VersionedEntrySet
 	// Versions holds the version of each object by its name.
 	Versions map[string]int64
 	// KeyOrganisations maps the hash of a caller key to its organisation.
 	KeyOrganisations map[string]string
 }
 
+// VersionedEntrySet is an entry set and the version of entry_set/current at
+// which it was in force.
+type VersionedEntrySet struct {
+	Version int64    `json:"version"`
+	Set     EntrySet `json:"set"`
+}
+
 // Drained reports whether operators have taken the failure domain out.
 func (c Configuration) Drained(domain string) bool {
 	return c.Domains[domain].State == DomainDrained
--- a/core/share/pool.go
+++ b/core/share/pool.go
@@ -72,6 +72,9 @@
 }
 
 // Update adopts contracts and entry set. The maps are kept and must not change.
+// It must be called for each entry set in turn, also for those that were in
+// force only while this entry didn't read: an entry that skips a set doesn't
+// know that the homes of that set may still be lending.
 func (p *Pool) Update(contracts map[string]core.Contract, set core.EntrySet, now time.Time) {
 	for _, a := range p.orgs {
 		p.fill(a, now)
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -85,9 +85,11 @@
 }
 
 func (w *world) see(n *node) {
-	n.config = len(w.versions) - 1
-	v := w.versions[n.config]
-	n.pool.Update(v.contracts, v.set, w.clock(n))
+	for n.config < len(w.versions)-1 {
+		n.config++
+		v := w.versions[n.config]
+		n.pool.Update(v.contracts, v.set, w.clock(n))
+	}
 }
 
 func (w *world) start(i int) *node {
@@ -99,6 +101,7 @@
 func (w *world) restart(n *node) {
 	n.life++
 	n.pool = share.New(n.id, uint64(n.life)<<32, w.clock(n))
+	n.config = len(w.versions) - 2
 	w.see(n)
 }
 
--- a/io/credit/credit.go
+++ b/io/credit/credit.go
@@ -59,6 +59,8 @@
 	waiters map[uint64]chan struct{}
 	// failed holds the time at which the last stream to a home failed.
 	failed map[string]time.Time
+	// setVersion is the version of the newest entry set that the pool has seen.
+	setVersion int64
 	// sent counts the requests to homes.
 	sent int64
 }
@@ -124,9 +126,24 @@
 	}
 }
 
+// adopt hands the pool each entry set since the last one that it has seen. When
+// some are no longer known, a set without entries stands for them.
 func (c *Credit) adopt(s *state) {
 	cfg := c.cfg.Config.Current()
-	s.pool.Update(cfg.Contracts, cfg.EntrySet, time.Now())
+	now := time.Now()
+	version := cfg.Versions[core.ObjectEntrySet]
+	if past := cfg.PastEntrySets; len(past) > 0 && version != s.setVersion {
+		if past[0].Version > s.setVersion {
+			s.pool.Update(cfg.Contracts, core.EntrySet{}, now)
+		}
+		for _, v := range past {
+			if v.Version > s.setVersion {
+				s.pool.Update(cfg.Contracts, v.Set, now)
+			}
+		}
+	}
+	s.setVersion = version
+	s.pool.Update(cfg.Contracts, cfg.EntrySet, now)
 }
 
 // do runs op in the task. It reports false when the task has stopped.
