--- a/agent/once.go
+++ b/agent/once.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -15,45 +13,35 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/claim"
 	"nutmegnotch/io/desk"
 	"nutmegnotch/io/peer/peerpb"
 )
 
-// KeyHash returns the hash of the identity of an idempotency key. Each part is
-// preceded by its length, so that different parts never give the same input.
-func KeyHash(organisation, service, key string) []byte {
-	h := sha256.New()
-	for _, s := range []string{organisation, service, key} {
-		_ = binary.Write(h, binary.BigEndian, uint32(len(s)))
-		_, _ = io.WriteString(h, s)
-	}
-	return h.Sum(nil)
-}
-
 // runOnce runs a request that must not run twice, if it wins the claim.
 func (t *serverTask) runOnce(ctx context.Context) {
-	claim, refusal, ok := t.claim()
+	c, refusal, ok := t.claim()
 	if !ok {
 		t.free(core.Outcome{Cancelled: true})
 		t.refuse(refusal)
 		return
 	}
-	if claim == nil {
+	if c == nil {
 		t.free(core.Outcome{Cancelled: true})
 		return
 	}
 	if refusal, ok := t.mayRunClaim(); !ok {
 		t.free(core.Outcome{Cancelled: true})
-		t.abandon(claim)
+		t.abandon(c)
 		t.refuse(refusal)
 		return
 	}
-	if !t.agent.runs.use(claim.ClaimId) {
+	if !t.agent.runs.use(c.ClaimId) {
 		t.free(core.Outcome{Cancelled: true})
 		t.refuse(core.Refusal{Code: core.CodeOutcomeUnknown, Message: "the claim was used before", OutcomeUnknown: true})
 		return
 	}
-	t.runClaim(ctx, claim)
+	t.runClaim(ctx, c)
 }
 
 // claim asks for the right to run. A nil claim without refusal means that the
@@ -63,9 +51,10 @@
 		return nil, refuse(core.CodeLogUnavailable, "the agent has no claims", retryLater), false
 	}
 	self := t.agent.cfg.Self
+	key := claim.KeyHash(t.request.Organisation, t.request.Service, t.request.IdempotencyKey)
 	c := &peerpb.Claim{
 		ClaimId:          uuid.NewString(),
-		KeyHash:          KeyHash(t.request.Organisation, t.request.Service, t.request.IdempotencyKey),
+		KeyHash:          key[:],
 		RequestHash:      t.head.RequestHash,
 		AgentId:          self.Id,
 		AgentIncarnation: self.Incarnation,
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -21,22 +21,29 @@
 // Budget implements core.Retrier. It is not safe for concurrent use. It holds
 // one number per service, and services come from the configuration.
 type Budget struct {
-	left map[string]float64
+	share, burst float64
+	left         map[string]float64
 }
 
-// NewBudget returns a budget that permits a full burst for each service.
-func NewBudget() *Budget { return &Budget{left: map[string]float64{}} }
+// NewBudget returns a budget with the default share and burst.
+func NewBudget() *Budget { return NewBudgetWith(BudgetShare, BudgetBurst) }
+
+// NewBudgetWith returns a budget that permits a full burst for each service and
+// then retries for this share of requests.
+func NewBudgetWith(share, burst float64) *Budget {
+	return &Budget{share: share, burst: burst, left: map[string]float64{}}
+}
 
 // Request implements core.Retrier.
 func (b *Budget) Request(service string, _ time.Time) {
-	b.left[service] = min(BudgetBurst, b.of(service)+BudgetShare)
+	b.left[service] = min(b.burst, b.of(service)+b.share)
 }
 
 func (b *Budget) of(service string) float64 {
 	if left, ok := b.left[service]; ok {
 		return left
 	}
-	return BudgetBurst
+	return b.burst
 }
 
 // Retry implements core.Retrier.
--- a/emulator/cli/cli.go
+++ b/emulator/cli/cli.go
@@ -18,6 +18,9 @@
 type commands struct {
 	Log   LogCommand   `cmd:"" help:"Run the stand-in of the platform's log."`
 	Hosts HostsCommand `cmd:"" help:"Run the stand-in of the platform's host list."`
+
+	Engine EngineCommand `cmd:"" help:"Run the stand-in of a model engine."`
+	Desk   DeskCommand   `cmd:"" help:"Run the stand-in of a plain service."`
 }
 
 // Main runs the command line and returns the exit code: 1 for a failure and 2
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,9 @@
 	// they end at the speed of their readers.
 	StopTimeout   time.Duration
 	UploadTimeout time.Duration
-	StallTimeout  time.Duration
+	// ClaimWindow is the time for which idempotency keys are remembered.
+	ClaimWindow  time.Duration
+	StallTimeout time.Duration
 	// ReplyIdle bounds the time without a frame from an agent that may send.
 	ReplyIdle    time.Duration
 	HostInterval time.Duration
@@ -151,7 +153,7 @@
 	e.suspects = startSuspects(ctx, cfg.Retrier, cfg.Quarantine, e.metrics)
 	e.front = caller.New(caller.Config{
 		Source: cfg.Source, Reserve: e.memory.reserveUpload, Serve: e.serve, Gate: e.gate,
-		UploadTimeout: cfg.UploadTimeout, StallTimeout: cfg.StallTimeout, Log: cfg.Log,
+		UploadTimeout: cfg.UploadTimeout, ClaimWindow: cfg.ClaimWindow, StallTimeout: cfg.StallTimeout, Log: cfg.Log,
 	})
 	return e, nil
 }
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/claim"
 )
 
 // CompletionsPath takes the requests of model services.
@@ -29,6 +30,8 @@
 	DefaultMaxBodyBytes  = 1 << 20
 	// MaxBodyBytes bounds any setting of a body limit.
 	MaxBodyBytes = 64 << 20
+	// DefaultClaimWindow is the default of the setting claims.window.
+	DefaultClaimWindow = 6 * time.Hour
 )
 
 // Request is one caller's request, read whole and checked. Its fields may not
@@ -40,7 +43,7 @@
 	Path        string
 	Header      http.Header
 	Body        []byte
-	RequestHash [32]byte
+	RequestHash claim.Hash
 	Contract    core.Contract
 	ServiceInfo core.Service
 	// ConfigOffset is the NextOffset of the configuration that was used.
@@ -68,6 +71,8 @@
 	// Gate may refuse all requests, for example during a stop.
 	Gate          func() (core.Refusal, bool)
 	UploadTimeout time.Duration
+	// ClaimWindow is the time for which idempotency keys are remembered.
+	ClaimWindow time.Duration
 	// StallTimeout bounds the time in which a caller accepts no part of a write
 	// of at most WriteBytes.
 	StallTimeout time.Duration
@@ -88,6 +93,9 @@
 	if cfg.StallTimeout <= 0 {
 		cfg.StallTimeout = DefaultStallTimeout
 	}
+	if cfg.ClaimWindow <= 0 {
+		cfg.ClaimWindow = DefaultClaimWindow
+	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
--- a/io/caller/read.go
+++ b/io/caller/read.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/claim"
 )
 
 const (
@@ -33,7 +34,7 @@
 		return nil, refuse(core.CodeForbidden, "the contract does not include this service")
 	}
 	req := newRequest(id, service, r)
-	if refusal := req.readKey(r); refusal != nil {
+	if refusal := req.readKey(r, f.cfg.ClaimWindow); refusal != nil {
 		return nil, refusal
 	}
 	body, free, refusal := f.readBody(id, w, r, bodyLimit(service))
@@ -135,17 +136,21 @@
 
 // readKey takes the idempotency key, which a request that may not run twice
 // must carry.
-func (r *Request) readKey(hr *http.Request) *core.Refusal {
+func (r *Request) readKey(hr *http.Request, window time.Duration) *core.Refusal {
 	keys := hr.Header.Values(idempotencyHeader)
 	switch {
 	case len(keys) > 1:
 		return refuse(core.CodeBadRequest, "more than one Idempotency-Key")
 	case len(keys) == 1 && len(keys[0]) > maxKeyBytes:
 		return refuse(core.CodeBadRequest, "the Idempotency-Key is longer than 255 bytes")
-	case len(keys) == 1 && keys[0] != "":
+	case len(keys) == 1:
 		r.IdempotencyKey = keys[0]
-	case !r.Repeatable:
-		return refuse(core.CodeKeyRequired, "this request needs an Idempotency-Key header")
+	}
+	if r.Repeatable {
+		return nil
+	}
+	if refusal, ok := claim.CheckKey(r.IdempotencyKey, r.ServiceInfo.TimedKeysOnly, window, r.Arrived); !ok {
+		return &refusal
 	}
 	return nil
 }
@@ -165,7 +170,7 @@
 	}
 	_, _ = h.Write(body)
 	_, _ = d.Write(body)
-	h.Sum(r.RequestHash[:0])
+	copy(r.RequestHash[:], h.Sum(nil))
 	r.Fingerprint = d.Sum64()
 }
 
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -24,6 +24,9 @@
 type commands struct {
 	JSON bool `name:"json" help:"Print JSON."`
 
+	Entry entryCommand `cmd:"" help:"Run an entry."`
+	Agent agentCommand `cmd:"" help:"Run an agent."`
+
 	Publish publishCommand `cmd:"" help:"Publish a new value, or the deletion, of an object."`
 	Get     getCommand     `cmd:"" help:"Print objects."`
 	Drain   drainCommand   `cmd:"" help:"Take a failure domain out of service."`
--- /dev/null
+++ b/process/agent.go
@@ -0,0 +1,114 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"nutmegnotch/agent"
+	"nutmegnotch/io/claimlog"
+	"nutmegnotch/io/configlog"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/options"
+)
+
+// agentProcess is one running agent with its peers.
+type agentProcess struct {
+	*base
+	node    *peer.Node
+	role    *agent.Agent
+	claimer *claimlog.Claimer
+}
+
+// RunAgent runs an agent until ctx ends and then stops it gracefully.
+func RunAgent(ctx context.Context, cfg options.Settings, logger *zap.Logger) error {
+	p := &agentProcess{base: newBase(cfg, logger)}
+	handlers := map[peerpb.StreamKind]peer.Handler{
+		peerpb.StreamKind_STREAM_KIND_REQUEST: func(ctx context.Context, s *peer.Stream) { p.role.ServeRequest(ctx, s) },
+		peerpb.StreamKind_STREAM_KIND_LOOKUP:  func(ctx context.Context, s *peer.Stream) { p.role.ServeLookup(ctx, s) },
+	}
+	p.node = peer.New(peer.Config{
+		Self:     p.self,
+		Handlers: handlers,
+		Control:  p.control,
+		Up:       func(s *peer.Session) { p.role.Up(s) },
+		Log:      p.logger,
+	})
+	p.claimer = claimlog.NewClaimer(claimlog.ClaimerConfig{
+		Self:       p.self,
+		Peers:      p.node,
+		Config:     p.follower,
+		Partitions: cfg.Claims.Partitions,
+		Window:     cfg.Claims.Window.Std(),
+		Logger:     p.logger,
+	})
+	p.role = agent.New(agent.Config{
+		Self:        p.self,
+		Service:     cfg.Agent.Service,
+		Backend:     cfg.Agent.BackendAddress,
+		Source:      p.follower,
+		Claimer:     claimer{p.claimer},
+		Hosts:       p.hosts,
+		Node:        p.node,
+		Log:         p.logger,
+		StoredBytes: cfg.Agent.ReplyMemoryBytes,
+		StoredAge:   cfg.Claims.Window.Std(),
+	})
+	defer p.stopAll()
+	if err := p.start(p.node, p, p); err != nil {
+		return err
+	}
+	if err := p.role.Run(ctx); err != nil {
+		return fmt.Errorf("run agent: %w", err)
+	}
+	return nil
+}
+
+func (p *agentProcess) stopAll() {
+	p.claimer.Stop()
+	p.stop(p.node)
+}
+
+// control hands a control frame to the task that it concerns.
+func (p *agentProcess) control(from *peer.Session, f *peerpb.Frame) {
+	if !p.follower.Control(from, f) {
+		p.role.Control(from, f)
+	}
+}
+
+// Ready implements core.Readiness.
+func (p *agentProcess) Ready() error {
+	if !p.role.Ready() {
+		return errors.New("agent is leaving, its configuration is not confirmed or its backend server is down")
+	}
+	return nil
+}
+
+// agentStatus is the status of an agent for operators.
+type agentStatus struct {
+	Agent         agent.Status     `json:"agent"`
+	Configuration configlog.Status `json:"configuration"`
+}
+
+// ReportStatus implements core.StatusReporter.
+func (p *agentProcess) ReportStatus(ctx context.Context) any {
+	return agentStatus{Agent: p.role.Status(), Configuration: p.follower.Status(ctx)}
+}
+
+// claimer fits a claimlog.Claimer to the agent.
+type claimer struct{ *claimlog.Claimer }
+
+// Claim implements agent.Claimer.
+func (c claimer) Claim(ctx context.Context, cl *peerpb.Claim) (*peerpb.ClaimVerdict, error) {
+	return c.Claimer.Claim(ctx, cl), nil
+}
+
+// Release implements agent.Claimer. The claimer keeps trying until the log has
+// the release.
+func (c claimer) Release(_ context.Context, cl *peerpb.Claim) error {
+	c.Abandon(cl)
+	return nil
+}
--- /dev/null
+++ b/process/entry.go
@@ -0,0 +1,133 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/retry"
+	"nutmegnotch/entry"
+	"nutmegnotch/io/claimlog"
+	"nutmegnotch/io/configlog"
+	"nutmegnotch/io/credit"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/options"
+)
+
+// entryProcess is one running entry with its peers.
+type entryProcess struct {
+	*base
+	node    *peer.Node
+	role    *entry.Entry
+	credit  *credit.Credit
+	batcher *claimlog.Batcher
+}
+
+// RunEntry runs an entry until ctx ends and then stops it gracefully.
+func RunEntry(ctx context.Context, cfg options.Settings, logger *zap.Logger) error {
+	p := &entryProcess{base: newBase(cfg, logger)}
+	p.node = peer.New(peer.Config{
+		Self: p.self,
+		Handlers: map[peerpb.StreamKind]peer.Handler{
+			peerpb.StreamKind_STREAM_KIND_CLAIM: func(ctx context.Context, s *peer.Stream) { p.batcher.ServeStream(ctx, s) },
+			peerpb.StreamKind_STREAM_KIND_CREDIT: func(ctx context.Context, s *peer.Stream) {
+				p.credit.ServeStream(ctx, s)
+			},
+		},
+		Control: p.control,
+		Up:      func(s *peer.Session) { p.role.Up(s) },
+		Down:    func(s *peer.Session) { p.role.Down(s) },
+		Log:     p.logger,
+	})
+	p.credit = credit.New(credit.Config{Self: cfg.ID, Peers: p.node, Config: p.follower, Logger: p.logger})
+	p.batcher = claimlog.NewBatcher(claimlog.BatcherConfig{
+		Self:       cfg.ID,
+		Log:        p.log,
+		Config:     p.follower,
+		Partitions: cfg.Claims.Partitions,
+		Window:     cfg.Claims.Window.Std(),
+		Logger:     p.logger,
+	})
+	defer p.stopAll()
+	if err := p.build(); err != nil {
+		return err
+	}
+	if err := p.start(p.node, p, p); err != nil {
+		return err
+	}
+	if err := p.role.Run(ctx); err != nil {
+		return fmt.Errorf("run entry: %w", err)
+	}
+	return nil
+}
+
+func (p *entryProcess) build() error {
+	role, err := entry.New(entry.Config{
+		Self:             p.self,
+		Address:          p.cfg.Listen.Caller,
+		Source:           p.follower,
+		Hosts:            p.hosts,
+		Limiter:          limiter{credit: p.credit},
+		Retrier:          retry.NewBudgetWith(p.cfg.Entry.RetryBudget, float64(p.cfg.Entry.RetryBurst)),
+		ReplyMemoryBytes: p.cfg.Entry.ReplyMemoryBytes,
+		DrainDelay:       p.cfg.Entry.DrainDelay.Std(),
+		UploadTimeout:    p.cfg.Entry.UploadTimeout.Std(),
+		ClaimWindow:      p.cfg.Claims.Window.Std(),
+		Seed:             uint64(time.Now().UnixNano()),
+		Log:              p.logger,
+	})
+	if err != nil {
+		return fmt.Errorf("build entry: %w", err)
+	}
+	role.Attach(p.node)
+	expvar.Publish("entry", role.Metrics())
+	p.role = role
+	return nil
+}
+
+// stopAll ends the tasks in the order that lets the last ones still be asked.
+func (p *entryProcess) stopAll() {
+	p.stop(p.node)
+	p.credit.Stop()
+	p.batcher.Stop()
+}
+
+// control hands a control frame to the task that it concerns.
+func (p *entryProcess) control(from *peer.Session, f *peerpb.Frame) {
+	if !p.follower.Control(from, f) {
+		p.role.Control(from, f)
+	}
+}
+
+// Ready implements core.Readiness.
+func (p *entryProcess) Ready() error {
+	if !p.role.Ready() {
+		return errors.New("entry is stopping or its configuration is not confirmed")
+	}
+	return nil
+}
+
+// entryStatus is the status of an entry for operators.
+type entryStatus struct {
+	Entry         entry.Status     `json:"entry"`
+	Configuration configlog.Status `json:"configuration"`
+}
+
+// ReportStatus implements core.StatusReporter.
+func (p *entryProcess) ReportStatus(ctx context.Context) any {
+	return entryStatus{Entry: p.role.Status(), Configuration: p.follower.Status(ctx)}
+}
+
+// limiter takes the cost of each request from the credit of its organisation.
+type limiter struct{ credit *credit.Credit }
+
+// Acquire implements entry.Limiter.
+func (l limiter) Acquire(ctx context.Context, c core.Contract, r core.Request) (func(), core.Refusal, bool) {
+	return l.credit.Acquire(ctx, c.Organisation, core.Amount{Requests: 1, Tokens: float64(r.Cost())})
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,149 @@
+// Package process builds the tasks of one role from its settings, connects them
+// and stops them in order.
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"nutmegnotch/core"
+	"nutmegnotch/io/admin"
+	"nutmegnotch/io/configlog"
+	"nutmegnotch/io/hostlist"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/io/platformlog"
+	"nutmegnotch/options"
+)
+
+// Times of the administration server.
+const (
+	adminHeaderTimeout = 10 * time.Second
+	adminCloseTimeout  = 2 * time.Second
+)
+
+// base holds the parts that both roles have.
+type base struct {
+	cfg      options.Settings
+	logger   *zap.Logger
+	self     *peerpb.Hello
+	log      *platformlog.Client
+	hosts    *hostlist.Client
+	follower *configlog.Follower
+	cancel   context.CancelFunc
+	ctx      context.Context
+	wg       *conc.WaitGroup
+}
+
+func newBase(cfg options.Settings, logger *zap.Logger) *base {
+	logger = logger.With(zap.String("id", cfg.ID), zap.String("role", cfg.Role))
+	b := &base{
+		cfg:    cfg,
+		logger: logger,
+		self: &peerpb.Hello{
+			Id:            cfg.ID,
+			Role:          cfg.Role,
+			Incarnation:   uuid.NewString(),
+			Address:       cfg.Listen.PeerAdvertised,
+			FailureDomain: cfg.FailureDomain,
+			Region:        cfg.Region,
+			Service:       cfg.Agent.Service,
+		},
+		log:   platformlog.New(cfg.Log.Address, cfg.Log.Timeout.Std()),
+		hosts: hostlist.New(cfg.HostList.Address, cfg.HostList.Timeout.Std()),
+		wg:    conc.NewWaitGroup(),
+	}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	follow := configlog.Config{
+		Self:      cfg.Info(),
+		Role:      cfg.Role,
+		Log:       b.log,
+		Retention: cfg.Log.Retention.Std(),
+		Logger:    logger,
+	}
+	if cfg.Role == core.RoleEntry {
+		follow.Hosts = b.hosts
+	}
+	b.follower = configlog.New(follow)
+	return b
+}
+
+// start follows the log and serves peers and operators.
+func (b *base) start(node *peer.Node, ready core.Readiness, report core.StatusReporter) error {
+	peers, err := net.Listen("tcp", b.cfg.Listen.Peer)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	operators, err := net.Listen("tcp", b.cfg.Listen.Admin)
+	if err != nil {
+		peers.Close()
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	b.wg.Go(func() { b.follower.Run(b.ctx, node) })
+	b.wg.Go(func() {
+		if err := node.Serve(peers); err != nil {
+			b.logger.Error("serving peers ended", zap.Error(err))
+		}
+	})
+	b.wg.Go(func() { b.serveAdmin(operators, ready, report) })
+	b.logger.Info("process started", zap.String("incarnation", b.self.Incarnation),
+		zap.Stringer("peer_address", peers.Addr()), zap.Stringer("admin_address", operators.Addr()))
+	return nil
+}
+
+func (b *base) serveAdmin(l net.Listener, ready core.Readiness, report core.StatusReporter) {
+	api := admin.New(admin.Config{
+		ID:                 b.cfg.ID,
+		Configuration:      b.follower,
+		Log:                b.log,
+		Readiness:          ready,
+		Status:             report,
+		BootstrapTokenHash: b.cfg.Entry.BootstrapTokenHash,
+		Logger:             b.logger,
+	})
+	s := &http.Server{Handler: api, ReadHeaderTimeout: adminHeaderTimeout, ErrorLog: zap.NewStdLog(b.logger)}
+	stop := context.AfterFunc(b.ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(l); err != nil && b.ctx.Err() == nil {
+		b.logger.Error("serving operators ended", zap.Error(err))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), adminCloseTimeout)
+	defer cancel()
+	api.Close(ctx)
+}
+
+// stop ends all that start has begun.
+func (b *base) stop(node *peer.Node) {
+	b.cancel()
+	node.Stop()
+	b.wg.Wait()
+	b.log.Close()
+	b.hosts.Close()
+	b.logger.Info("process stopped")
+}
+
+// NewLogger returns a logger that writes JSON lines to standard error.
+func NewLogger(level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("parse log level: %w", err)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(l)
+	cfg.EncoderConfig.TimeKey = "time"
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.DisableStacktrace = true
+	logger, err := cfg.Build()
+	if err != nil {
+		return nil, fmt.Errorf("build logger: %w", err)
+	}
+	return logger, nil
+}
--- /dev/null
+++ b/systemtest/booking_test.go
@@ -0,0 +1,78 @@
+package systemtest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Guards against a payment that runs twice and against a false "not run" while
+// processes die, pause and lose each other and the log.
+func TestBookingRunsAtMostOnce(t *testing.T) {
+	eachSeed(t, func(t *testing.T, r *rand.Rand) {
+		c := newCluster(t, sizes{entries: 3, desks: 3})
+		c.ready()
+		stop := make(chan struct{})
+		injected := make(chan struct{})
+		go func() { defer close(injected); injectFaults(t, c, r, commonFaults(), stop) }()
+		ops := c.bookAll(t, 60, 15*time.Second)
+		close(stop)
+		<-injected
+		for _, p := range c.procs() {
+			eventually(t, p.id+" is ready again", p.ready)
+		}
+		ops = append(ops, c.bookAll(t, 60, time.Second)...)
+		checkAll(t, c.collect())
+		if !linearizable(bookingModel, ops) {
+			t.Error("answers of a key do not fit one booking")
+		}
+		ok := 0
+		for _, op := range ops {
+			if op.Output.(submitted).result == resultOK {
+				ok++
+			}
+		}
+		t.Logf("%d operations, %d with a booking", len(ops), ok)
+		if ok == 0 {
+			t.Error("got no booking at all")
+		}
+	})
+}
+
+// bookAll sends each key through all entries at once, again and again until it
+// is booked or the time is over.
+func (c *cluster) bookAll(t *testing.T, keys int, limit time.Duration) []porcupine.Operation {
+	var mu sync.Mutex
+	var ops []porcupine.Operation
+	var wg sync.WaitGroup
+	start := time.Now()
+	l := c.client("trails")
+	for k := range keys {
+		key := fmt.Sprintf("key-%d", k)
+		for n, e := range c.entries {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				time.Sleep(time.Duration(k) * limit / time.Duration(2*keys))
+				for first := true; first || time.Since(start) < limit; first = false {
+					call := time.Now()
+					a := l.book(e, key)
+					mu.Lock()
+					ops = append(ops, porcupine.Operation{ClientId: n, Input: submission{key}, Call: call.UnixNano(),
+						Output: submitted{a.result, a.booking}, Return: time.Now().UnixNano()})
+					mu.Unlock()
+					if a.result == resultOK {
+						return
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	return ops
+}
--- /dev/null
+++ b/systemtest/caller_test.go
@@ -0,0 +1,208 @@
+package systemtest
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"nutmegnotch/emulator/desk"
+	"nutmegnotch/emulator/engine"
+)
+
+// answer is what a caller got for one request.
+type answer struct {
+	result  result
+	status  int
+	id      string
+	code    string
+	tokens  int
+	booking string
+	elapsed time.Duration
+	retry   time.Duration
+	body    string
+}
+
+// refusal is the body of a refusal.
+type refusal struct {
+	Error struct {
+		Code           string `json:"code"`
+		Message        string `json:"message"`
+		NotRun         bool   `json:"not_run"`
+		OutcomeUnknown bool   `json:"outcome_unknown"`
+		RetryAfterMS   int64  `json:"retry_after_ms"`
+		RequestID      string `json:"request_id"`
+	} `json:"error"`
+}
+
+// client sends requests of one organisation.
+type client struct {
+	c    *cluster
+	org  string
+	http *http.Client
+}
+
+func (c *cluster) client(org string) *client {
+	return &client{c: c, org: org, http: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+func (l *client) send(e *proc, method, path, key string, body any) (*http.Response, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode body: %w", err)
+	}
+	r, err := http.NewRequest(method, "http://"+e.caller+path, bytes.NewReader(b))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+l.org+"-key")
+	r.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+		// net/http repeats a request with this header by itself unless it has
+		// no way to read the body again.
+		r.GetBody = nil
+	}
+	return l.http.Do(r)
+}
+
+// refused fills in a refusal.
+func refused(a answer, resp *http.Response) answer {
+	b, err := io.ReadAll(resp.Body)
+	var f refusal
+	if err != nil || json.Unmarshal(b, &f) != nil {
+		a.result, a.body = resultUnknown, string(b)
+		return a
+	}
+	a.code, a.body = f.Error.Code, f.Error.Message
+	a.retry = time.Duration(f.Error.RetryAfterMS) * time.Millisecond
+	a.result = resultUnknown
+	if f.Error.NotRun {
+		a.result = resultNotRun
+	}
+	return a
+}
+
+// complete asks for a streamed completion and checks that the reply is whole.
+func (l *client) complete(e *proc, prompt string, tokens int) answer {
+	return l.completeSlowly(e, prompt, tokens, 0)
+}
+
+// completeSlowly reads the reply with a pause after each line.
+func (l *client) completeSlowly(e *proc, prompt string, tokens int, pause time.Duration) answer {
+	start := time.Now()
+	resp, err := l.send(e, http.MethodPost, "/v1/completions", "",
+		engine.Completion{Model: modelName, Prompt: prompt, MaxTokens: int64(tokens), Stream: true})
+	if err != nil {
+		return l.record(answer{result: resultUnknown, body: err.Error()}, "", "")
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, id: resp.Header.Get("X-Request-Id"), result: resultCut}
+	if resp.StatusCode != http.StatusOK {
+		return l.record(refused(a, resp), "", "")
+	}
+	value := ""
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+			continue
+		case data == "[DONE]":
+			a.result = resultOK
+		default:
+			var ev engine.Event
+			if err := json.Unmarshal([]byte(data), &ev); err != nil || (value != "" && ev.ID != value) || ev.Index != int64(a.tokens) {
+				value = "mixed"
+				continue
+			}
+			value = ev.ID
+			a.tokens++
+		}
+		time.Sleep(pause)
+	}
+	if lines.Err() != nil {
+		a.result, a.body = resultCut, lines.Err().Error()
+	}
+	a.elapsed = time.Since(start)
+	if a.result == resultOK && a.tokens != tokens {
+		value = fmt.Sprintf("%d of %d tokens", a.tokens, tokens)
+	}
+	return l.record(a, "", value)
+}
+
+// book makes a booking that must not run twice.
+func (l *client) book(e *proc, key string) answer {
+	start := time.Now()
+	l.c.history.add(event{kind: eventInvoke, key: key})
+	resp, err := l.send(e, http.MethodPost, "/bookings", key, map[string]string{"mule": "m7", "key": key})
+	if err != nil {
+		return l.record(answer{result: resultUnknown, body: err.Error()}, key, "")
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, id: resp.Header.Get("X-Request-Id"), elapsed: time.Since(start)}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return l.record(refused(a, resp), key, "")
+	}
+	var b desk.Booking
+	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+		a.result, a.body = resultCut, err.Error()
+		return l.record(a, key, "")
+	}
+	a.result, a.booking = resultOK, b.ID
+	value := a.id
+	if b.IdempotencyKey != key {
+		value = "booking of key " + b.IdempotencyKey
+	}
+	return l.record(a, key, value)
+}
+
+// lookup makes an idempotent call of the desk service. A booking that does not
+// exist is a good answer.
+func (l *client) lookup(e *proc) answer {
+	resp, err := l.send(e, http.MethodGet, "/bookings/none", "", nil)
+	if err != nil {
+		return answer{result: resultUnknown, body: err.Error()}
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, id: resp.Header.Get("X-Request-Id")}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNotFound {
+		return refused(a, resp)
+	}
+	a.result = resultOK
+	return a
+}
+
+func (l *client) record(a answer, key, value string) answer {
+	l.c.history.add(event{kind: eventAnswer, requestID: a.id, key: key, result: a.result, value: value})
+	return a
+}
+
+// collect adds the runs of all stand-ins to a copy of the history, in the order
+// of the machine's clock.
+func (c *cluster) collect() []event {
+	events := c.history.snapshot()
+	for _, b := range c.models {
+		for _, r := range b.engine.Runs() {
+			events = append(events, event{kind: eventRunStart, at: time.Unix(0, r.StartNS), requestID: r.RequestID, server: b.agent.id, domain: b.agent.domain})
+		}
+		if n := b.engine.Crashes(); n > 0 {
+			events = append(events, event{kind: eventCollapse, at: time.Now(), server: b.agent.id, value: fmt.Sprintf("%d crashes", n)})
+		}
+	}
+	for _, b := range c.desks {
+		for _, r := range b.desk.Runs() {
+			e := event{kind: eventRunStart, at: time.Unix(0, r.StartNS), requestID: r.RequestID, server: b.agent.id, domain: b.agent.domain}
+			if r.Kind == desk.KindBooking {
+				e.key = r.IdempotencyKey
+			}
+			events = append(events, e)
+		}
+	}
+	sortEvents(events)
+	return events
+}
--- /dev/null
+++ b/systemtest/cluster_test.go
@@ -0,0 +1,316 @@
+package systemtest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/emulator/desk"
+	"nutmegnotch/emulator/engine"
+	"nutmegnotch/emulator/hostlist"
+	"nutmegnotch/emulator/platformlog"
+)
+
+const (
+	operatorToken = "operator-token"
+	modelService  = "runners"
+	deskService   = "bookings"
+	modelName     = "m1"
+)
+
+// subnet numbers the clusters of one test process. Each host of a cluster has
+// a loopback address of its own, so that ports never collide.
+var subnet atomic.Int32
+
+// backend is one stand-in backend server with its agent.
+type backend struct {
+	agent  *proc
+	engine *engine.Engine
+	desk   *desk.Desk
+	proxy  *proxy
+}
+
+// sizes tells what a cluster holds.
+type sizes struct {
+	entries, engines, desks int
+	engine                  engine.Options
+	noProxy                 bool
+}
+
+// cluster is a log, a host list, stand-in backend servers in the test process,
+// and entries and agents as processes. Every link to the log and to an agent
+// goes through a proxy.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	net      string
+	hosts    int
+	log      *platformlog.Server
+	logAddr  string
+	list     *hostlist.Server
+	listAddr string
+	rows     []core.Host
+	entries  []*proc
+	logLinks map[string]*proxy
+	models   []*backend
+	desks    []*backend
+	history  *history
+}
+
+func newCluster(t *testing.T, s sizes) *cluster {
+	t.Helper()
+	c := &cluster{
+		t:        t,
+		dir:      t.TempDir(),
+		net:      fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, subnet.Add(1)),
+		log:      platformlog.New(platformlog.Config{}),
+		list:     hostlist.New(nil),
+		logLinks: map[string]*proxy{},
+		history:  &history{},
+	}
+	t.Cleanup(c.dumpLogs)
+	t.Cleanup(c.log.Close)
+	t.Cleanup(c.list.Close)
+	c.logAddr, c.listAddr = c.serve(c.log), c.serve(c.list)
+	for i := range s.entries {
+		c.addEntry(i)
+	}
+	for i := range s.engines {
+		c.addEngine(i, s.engine)
+	}
+	for i := range s.desks {
+		c.addDesk(i)
+	}
+	c.list.Put(c.rows)
+	for _, p := range c.procs() {
+		p.start()
+		t.Cleanup(p.kill)
+	}
+	return c
+}
+
+// ready waits until all processes take work, with the default objects.
+func (c *cluster) ready() {
+	c.t.Helper()
+	eventually(c.t, "an entry answers", func() bool { return c.entries[0].ready() })
+	c.publishDefaults()
+	for _, p := range c.procs() {
+		eventually(c.t, p.id+" is ready", p.ready)
+	}
+	eventually(c.t, "every entry sees every agent", func() bool {
+		for _, e := range c.entries {
+			if c.agentsReady(e) != len(c.models)+len(c.desks) {
+				return false
+			}
+		}
+		return true
+	})
+	// Homes of a new entry set spend nothing for 5 s.
+	eventually(c.t, "every entry admits", func() bool {
+		for _, e := range c.entries {
+			if c.client("trails").lookup(e).result != resultOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) agentsReady(e *proc) int {
+	var s struct {
+		Entry struct {
+			AgentsReady int `json:"agents_ready"`
+		} `json:"entry"`
+	}
+	if c.call(e, http.MethodGet, "/status", nil, &s) != http.StatusOK {
+		return 0
+	}
+	return s.Entry.AgentsReady
+}
+
+func (c *cluster) procs() []*proc {
+	all := append([]*proc(nil), c.entries...)
+	for _, b := range append(append([]*backend(nil), c.models...), c.desks...) {
+		all = append(all, b.agent)
+	}
+	return all
+}
+
+// address returns a new loopback IP number.
+func (c *cluster) address() string {
+	c.hosts++
+	return fmt.Sprintf("%s.%d", c.net, c.hosts)
+}
+
+// serve runs a stand-in on an address of its own.
+func (c *cluster) serve(h http.Handler) string {
+	l, err := net.Listen("tcp", c.address()+":9000")
+	if err != nil {
+		c.t.Fatalf("listen for stand-in: %v", err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	c.t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+// link puts a proxy before an address.
+func (c *cluster) link(target string) *proxy { return newProxy(c.t, target) }
+
+func domainOf(i int) string { return fmt.Sprintf("d%d", i%3+1) }
+
+func (c *cluster) newProc(role, id, domain string) *proc {
+	ip := c.address()
+	p := &proc{
+		t: c.t, id: id, role: role, domain: domain,
+		caller: ip + ":8080", admin: ip + ":8081", peer: ip + ":8082",
+		logFile: c.dir + "/" + id + ".log",
+	}
+	c.logLinks[id] = c.link(c.logAddr)
+	return p
+}
+
+func (c *cluster) addEntry(i int) {
+	p := c.newProc(core.RoleEntry, fmt.Sprintf("entry-%d", i+1), domainOf(i))
+	link := c.link(p.peer)
+	c.logLinks[p.id+"/peer"] = link
+	extra := fmt.Sprintf("[entry]\ndrain_delay = \"300ms\"\nbootstrap_token_hash = %q\n[listen]\ncaller = %q\nadmin = %q\npeer = %q\npeer_advertised = %q\n",
+		hash(operatorToken), p.caller, p.admin, p.peer, link.address())
+	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, c.logLinks[p.id].address(), c.listAddr, extra))
+	c.entries = append(c.entries, p)
+	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: link.address(), Domain: p.domain, Region: "r1", State: core.HostLive})
+}
+
+func (c *cluster) addAgent(id, service, kind, domain string, h http.Handler) *backend {
+	p := c.newProc(core.RoleAgent, id, domain)
+	b := &backend{agent: p, proxy: c.link(p.peer)}
+	extra := fmt.Sprintf("[agent]\nservice = %q\nbackend_address = %q\nbackend_kind = %q\n[listen]\nadmin = %q\npeer = %q\npeer_advertised = %q\n",
+		service, c.serve(h), kind, p.admin, p.peer, b.proxy.address())
+	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, c.logLinks[p.id].address(), c.listAddr, extra))
+	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: b.proxy.address(), Domain: domain, Region: "r1", Service: service, State: core.HostLive})
+	return b
+}
+
+func (c *cluster) addEngine(i int, o engine.Options) {
+	if o.TokensPerSecond == 0 {
+		o = engine.Options{TokensPerSecond: 200, Slowdown: 0.01, MemoryTokens: 100000, ColdTokens: 4000, ColdFactor: 2,
+			RestartTime: 500 * time.Millisecond, CrashMarker: "CRASH", Models: []string{modelName}}
+	}
+	e := engine.New(o)
+	c.t.Cleanup(e.Close)
+	b := c.addAgent(fmt.Sprintf("model-%d", i+1), modelService, "engine", domainOf(i), e)
+	b.engine = e
+	c.models = append(c.models, b)
+}
+
+func (c *cluster) addDesk(i int) {
+	d := desk.New()
+	c.t.Cleanup(d.Close)
+	b := c.addAgent(fmt.Sprintf("desk-%d", i+1), deskService, "desk", domainOf(i), d)
+	b.desk = d
+	c.desks = append(c.desks, b)
+}
+
+func hash(s string) string {
+	h := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(h[:])
+}
+
+// publishDefaults creates two services and two contracts.
+func (c *cluster) publishDefaults() {
+	c.t.Helper()
+	c.mustPublish("service/"+modelService, core.Service{Name: modelService, Kind: core.ServiceModel, Models: []string{modelName},
+		Repeatable: true, ColdConcurrency: 4, ColdTokens: 3000, MaxConcurrency: 64, MemoryTokens: 50000, MaxOutputTokens: 2000,
+		BytesPerToken: 256, MaxBodyBytes: 1 << 20, MaxReplyBytes: 4 << 20, RequestTimeoutMS: 30000})
+	c.mustPublish("service/"+deskService, core.Service{Name: deskService, Kind: core.ServicePlain, PathPrefix: "/bookings",
+		ColdConcurrency: 16, ColdTokens: 16, MaxConcurrency: 64, MemoryTokens: 64, MaxBodyBytes: 1 << 16, MaxReplyBytes: 1 << 16,
+		RequestTimeoutMS: 10000})
+	for _, org := range []string{"trails", "farm"} {
+		c.mustPublish("contract/"+org, core.Contract{Organisation: org, CallerKeyHashes: []string{hash(org + "-key")},
+			Services: []string{modelService, deskService}, RequestsPerSecond: 2000, TokensPerSecond: 1e6, Concurrency: 400,
+			ReplyTimeMS: 20000, ReplyMemoryBytes: 64 << 20, MaxPriority: 3, Weight: 1})
+	}
+}
+
+// mustPublish publishes an object that does not exist yet.
+func (c *cluster) mustPublish(object string, value any) {
+	c.t.Helper()
+	if code, body := c.publish(c.entries[0], object, 0, value); code != http.StatusOK {
+		c.t.Fatalf("publish %s: got status %d, want 200: %s", object, code, body)
+	}
+}
+
+// publish puts an object through the administration API of one entry.
+func (c *cluster) publish(e *proc, object string, basedOn int64, value any) (int, string) {
+	var answer json.RawMessage
+	code := c.call(e, http.MethodPut, "/objects/"+object, map[string]any{"based_on": basedOn, "value": value}, &answer)
+	return code, string(answer)
+}
+
+// version returns the version of an object as one entry sees it.
+func (c *cluster) version(e *proc, object string) int64 {
+	var o struct {
+		Version int64 `json:"version"`
+	}
+	if c.call(e, http.MethodGet, "/objects/"+object, nil, &o) != http.StatusOK {
+		return 0
+	}
+	return o.Version
+}
+
+// setDomain drains or restores a failure domain and records when that was
+// accepted.
+func (c *cluster) setDomain(e *proc, domain string, state core.DomainState) {
+	c.t.Helper()
+	object := "domain/" + domain
+	code, body := c.publish(e, object, c.version(e, object), core.Domain{Name: domain, State: state})
+	if code != http.StatusOK {
+		c.t.Fatalf("set failure domain %s to %s: got status %d, want 200: %s", domain, state, code, body)
+	}
+	kind := eventDrained
+	if state == core.DomainActive {
+		kind = eventRestored
+	}
+	c.history.add(event{kind: kind, domain: domain})
+}
+
+// call makes one call of the administration API; 0 means that there was no
+// answer.
+func (c *cluster) call(p *proc, method, path string, body, answer any) int {
+	b, err := json.Marshal(body)
+	if err != nil {
+		c.t.Fatalf("encode call: %v", err)
+	}
+	r, err := http.NewRequest(method, "http://"+p.admin+path, bytes.NewReader(b))
+	if err != nil {
+		c.t.Fatalf("make call: %v", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	client := http.Client{Timeout: 8 * time.Second}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(answer)
+	return resp.StatusCode
+}
+
+// dumpLogs prints the last log lines of all processes of a failed test.
+func (c *cluster) dumpLogs() {
+	if !c.t.Failed() {
+		return
+	}
+	for _, p := range c.procs() {
+		c.t.Logf("--- %s\n%s", p.id, p.logTail(15))
+	}
+}
--- /dev/null
+++ b/systemtest/faults_test.go
@@ -0,0 +1,146 @@
+package systemtest
+
+import (
+	"flag"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"nutmegnotch/emulator/platformlog"
+)
+
+// seeds is the number of seeds that the tests with random faults run. CI runs
+// the fixed first ones.
+var seeds = flag.Int("seeds", 1, "number of seeds of random fault schedules")
+
+// eachSeed runs a test under fixed seeds.
+func eachSeed(t *testing.T, run func(t *testing.T, r *rand.Rand)) {
+	t.Helper()
+	for n := range *seeds {
+		seed := uint64(n + 1)
+		t.Run("seed", func(t *testing.T) {
+			t.Logf("seed %d", seed)
+			run(t, rand.New(rand.NewPCG(seed, seed)))
+		})
+	}
+}
+
+// fault is one kind of failure with a name for the log.
+type fault struct {
+	name string
+	run  func(c *cluster, r *rand.Rand)
+}
+
+// pickProc returns a random process.
+func pickProc(c *cluster, r *rand.Rand) *proc {
+	all := c.procs()
+	return all[r.IntN(len(all))]
+}
+
+// pickLink returns a random proxied link.
+func pickLink(c *cluster, r *rand.Rand) *proxy {
+	var links []*proxy
+	for _, p := range c.procs() {
+		links = append(links, c.logLinks[p.id])
+		if peer := c.logLinks[p.id+"/peer"]; peer != nil {
+			links = append(links, peer)
+		}
+	}
+	for _, b := range append(append([]*backend(nil), c.models...), c.desks...) {
+		links = append(links, b.proxy)
+	}
+	return links[r.IntN(len(links))]
+}
+
+func between(r *rand.Rand, lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(r.Int64N(int64(hi-lo)))
+}
+
+// commonFaults are the failures that any test of invariants must survive.
+func commonFaults() []fault {
+	return []fault{
+		{"kill and restart", func(c *cluster, r *rand.Rand) {
+			p := pickProc(c, r)
+			p.fault.Lock()
+			defer p.fault.Unlock()
+			p.kill()
+			time.Sleep(between(r, 10*time.Millisecond, 2*time.Second))
+			p.start()
+		}},
+		{"pause longer than every time-out", func(c *cluster, r *rand.Rand) {
+			p := pickProc(c, r)
+			p.fault.Lock()
+			defer p.fault.Unlock()
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(between(r, 4*time.Second, 7*time.Second))
+			p.signal(syscall.SIGCONT)
+		}},
+		{"cut a link", func(c *cluster, r *rand.Rand) {
+			l := pickLink(c, r)
+			l.cut()
+			time.Sleep(between(r, 100*time.Millisecond, 4*time.Second))
+			l.heal()
+		}},
+		{"freeze one direction", func(c *cluster, r *rand.Rand) {
+			l := pickLink(c, r)
+			l.freeze(direction(r.IntN(2)))
+			time.Sleep(between(r, 100*time.Millisecond, 5*time.Second))
+			l.heal()
+		}},
+		{"break connections", func(c *cluster, r *rand.Rand) { pickLink(c, r).breakAll() }},
+		{"slow link and split writes", func(c *cluster, r *rand.Rand) {
+			l := pickLink(c, r)
+			l.slow(direction(r.IntN(2)), between(r, 5*time.Millisecond, 50*time.Millisecond))
+			l.splitWrites()
+			time.Sleep(between(r, 100*time.Millisecond, 2*time.Second))
+			l.heal()
+		}},
+		{"drop answers", func(c *cluster, r *rand.Rand) {
+			l := pickLink(c, r)
+			l.dropAnswers(1 + r.IntN(3))
+			time.Sleep(between(r, 100*time.Millisecond, time.Second))
+			l.heal()
+		}},
+		{"lose answers of appends", func(c *cluster, r *rand.Rand) {
+			c.log.SetFaults(platformlog.Faults{LoseAppendAnswers: 1 + r.IntN(4)})
+		}},
+		{"log outage", func(c *cluster, r *rand.Rand) {
+			c.log.SetFaults(platformlog.Faults{Outage: []string{platformlog.OutageHang, platformlog.OutageRefuse}[r.IntN(2)]})
+			time.Sleep(between(r, 500*time.Millisecond, 5*time.Second))
+			c.log.SetFaults(platformlog.Faults{})
+		}},
+	}
+}
+
+// injectFaults runs random faults, at most two at a time, until stop is closed,
+// and heals everything.
+func injectFaults(t *testing.T, c *cluster, r *rand.Rand, faults []fault, stop <-chan struct{}) {
+	var wg sync.WaitGroup
+	for lane := range 2 {
+		lr := rand.New(rand.NewPCG(r.Uint64(), uint64(lane)))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(between(lr, 100*time.Millisecond, 800*time.Millisecond)):
+				}
+				f := faults[lr.IntN(len(faults))]
+				t.Logf("lane %d: %s", lane, f.name)
+				f.run(c, lr)
+			}
+		}()
+	}
+	wg.Wait()
+	c.log.SetFaults(platformlog.Faults{})
+	for _, l := range c.logLinks {
+		l.heal()
+	}
+	for _, b := range append(append([]*backend(nil), c.models...), c.desks...) {
+		b.proxy.heal()
+	}
+}
--- a/systemtest/history_test.go
+++ b/systemtest/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"sync"
 	"time"
 )
@@ -175,3 +176,8 @@
 	}
 	return nil
 }
+
+// sortEvents orders events by time.
+func sortEvents(events []event) {
+	sort.SliceStable(events, func(i, j int) bool { return events[i].at.Before(events[j].at) })
+}
--- a/systemtest/model_test.go
+++ b/systemtest/model_test.go
@@ -56,7 +56,6 @@
 // changed is its output: the version and value that hold afterwards.
 type changed struct {
 	accepted bool
-	unknown  bool
 	version  int64
 	value    string
 }
--- /dev/null
+++ b/systemtest/path_test.go
@@ -0,0 +1,36 @@
+package systemtest
+
+import "testing"
+
+// Guards the thin path: one streamed answer, one booking that is sent twice and
+// runs once, and one truthful refusal.
+func TestThinPath(t *testing.T) {
+	c := newCluster(t, sizes{entries: 3, engines: 3, desks: 3})
+	c.ready()
+	l := c.client("trails")
+	if got := l.complete(c.entries[0], "manifest for five mules", 20); got.result != resultOK || got.tokens != 20 {
+		t.Errorf("completion: got %+v, want 20 tokens", got)
+	}
+	first := l.book(c.entries[0], "key-1")
+	if first.result != resultOK {
+		t.Fatalf("booking: got %+v, want a booking", first)
+	}
+	second := l.book(c.entries[1], "key-1")
+	if second.booking != first.booking {
+		t.Errorf("second booking: got %+v, want booking %s", second, first.booking)
+	}
+	if got := c.client("nobody").book(c.entries[2], "key-2"); got.status != 401 || got.result != resultNotRun {
+		t.Errorf("unknown caller: got %+v, want 401 not run", got)
+	}
+	checkAll(t, c.collect())
+}
+
+// checkAll runs the scans that hold in every test.
+func checkAll(t *testing.T, events []event) {
+	t.Helper()
+	for _, check := range []func([]event) error{checkNotRun, checkAtMostOnce, checkNoCollapse} {
+		if err := check(events); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/systemtest/process_test.go
@@ -0,0 +1,143 @@
+package systemtest
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// waitLimit bounds each wait for an event. It is far above every bound that is
+// checked, so that a slow machine does not change a verdict.
+const waitLimit = 30 * time.Second
+
+// proc is one process of the program under test.
+type proc struct {
+	t        *testing.T
+	id       string
+	domain   string
+	role     string
+	settings string
+	logFile  string
+	caller   string
+	admin    string
+	peer     string
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	// fault is held by the one fault that acts on the process.
+	fault sync.Mutex
+}
+
+// start runs the process under its settings.
+func (p *proc) start() {
+	p.t.Helper()
+	out, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatalf("open log of %s: %v", p.id, err)
+	}
+	defer out.Close()
+	p.cmd = exec.Command(program, p.role, "--settings", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatalf("start %s: %v", p.id, err)
+	}
+	exited := make(chan struct{})
+	p.exited = exited
+	cmd := p.cmd
+	go func() { _ = cmd.Wait(); close(exited) }()
+}
+
+// kill ends the process at once, as a host failure does.
+func (p *proc) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// signal sends a signal.
+func (p *proc) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Errorf("send %v to %s: %v", s, p.id, err)
+	}
+}
+
+// stopGracefully sends SIGTERM and waits for the exit.
+func (p *proc) stopGracefully() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-time.After(waitLimit):
+		p.t.Errorf("%s did not exit within %v of SIGTERM", p.id, waitLimit)
+		p.kill()
+	}
+}
+
+// ready reports whether the process takes new work.
+func (p *proc) ready() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + p.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// logTail returns the last lines of the process's log.
+func (p *proc) logTail(n int) string {
+	b, err := os.ReadFile(p.logFile)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(string(bytes.TrimSpace(b)), "\n")
+	return strings.Join(lines[max(0, len(lines)-n):], "\n")
+}
+
+// eventually waits until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not so after %v", what, waitLimit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// writeFile writes a file of the test's directory and returns its path.
+func writeFile(t *testing.T, dir, name, text string) string {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatalf("write %s: %v", name, err)
+	}
+	return path
+}
+
+func settingsText(p *proc, log, hosts, extra string) string {
+	return fmt.Sprintf(`id = %q
+role = %q
+failure_domain = %q
+region = "r1"
+log_level = "debug"
+[log]
+address = %q
+retention = "1h"
+timeout = "1s"
+[host_list]
+address = %q
+timeout = "1s"
+[claims]
+window = "10m"
+partitions = 4
+%s`, p.id, p.role, p.domain, log, hosts, extra)
+}
