Wait for releases when leaving; test a fresh engine under full load

A claimer may go on releasing by itself, and a process that stops before the log has the release leaves the key held for the whole window. New tests cover a desk that cannot be reached after the claim was won and a fresh engine under full load. go test -race -count=4 -cpu 2,12 ./agent passes.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -114,6 +114,7 @@
 	control chan *peerpb.Frame
 	stop    context.CancelFunc
 	stopped chan struct{}
+	server  *httptest.Server
 }
 
 var modelService = core.Service{
@@ -131,7 +132,7 @@
 func startRig(t *testing.T, service core.Service, backend http.Handler, edit func(*agent.Config)) *rig {
 	t.Helper()
 	server := httptest.NewServer(backend)
-	r := &rig{t: t, source: &source{service: service}, control: make(chan *peerpb.Frame, 1024), stopped: make(chan struct{})}
+	r := &rig{t: t, source: &source{service: service}, control: make(chan *peerpb.Frame, 1024), server: server, stopped: make(chan struct{})}
 	self := &peerpb.Hello{Id: "agent-1", Role: core.RoleAgent, Incarnation: "inc-1", FailureDomain: "d1", Service: service.Name}
 	cfg := agent.Config{
 		Self: self, Service: service.Name, Source: r.source, Claimer: newClaimer(),
--- a/agent/desk_test.go
+++ b/agent/desk_test.go
@@ -145,6 +145,23 @@
 	})
 }
 
+// Guards against a key that stays claimed although its request was never sent.
+func TestUnreachableDeskIsNotRun(t *testing.T) {
+	d := newDesk(t)
+	c := newClaimer()
+	r := startRig(t, deskService, d, func(cfg *agent.Config) { cfg.Claimer = c })
+	c.won = func() { r.server.CloseClientConnections(); r.server.Close() }
+	got := r.do(bookingHead("q1", "k"), "{}")
+	if !got.verdict.GetNotRun() || len(d.Runs()) != 0 {
+		t.Errorf("verdict: got %+v with %d runs, want not run and none", got.verdict, len(d.Runs()))
+	}
+	r.await("release", func() bool {
+		n := 0
+		c.locked(func() { n = len(c.released) })
+		return n == 1
+	})
+}
+
 // Guards against wrong answers to repeats of a key.
 func TestLookup(t *testing.T) {
 	d := newDesk(t)
--- a/agent/model_test.go
+++ b/agent/model_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,25 +118,42 @@
 func TestCancelEndsModelRun(t *testing.T) {
 	e := newEngine(t, func(o *engine.Options) { o.TokensPerSecond = 100 })
 	r := startRig(t, modelService, e, nil)
-	frame := &peerpb.Frame{Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{}}}
-	for i, end := range []func(id string){
-		func(id string) {
-			s := r.open(modelHead(id, 900), modelBody("p", 900), 1<<20)
-			defer s.Close()
-			r.await("run", func() bool { return len(e.Runs()) == 1 })
-			send(t, s, frame)
-			r.await("cancel", func() bool { return e.Runs()[0].Outcome == engine.OutcomeCancelled })
-		},
-		func(id string) {
-			s := r.open(modelHead(id, 900), modelBody("p", 900), 1<<20)
-			r.await("run", func() bool { return len(e.Runs()) == 2 })
+	for i, id := range []string{"cancelled", "broken"} {
+		s := r.open(modelHead(id, 900), modelBody("p", 900), 1<<20)
+		r.await("run", func() bool { return len(e.Runs()) == i+1 })
+		if id == "cancelled" {
+			send(t, s, &peerpb.Frame{Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{}}})
+		} else {
 			s.Close()
-			r.await("broken stream", func() bool { return e.Runs()[1].Outcome == engine.OutcomeCancelled })
-		},
-	} {
-		end(fmt.Sprintf("q%d", i))
+		}
+		r.await(id, func() bool { return e.Runs()[i].Outcome == engine.OutcomeCancelled })
+		s.Close()
+		r.await("release", func() bool { return r.agent.Status().HeldTokens == 0 })
+	}
+}
+
+// Guards against a fresh engine that gets more work than it can hold.
+func TestFreshEngineSurvivesFullLoad(t *testing.T) {
+	e := newEngine(t, func(o *engine.Options) { o.ColdTokens, o.ColdFactor = modelService.ColdTokens, 2 })
+	r := startRig(t, modelService, e, nil)
+	var wg sync.WaitGroup
+	var whole atomic.Int32
+	for i := range 32 {
+		wg.Go(func() {
+			for j := range 12 {
+				if r.do(modelHead(fmt.Sprintf("q%d-%d", i, j), 190), modelBody("p", 190)).end.GetComplete() {
+					whole.Add(1)
+				} else {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if e.Crashes() != 0 || whole.Load() == 0 {
+		t.Errorf("got %d crashes and %d whole replies, want 0 and some", e.Crashes(), whole.Load())
 	}
-	r.await("release", func() bool { return r.agent.Status().HeldTokens == 0 })
+	t.Logf("%d whole replies, limit %d tokens", whole.Load(), r.agent.Status().LimitTokens)
 }
 
 // Guards against crashes that no entry hears of, and against a server that gets
--- a/agent/releases.go
+++ b/agent/releases.go
@@ -14,6 +14,7 @@
 	maxReleases     = 4096
 	releaseInterval = 500 * time.Millisecond
 	releaseTimeout  = 2 * time.Second
+	releasePoll     = 20 * time.Millisecond
 )
 
 // releaseTask releases claims that never run, as soon as the log takes them.
@@ -50,8 +51,25 @@
 	t.log.Warn("release queue is full, the key stays claimed", zap.String("claim_id", c.ClaimId))
 }
 
-// wait returns when no release waits, at the latest after d.
+// pendingReleases is a Claimer that goes on with releases by itself.
+type pendingReleases interface {
+	// Abandoned returns the number of releases that the log has not taken yet.
+	Abandoned() int
+}
+
+// wait returns when no release waits here or at the claimer, at the latest
+// after d.
 func (t *releaseTask) wait(d time.Duration) {
+	end := time.Now().Add(d)
+	t.waitQueued(d)
+	p, ok := t.claimer.(pendingReleases)
+	for ok && p.Abandoned() > 0 && time.Now().Before(end) {
+		time.Sleep(releasePoll)
+	}
+}
+
+// waitQueued returns when no release waits here, at the latest after d.
+func (t *releaseTask) waitQueued(d time.Duration) {
 	empty := make(chan struct{})
 	timer := time.NewTimer(d)
 	defer timer.Stop()
