Tell a slow backend server from a restarted one

One late probe made the server look down, and its next answer counted as a start, which cut the limit back to cold. Now three late probes in a row mean down, and an engine that answers with its old incarnation stays warm. A service without request_timeout_ms gets one minute instead of an immediate end. go test -race ./agent passes.

--- a/agent/once.go
+++ b/agent/once.go
@@ -133,7 +133,7 @@
 // the reply.
 func (t *serverTask) runClaim(ctx context.Context, c *peerpb.Claim) {
 	start := time.Now()
-	run, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.service.RequestTimeout())
+	run, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.runTimeout())
 	defer cancel()
 	reply, err := t.callOnce(run)
 	if errors.Is(err, desk.ErrNotSent) {
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -17,7 +17,7 @@
 	start := time.Now()
 	run, cancel := context.WithCancel(t.gone)
 	defer cancel()
-	clock := newRunClock(min(t.request.Deadline.Sub(start), t.service.RequestTimeout()), cancel)
+	clock := newRunClock(min(t.request.Deadline.Sub(start), t.runTimeout()), cancel)
 	defer clock.stop()
 	r, err := t.backendRequest(run)
 	if err != nil {
@@ -31,7 +31,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	clock.restart(t.service.RequestTimeout())
+	clock.restart(t.runTimeout())
 	p := newPump(resp, start, clock, t.service.MaxReplyBytes)
 	chunks := buffer(p.chunks, t.agent.cfg.BufferBytes, t.gone.Done())
 	ended := make(chan bool, 1)
--- a/agent/server.go
+++ b/agent/server.go
@@ -19,6 +19,9 @@
 // headTimeout bounds the arrival of a head and its body.
 const headTimeout = 30 * time.Second
 
+// defaultRunTimeout applies when a service sets no request_timeout_ms.
+const defaultRunTimeout = time.Minute
+
 // serverTask serves one request of an entry.
 type serverTask struct {
 	agent   *Agent
@@ -143,6 +146,14 @@
 	t.runRepeatable()
 }
 
+// runTimeout returns the bound on one run.
+func (t *serverTask) runTimeout() time.Duration {
+	if d := t.service.RequestTimeout(); d > 0 {
+		return d
+	}
+	return defaultRunTimeout
+}
+
 // refuse sends a refusal. One without code is dropped: the stream has broken.
 func (t *serverTask) refuse(r core.Refusal) {
 	if r.Code == "" {
--- a/agent/watcher.go
+++ b/agent/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -16,6 +17,8 @@
 	engineProbeInterval = 200 * time.Millisecond
 	deskProbeInterval   = time.Second
 	probeTimeout        = 500 * time.Millisecond
+	// lateProbes in a row mean that the backend server is down.
+	lateProbes = 3
 )
 
 // watcherTask follows the backend server: whether it answers, and whether it
@@ -25,6 +28,8 @@
 	checks chan check
 	poked  chan struct{}
 	done   chan struct{}
+	// late counts the probes in a row that got no answer in time.
+	late int
 }
 
 // check asks whether the given incarnation of the backend server has crashed.
@@ -109,10 +114,31 @@
 	if err != nil {
 		t.agent.log.Debug("probe of the backend server failed", zap.Error(err))
 	}
+	if t.slow(err) {
+		return true, t.incarnation()
+	}
 	t.tell(err == nil, incarnation, models)
 	return err == nil, incarnation
 }
 
+// slow reports whether a failed probe shows a busy backend server rather than
+// one that is down.
+func (t *watcherTask) slow(err error) bool {
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.late = 0
+		return false
+	}
+	t.late++
+	return t.late < lateProbes
+}
+
+// incarnation returns the incarnation that was seen last.
+func (t *watcherTask) incarnation() string {
+	seen := ""
+	t.agent.admission.do(func(s *admissionState) { seen = s.incarnation })
+	return seen
+}
+
 func (t *watcherTask) tell(up bool, incarnation string, models []string) {
 	var report *peerpb.CrashReport
 	t.agent.admission.do(func(s *admissionState) { report = s.observe(up, incarnation, models, time.Now()) })
@@ -130,7 +156,8 @@
 	s.forgetBroken(now)
 	restarted := up && s.incarnation != "" && incarnation != s.incarnation
 	died := !up && s.up && len(s.broken) > 0
-	cameBack := up && !s.up
+	// An engine that comes back with its old incarnation was only slow.
+	cameBack := up && !s.up && (incarnation == "" || incarnation != s.incarnation)
 	old := s.incarnation
 	s.up = up
 	if up {
