--- a/emulator/cli/cli.go
+++ b/emulator/cli/cli.go
@@ -21,6 +21,8 @@
 
 	Engine EngineCommand `cmd:"" help:"Run the stand-in of a model engine."`
 	Desk   DeskCommand   `cmd:"" help:"Run the stand-in of a plain service."`
+
+	Load LoadCommand `cmd:"" help:"Send requests and report what became of them."`
 }
 
 // Main runs the command line and returns the exit code: 1 for a failure and 2
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -36,51 +37,47 @@
 	agent  *proc
 	engine *engine.Engine
 	desk   *desk.Desk
-	proxy  *proxy
 }
 
 // sizes tells what a cluster holds.
 type sizes struct {
 	entries, engines, desks int
 	engine                  engine.Options
-	noProxy                 bool
 }
 
-// cluster is a log, a host list, stand-in backend servers in the test process,
-// and entries and agents as processes. Every link to the log and to an agent
-// goes through a proxy.
+// cluster is a log, host lists, stand-in backend servers in the test process,
+// and entries and agents as processes. Every link goes through a proxy of its
+// own: each entry has a host list that names the proxies of its own links.
 type cluster struct {
-	t        *testing.T
-	dir      string
-	net      string
-	hosts    int
-	log      *platformlog.Server
-	logAddr  string
-	list     *hostlist.Server
-	listAddr string
-	rows     []core.Host
-	entries  []*proc
-	logLinks map[string]*proxy
-	models   []*backend
-	desks    []*backend
-	history  *history
+	t       *testing.T
+	dir     string
+	net     string
+	hosts   int
+	log     *platformlog.Server
+	logAddr string
+	lists   map[string]*hostlist.Server
+	rows    []core.Host
+	entries []*proc
+	links   map[string]*proxy
+	models  []*backend
+	desks   []*backend
+	history *history
 }
 
 func newCluster(t *testing.T, s sizes) *cluster {
 	t.Helper()
 	c := &cluster{
-		t:        t,
-		dir:      t.TempDir(),
-		net:      fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, subnet.Add(1)),
-		log:      platformlog.New(platformlog.Config{}),
-		list:     hostlist.New(nil),
-		logLinks: map[string]*proxy{},
-		history:  &history{},
+		t:       t,
+		dir:     t.TempDir(),
+		net:     fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, subnet.Add(1)),
+		log:     platformlog.New(platformlog.Config{}),
+		lists:   map[string]*hostlist.Server{},
+		links:   map[string]*proxy{},
+		history: &history{},
 	}
 	t.Cleanup(c.dumpLogs)
 	t.Cleanup(c.log.Close)
-	t.Cleanup(c.list.Close)
-	c.logAddr, c.listAddr = c.serve(c.log), c.serve(c.list)
+	c.logAddr = c.serve(c.log)
 	for i := range s.entries {
 		c.addEntry(i)
 	}
@@ -90,7 +87,7 @@
 	for i := range s.desks {
 		c.addDesk(i)
 	}
-	c.list.Put(c.rows)
+	c.putHosts()
 	for _, p := range c.procs() {
 		p.start()
 		t.Cleanup(p.kill)
@@ -163,8 +160,40 @@
 	return l.Addr().String()
 }
 
-// link puts a proxy before an address.
-func (c *cluster) link(target string) *proxy { return newProxy(c.t, target) }
+// link puts a proxy on the way from one process to an address.
+func (c *cluster) link(from, to, target string) *proxy {
+	key := from + ">" + to
+	if c.links[key] == nil {
+		c.links[key] = newProxy(c.t, target)
+	}
+	return c.links[key]
+}
+
+// linksOf returns all links that begin or end at a process.
+func (c *cluster) linksOf(id string) []*proxy {
+	var list []*proxy
+	for key, l := range c.links {
+		from, to, _ := strings.Cut(key, ">")
+		if from == id || to == id {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// putHosts gives each process its host list: entries reach others through the
+// proxies of their own links.
+func (c *cluster) putHosts() {
+	for id, list := range c.lists {
+		rows := append([]core.Host(nil), c.rows...)
+		for i, h := range rows {
+			if h.ID != id {
+				rows[i].Address = c.link(id, h.ID, h.Address).address()
+			}
+		}
+		list.Put(rows)
+	}
+}
 
 func domainOf(i int) string { return fmt.Sprintf("d%d", i%3+1) }
 
@@ -175,28 +204,29 @@
 		caller: ip + ":8080", admin: ip + ":8081", peer: ip + ":8082",
 		logFile: c.dir + "/" + id + ".log",
 	}
-	c.logLinks[id] = c.link(c.logAddr)
+	list := hostlist.New(nil)
+	c.t.Cleanup(list.Close)
+	c.lists[id] = list
+	p.logAddr, p.listAddr = c.link(id, "log", c.logAddr).address(), c.serve(list)
 	return p
 }
 
 func (c *cluster) addEntry(i int) {
 	p := c.newProc(core.RoleEntry, fmt.Sprintf("entry-%d", i+1), domainOf(i))
-	link := c.link(p.peer)
-	c.logLinks[p.id+"/peer"] = link
-	extra := fmt.Sprintf("[entry]\ndrain_delay = \"300ms\"\nbootstrap_token_hash = %q\n[listen]\ncaller = %q\nadmin = %q\npeer = %q\npeer_advertised = %q\n",
-		hash(operatorToken), p.caller, p.admin, p.peer, link.address())
-	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, c.logLinks[p.id].address(), c.listAddr, extra))
+	extra := fmt.Sprintf("[entry]\ndrain_delay = \"300ms\"\nbootstrap_token_hash = %q\n[listen]\ncaller = %q\nadmin = %q\npeer = %q\n",
+		hash(operatorToken), p.caller, p.admin, p.peer)
+	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, extra))
 	c.entries = append(c.entries, p)
-	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: link.address(), Domain: p.domain, Region: "r1", State: core.HostLive})
+	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: p.peer, Domain: p.domain, Region: "r1", State: core.HostLive})
 }
 
 func (c *cluster) addAgent(id, service, kind, domain string, h http.Handler) *backend {
 	p := c.newProc(core.RoleAgent, id, domain)
-	b := &backend{agent: p, proxy: c.link(p.peer)}
-	extra := fmt.Sprintf("[agent]\nservice = %q\nbackend_address = %q\nbackend_kind = %q\n[listen]\nadmin = %q\npeer = %q\npeer_advertised = %q\n",
-		service, c.serve(h), kind, p.admin, p.peer, b.proxy.address())
-	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, c.logLinks[p.id].address(), c.listAddr, extra))
-	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: b.proxy.address(), Domain: domain, Region: "r1", Service: service, State: core.HostLive})
+	b := &backend{agent: p}
+	extra := fmt.Sprintf("[agent]\nservice = %q\nbackend_address = %q\nbackend_kind = %q\n[listen]\nadmin = %q\npeer = %q\n",
+		service, c.serve(h), kind, p.admin, p.peer)
+	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, extra))
+	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: p.peer, Domain: domain, Region: "r1", Service: service, State: core.HostLive})
 	return b
 }
 
--- a/systemtest/faults_test.go
+++ b/systemtest/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math/rand/v2"
+	"sort"
 	"sync"
 	"syscall"
 	"testing"
@@ -41,17 +42,12 @@
 
 // pickLink returns a random proxied link.
 func pickLink(c *cluster, r *rand.Rand) *proxy {
-	var links []*proxy
-	for _, p := range c.procs() {
-		links = append(links, c.logLinks[p.id])
-		if peer := c.logLinks[p.id+"/peer"]; peer != nil {
-			links = append(links, peer)
-		}
+	keys := make([]string, 0, len(c.links))
+	for key := range c.links {
+		keys = append(keys, key)
 	}
-	for _, b := range append(append([]*backend(nil), c.models...), c.desks...) {
-		links = append(links, b.proxy)
-	}
-	return links[r.IntN(len(links))]
+	sort.Strings(keys)
+	return c.links[keys[r.IntN(len(keys))]]
 }
 
 func between(r *rand.Rand, lo, hi time.Duration) time.Duration {
@@ -77,6 +73,16 @@
 			time.Sleep(between(r, 4*time.Second, 7*time.Second))
 			p.signal(syscall.SIGCONT)
 		}},
+		{"cut a process off", func(c *cluster, r *rand.Rand) {
+			links := c.linksOf(pickProc(c, r).id)
+			for _, l := range links {
+				l.cut()
+			}
+			time.Sleep(between(r, 500*time.Millisecond, 5*time.Second))
+			for _, l := range links {
+				l.heal()
+			}
+		}},
 		{"cut a link", func(c *cluster, r *rand.Rand) {
 			l := pickLink(c, r)
 			l.cut()
@@ -137,10 +143,7 @@
 	}
 	wg.Wait()
 	c.log.SetFaults(platformlog.Faults{})
-	for _, l := range c.logLinks {
+	for _, l := range c.links {
 		l.heal()
 	}
-	for _, b := range append(append([]*backend(nil), c.models...), c.desks...) {
-		b.proxy.heal()
-	}
 }
--- a/systemtest/history_test.go
+++ b/systemtest/history_test.go
@@ -66,16 +66,6 @@
 	return append([]event(nil), h.events...)
 }
 
-func (h *history) count(kind eventKind) int {
-	n := 0
-	for _, e := range h.snapshot() {
-		if e.kind == kind {
-			n++
-		}
-	}
-	return n
-}
-
 // checkNotRun reports every request that was answered "not run" and ran.
 func checkNotRun(events []event) error {
 	ran := map[string]bool{}
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -29,6 +29,8 @@
 	caller   string
 	admin    string
 	peer     string
+	logAddr  string
+	listAddr string
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	// fault is held by the one fault that acts on the process.
@@ -123,7 +125,7 @@
 	return path
 }
 
-func settingsText(p *proc, log, hosts, extra string) string {
+func settingsText(p *proc, extra string) string {
 	return fmt.Sprintf(`id = %q
 role = %q
 failure_domain = %q
@@ -139,5 +141,5 @@
 [claims]
 window = "10m"
 partitions = 4
-%s`, p.id, p.role, p.domain, log, hosts, extra)
+%s`, p.id, p.role, p.domain, p.logAddr, p.listAddr, extra)
 }
