Keep accepted outcomes accepted and bound the cost of the freshness rule

The rule compared each peer with each entry of the set. Answers to a peer that is behind are at most 8 frames, so that they never fill a session's queue.

--- a/core/config/bench_test.go
+++ b/core/config/bench_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/config"
@@ -114,3 +115,23 @@
 		})
 	}
 }
+
+// BenchmarkFreshness decides with all other entries of the set as peers.
+func BenchmarkFreshness(b *testing.B) {
+	for _, n := range []int{3, 100, 1600} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			now := time.Now()
+			f := config.Freshness{Self: "entry-0", NextOffset: 9, Established: true}
+			for i := range n {
+				id := fmt.Sprintf("entry-%d", i)
+				f.EntrySet.Entries = append(f.EntrySet.Entries, core.EntryInfo{ID: id})
+				f.Peers = append(f.Peers, config.Heard{ID: id, NextOffset: 9, At: now, Established: true})
+			}
+			for b.Loop() {
+				if f.ConfirmedAt().IsZero() || !f.HeldByMajority(8, now) {
+					b.Fatal("got not confirmed, want confirmed")
+				}
+			}
+		})
+	}
+}
--- a/core/config/freshness.go
+++ b/core/config/freshness.go
@@ -77,7 +77,8 @@
 // included, was heard not to be ahead. Majorities share a member, and positions
 // never go back, so no change accepted before that time is missing.
 func (f Freshness) majority() time.Time {
-	if !f.Established || !f.member(f.Self) {
+	members := index(f.EntrySet)
+	if !f.Established || !members[f.Self] {
 		return time.Time{}
 	}
 	need := f.EntrySet.Majority() - 1
@@ -88,7 +89,7 @@
 	}
 	var times []time.Time
 	for _, p := range f.Peers {
-		if p.ID != f.Self && p.Established && f.member(p.ID) && p.NextOffset <= f.NextOffset {
+		if p.ID != f.Self && p.Established && members[p.ID] && p.NextOffset <= f.NextOffset {
 			times = append(times, p.At)
 		}
 	}
@@ -99,15 +100,13 @@
 	return times[need-1]
 }
 
-func (f Freshness) member(id string) bool { return contains(f.EntrySet, id) }
-
-func contains(s core.EntrySet, id string) bool {
+// index returns the ids of a set. A set has up to thousands of entries.
+func index(s core.EntrySet) map[string]bool {
+	ids := make(map[string]bool, len(s.Entries))
 	for _, e := range s.Entries {
-		if e.ID == id {
-			return true
-		}
+		ids[e.ID] = true
 	}
-	return false
+	return ids
 }
 
 // Fresh reports whether a confirmation is recent enough to admit new work.
@@ -124,13 +123,7 @@
 	if len(f.EntrySet.Entries) == 0 {
 		return true
 	}
-	held := 0
-	for _, e := range f.EntrySet.Entries {
-		if f.holds(e.ID, offset, now) {
-			held++
-		}
-	}
-	return held >= f.EntrySet.Majority() && f.EntrySetSettled(now)
+	return f.holders(index(f.EntrySet), offset, now) >= f.EntrySet.Majority() && f.EntrySetSettled(now)
 }
 
 // EntrySetSettled reports whether a majority of the previous entry set has
@@ -140,23 +133,29 @@
 	if len(f.Previous.Entries) == 0 {
 		return true
 	}
-	settled := 0
+	members := index(f.EntrySet)
+	kept := make(map[string]bool, len(f.Previous.Entries))
+	dropped := 0
 	for _, e := range f.Previous.Entries {
-		if !f.member(e.ID) || f.holds(e.ID, f.EntrySetVersion, now) {
-			settled++
+		if members[e.ID] {
+			kept[e.ID] = true
+		} else {
+			dropped++
 		}
 	}
-	return settled >= f.Previous.Majority()
+	return dropped+f.holders(kept, f.EntrySetVersion, now) >= f.Previous.Majority()
 }
 
-func (f Freshness) holds(id string, offset int64, now time.Time) bool {
-	if id == f.Self {
-		return f.NextOffset > offset
+// holders counts the given processes that hold the record at an offset.
+func (f Freshness) holders(ids map[string]bool, offset int64, now time.Time) int {
+	n := 0
+	if ids[f.Self] && f.NextOffset > offset {
+		n++
 	}
 	for _, p := range f.Peers {
-		if p.ID == id {
-			return p.NextOffset > offset && now.Sub(p.At) < SettleTime
+		if p.ID != f.Self && ids[p.ID] && p.NextOffset > offset && now.Sub(p.At) < SettleTime {
+			n++
 		}
 	}
-	return false
+	return n
 }
--- a/io/configlog/exchange.go
+++ b/io/configlog/exchange.go
@@ -38,7 +38,9 @@
 	role        string
 	seq         uint64
 	seqAt       time.Time
-	heard       config.Heard
+	// next is the highest position that the peer has told of.
+	next  int64
+	heard config.Heard
 }
 
 func newExchange() exchange {
@@ -129,6 +131,7 @@
 	if p.Seq >= ps.seq {
 		ps.seq, ps.seqAt = p.Seq, m.at
 	}
+	ps.next = max(ps.next, p.NextOffset)
 	t.note(ps, hello.Id, p, m.at)
 	if p.NextOffset == t.fold.NextOffset() && p.StateHash != t.fold.Hash() {
 		metrics.Add("state_hash_mismatches", 1)
--- a/io/configlog/follower.go
+++ b/io/configlog/follower.go
@@ -142,6 +142,9 @@
 	// readAt is when the last read that reached the end of the log was sent.
 	readAt      time.Time
 	established bool
+	// heldUpTo is the first offset not known to be held by a majority. What a
+	// majority has held once stays accepted.
+	heldUpTo    int64
 	reader      reader
 	exchange    exchange
 	recent      recent
@@ -238,6 +241,9 @@
 	if moved {
 		close(old.changed)
 	}
+	if next := t.fold.NextOffset(); t.heldUpTo < next && fresh.HeldByMajority(next-1, now) {
+		t.heldUpTo = next
+	}
 	t.answerWaiters(fresh, now)
 }
 
--- a/io/configlog/follower_test.go
+++ b/io/configlog/follower_test.go
@@ -233,6 +233,9 @@
 	for _, p := range []*process{ps[0], late} {
 		wait(t, "refusal without majority", config.FreshnessBound+2*time.Second, func() bool { return !p.Confirmed(time.Now()) })
 	}
+	if o, ok := ps[0].Outcome(context.Background(), "before"); !ok || o.Result != config.Accepted {
+		t.Errorf("outcome without majority: got %+v, want accepted as before", o)
+	}
 	c.log.SetFaults(emulator.Faults{})
 	wait(t, "confirmation by the log", 5*time.Second, func() bool { return ps[0].Confirmed(time.Now()) })
 }
--- a/io/configlog/publish.go
+++ b/io/configlog/publish.go
@@ -131,7 +131,7 @@
 func (t *task) answerWaiters(fresh config.Freshness, now time.Time) {
 	for w := range t.waiters {
 		o, ok := t.fold.Outcome(w.changeID)
-		if !ok || o.Result == config.Accepted && !fresh.HeldByMajority(o.Offset, now) {
+		if !ok || o.Result == config.Accepted && !t.held(o.Offset, fresh, now) {
 			continue
 		}
 		w.outcome <- o
@@ -139,6 +139,14 @@
 	}
 }
 
+// held reports whether the record at an offset is, or was, held by a majority.
+func (t *task) held(offset int64, fresh config.Freshness, now time.Time) bool {
+	if offset >= t.heldUpTo && fresh.HeldByMajority(offset, now) {
+		t.heldUpTo = offset + 1
+	}
+	return offset < t.heldUpTo
+}
+
 // Outcome returns the outcome of a change id. An accepted change that is not
 // yet held by a majority is Unknown. It reports false for an id that is not
 // remembered.
@@ -147,7 +155,7 @@
 	found := false
 	f.do(ctx, func(t *task) {
 		o, found = t.fold.Outcome(changeID)
-		if found && o.Result == config.Accepted && !t.freshness().HeldByMajority(o.Offset, time.Now()) {
+		if found && o.Result == config.Accepted && !t.held(o.Offset, t.freshness(), time.Now()) {
 			o.Result, o.Reason = config.Unknown, "not yet held by a majority of the entries"
 		}
 	})
--- a/io/configlog/transfer.go
+++ b/io/configlog/transfer.go
@@ -16,6 +16,9 @@
 	partBytes        = 256 << 10
 	maxRecentBytes   = 8 << 20
 	maxSnapshotParts = 1024
+	// maxRecordFrames bounds one answer, so that it never fills the queue of a
+	// session. The peer asks for the rest when it has folded these.
+	maxRecordFrames = 8
 )
 
 // recent holds the newest folded records without a gap, for peers.
@@ -60,7 +63,10 @@
 		t.sendSnapshot(to)
 		return
 	}
-	for len(records) > 0 {
+	for range maxRecordFrames {
+		if len(records) == 0 {
+			return
+		}
 		m := &peerpb.Records{FromOffset: records[0].Offset}
 		for size := 0; len(records) > 0 && size < partBytes; records = records[1:] {
 			r := records[0]
@@ -100,11 +106,20 @@
 	t.apply(records)
 	if t.fold.NextOffset() > before {
 		metrics.Add("records_from_peers", t.fold.NextOffset()-before)
-		t.exchange.pullAt = time.Time{}
+		t.pulled(m)
 		t.log.Debug("records taken from peer", zap.String("peer", m.from.Hello.Id), zap.Int64("next_offset", t.fold.NextOffset()))
 	}
 }
 
+// pulled lets the next request go out at once when the state has caught up with
+// the peer. Before that more frames may be on their way.
+func (t *task) pulled(m message) {
+	t.exchange.pullAt = m.at
+	if ps := t.exchange.peers[m.from.Hello.Id]; ps != nil && t.fold.NextOffset() >= ps.next {
+		t.exchange.pullAt = time.Time{}
+	}
+}
+
 // snapshotParts gathers the parts of one snapshot from one session.
 type snapshotParts struct {
 	from  *peer.Session
@@ -129,7 +144,11 @@
 }
 
 func (t *task) receiveSnapshot(m message, p *peerpb.Snapshot) {
-	if p.NextOffset <= t.fold.NextOffset() || !t.exchange.parts.add(m.from, p) {
+	if p.NextOffset <= t.fold.NextOffset() {
+		return
+	}
+	t.exchange.pullAt = m.at
+	if !t.exchange.parts.add(m.from, p) {
 		return
 	}
 	data := t.exchange.parts.data
