Send a due position as soon as the least interval ends

A position that was due within 10 ms of the last one waited for the next tick of 50 ms, which delayed the acceptance of changes in quick succession.

--- a/io/configlog/exchange.go
+++ b/io/configlog/exchange.go
@@ -27,6 +27,8 @@
 	sent   map[uint64]time.Time
 	lastAt time.Time
 	due    bool
+	// wake ends the least time between two positions when one is due.
+	wake   <-chan time.Time
 	peers  map[string]*peerState
 	pullAt time.Time
 	parts  snapshotParts
@@ -63,7 +65,13 @@
 	e := &t.exchange
 	e.due = e.due || moved
 	since := now.Sub(e.lastAt)
-	if t.peers == nil || since < t.f.cfg.Exchange && (!e.due || since < minExchange) {
+	if t.peers == nil || since < t.f.cfg.Exchange && !e.due {
+		return
+	}
+	if since < minExchange {
+		if e.wake == nil {
+			e.wake = time.After(minExchange - since)
+		}
 		return
 	}
 	e.lastAt, e.due = now, false
--- a/io/configlog/follower.go
+++ b/io/configlog/follower.go
@@ -198,6 +198,9 @@
 			t.members.update(h)
 		case <-ticker.C:
 			ticked = true
+		case <-t.exchange.wake:
+			t.exchange.wake = nil
+			ticked = true
 		case <-t.ctx.Done():
 			return
 		}
--- a/io/configlog/follower_test.go
+++ b/io/configlog/follower_test.go
@@ -55,14 +55,14 @@
 
 // cluster runs followers in one process over one stand-in of the log.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	log   *emulator.Server
 	url   string
 	hosts *hosts
 	live  []*process
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	c := &cluster{t: t, log: emulator.New(emulator.Config{}), hosts: &hosts{}}
 	c.hosts.list.Store(&[]core.Host{})
 	srv := httptest.NewServer(c.log)
@@ -133,7 +133,7 @@
 	return []*process{a, b, d}
 }
 
-func wait(t *testing.T, what string, limit time.Duration, ok func() bool) {
+func wait(t testing.TB, what string, limit time.Duration, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -147,7 +147,7 @@
 		Value: json.RawMessage(fmt.Sprintf(`{"name":%q,"state":"drained"}`, domain))}
 }
 
-func publish(t *testing.T, p *process, c config.Change, limit time.Duration, want config.Result) config.Outcome {
+func publish(t testing.TB, p *process, c config.Change, limit time.Duration, want config.Result) config.Outcome {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -274,8 +274,9 @@
 	}
 }
 
-// Guards against records that expire before a checkpoint covers them, and
-// against a reader that cannot start from the checkpoint.
+// Guards against records that expire before a checkpoint covers them, against
+// a reader that cannot start from the checkpoint, and against a snapshot in
+// several parts that does not arrive whole.
 func TestExpiredRecords(t *testing.T) {
 	c := newCluster(t)
 	short := func(cfg *configlog.Config) {
@@ -285,6 +286,9 @@
 	for i := range 5 {
 		publish(t, writer, drain(fmt.Sprint("change", i), fmt.Sprint("d", i), 0), 5*time.Second, config.Accepted)
 	}
+	for i := range 5 {
+		publish(t, writer, large(i), 5*time.Second, config.Accepted)
+	}
 	log := platformlog.New(c.url, 0)
 	defer log.Close()
 	covered := int64(0)
@@ -295,7 +299,7 @@
 				covered = n
 			}
 		}
-		return err == nil && covered > 5
+		return err == nil && covered > 10
 	})
 	c.log.SetFaults(emulator.Faults{ExpireBefore: covered})
 	reader := c.start("reader", core.RoleAgent, nil)
@@ -305,6 +309,26 @@
 	if got, want := reader.Current().StateHash, writer.Current().StateHash; got != want {
 		t.Errorf("hash: got %x, want %x", got, want)
 	}
+	// The reader holds no records below the checkpoint, so it sends a snapshot.
+	nowhere := platformlog.New("127.0.0.1:1", 0)
+	defer nowhere.Close()
+	fed := c.start("fed", core.RoleAgent, func(cfg *configlog.Config) { cfg.Log = nowhere }, reader)
+	wait(t, "state from a snapshot", 5*time.Second, func() bool {
+		return fed.Current().StateHash == writer.Current().StateHash && fed.Confirmed(time.Now())
+	})
+}
+
+// large returns a change whose value has 66 KB, so that four exceed one part of
+// a snapshot.
+func large(i int) config.Change {
+	var hashes []string
+	for j := range 1000 {
+		hashes = append(hashes, fmt.Sprintf("%064x", i*1000+j))
+	}
+	org := fmt.Sprint("org", i)
+	value, _ := json.Marshal(core.Contract{Organisation: org, CallerKeyHashes: hashes, RequestsPerSecond: 1, TokensPerSecond: 1,
+		Concurrency: 1, ReplyTimeMS: 1, ReplyMemoryBytes: 1, Weight: 1})
+	return config.Change{ChangeID: "large" + org, Object: "contract/" + org, Value: value}
 }
 
 // Guards against a position that goes back when old records or an old snapshot
