--- a/io/configlog/exchange.go
+++ b/io/configlog/exchange.go
@@ -27,6 +27,8 @@
 	sent   map[uint64]time.Time
 	lastAt time.Time
 	due    bool
+	// wake ends the least time between two positions when one is due.
+	wake   <-chan time.Time
 	peers  map[string]*peerState
 	pullAt time.Time
 	parts  snapshotParts
@@ -38,7 +40,9 @@
 	role        string
 	seq         uint64
 	seqAt       time.Time
-	heard       config.Heard
+	// next is the highest position that the peer has told of.
+	next  int64
+	heard config.Heard
 }
 
 func newExchange() exchange {
@@ -61,7 +65,13 @@
 	e := &t.exchange
 	e.due = e.due || moved
 	since := now.Sub(e.lastAt)
-	if t.peers == nil || since < t.f.cfg.Exchange && (!e.due || since < minExchange) {
+	if t.peers == nil || since < t.f.cfg.Exchange && !e.due {
+		return
+	}
+	if since < minExchange {
+		if e.wake == nil {
+			e.wake = time.After(minExchange - since)
+		}
 		return
 	}
 	e.lastAt, e.due = now, false
@@ -129,6 +139,7 @@
 	if p.Seq >= ps.seq {
 		ps.seq, ps.seqAt = p.Seq, m.at
 	}
+	ps.next = max(ps.next, p.NextOffset)
 	t.note(ps, hello.Id, p, m.at)
 	if p.NextOffset == t.fold.NextOffset() && p.StateHash != t.fold.Hash() {
 		metrics.Add("state_hash_mismatches", 1)
