Add a demo of the whole system on loopback

Cause: a newcomer had no way to see the system run. Change: make demo starts the stand-ins, three entries, three model agents and two desk agents, publishes two services and a contract, sends a streamed completion, one booking twice, one request into drained failure domains, kills an agent under load and prints the audit trail. The emulator gains the command request. Conclusion: a reply whose agent dies in the middle is cut visibly; carrying it on at another backend server is not built yet.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,9 @@
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
 	go test -race -timeout 20m $(SKIP) $(TEST_FLAGS) ./...
 
+demo: build
+	demo/run.sh
+
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "run gofmt"; exit 1; }
 	go vet ./...
--- a/emulator/cli/cli.go
+++ b/emulator/cli/cli.go
@@ -22,6 +22,8 @@
 	Engine EngineCommand `cmd:"" help:"Run the stand-in of a model engine."`
 	Desk   DeskCommand   `cmd:"" help:"Run the stand-in of a plain service."`
 
+	Request RequestCommand `cmd:"" help:"Send one request and print the reply."`
+
 	Load LoadCommand `cmd:"" help:"Send requests and report what became of them."`
 }
 
