Tie cached system test results to the program's sources

Cause: go test reused the result of systemtest although the program had changed, since the test starts the program and did not import it. Change: the test imports io/cli. Conclusion: a cached pass now belongs to the same sources.

--- a/systemtest/main_test.go
+++ b/systemtest/main_test.go
@@ -6,6 +6,10 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+
+	// Go reuses a test result until an imported package changes, so the test
+	// imports the program that it starts.
+	_ "nutmegnotch/io/cli"
 )
 
 // program is the path of the built program.
