core/claim: remember releases for a quarter of the window

The state machine (rapid, 20,000 checks) found a fold that started two windows back and gave a claim another verdict: it missed the release before a copy of an earlier claim. Verdicts now look back a window for claims and a quarter of it for releases, a fold marks older claims as not sure, and the lookback is about 1.6 windows. go test ./core/claim -rapid.checks=15000 passes.

--- a/core/claim/fold.go
+++ b/core/claim/fold.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"math"
 	"time"
 
 	"nutmegnotch/core"
@@ -43,7 +44,8 @@
 // the window, lost claims included. A new claim wins when the key is not held
 // by another claim, and loses to the oldest holder otherwise. Its verdict thus
 // depends only on the records of the window before it, and on the releases of
-// the window before those: every fold that starts two windows back agrees.
+// a quarter of the window before those: every fold that starts Lookback back
+// agrees on new claims and on those of the last quarter of the window.
 //
 // If lost claims did not hold the key, a verdict would depend on whether each
 // earlier claim had won, without limit, and a batcher that starts later would
@@ -54,8 +56,13 @@
 // A second copy of a claim ends in the verdict of the first, and extends the
 // time for which the claim is remembered, since a fold that starts between the
 // two sees only the second.
+//
+// A release makes later copies of its claim void for a quarter of the window.
+// A copy that comes later still holds the key, but its agent never runs it.
 type Fold struct {
 	hold   time.Duration
+	tomb   time.Duration
+	sureMS int64
 	next   int64
 	nowMS  int64
 	slab   slab
@@ -67,10 +74,19 @@
 }
 
 // NewFold returns the empty state of a partition that begins at an offset.
-// Claims are remembered for the window and a margin for clock differences.
-func NewFold(from int64, window time.Duration) *Fold {
+// since is a time from which on all records will be folded; it is zero for a
+// fold of the whole stream. Claims are remembered for the window and a margin
+// for clock differences.
+func NewFold(from int64, since time.Time, window time.Duration) *Fold {
+	hold, tomb := window+clockMargin(window), window/tombPart
+	sure := int64(math.MinInt64)
+	if !since.IsZero() {
+		sure = since.Add(hold + tomb).UnixMilli()
+	}
 	return &Fold{
-		hold:   window + clockMargin(window),
+		hold:   hold,
+		tomb:   tomb,
+		sureMS: sure,
 		next:   from,
 		claims: map[ID]uint32{},
 		keys:   map[Hash]uint32{},
@@ -80,11 +96,16 @@
 }
 
 // Lookback returns how far before the last record a fold has to start, so that
-// it agrees with all others.
+// it agrees with all others. It is less than two windows, the least retention of
+// the log.
 func Lookback(window time.Duration) time.Duration {
-	return 2 * (window + clockMargin(window))
+	return window + clockMargin(window) + 2*window/tombPart
 }
 
+// tombPart is the part of the window for which a release is remembered, and for
+// which a claim that was read can be asked for.
+const tombPart = 4
+
 // Next returns the first offset that is not folded.
 func (f *Fold) Next() int64 { return f.next }
 
@@ -127,6 +148,7 @@
 	}
 	i := f.insert(op.ClaimID)
 	e := f.slab.at(i)
+	e.unsure = f.nowMS < f.sureMS
 	e.key, e.request, e.offset = op.KeyHash, op.RequestHash, offset
 	e.agent = f.agents.add(agent{op.AgentID, op.AgentIncarnation, op.AgentAddress})
 	head, held := f.keys[op.KeyHash]
@@ -148,17 +170,18 @@
 	i, ok := f.claims[id]
 	if !ok {
 		i = f.insert(id)
-		e := f.slab.at(i)
-		e.released, e.result = true, Void
+		f.slab.at(i).result = Void
+		f.slab.setReleased(i)
 		return
 	}
-	f.touch(i)
 	e := f.slab.at(i)
 	if e.released {
+		f.touch(i)
 		return
 	}
 	f.unhold(i)
-	e.released = true
+	f.slab.setReleased(i)
+	e.timeMS = f.nowMS
 	if e.result == Won {
 		e.result = Void
 	}
@@ -198,8 +221,13 @@
 
 // expire forgets what is older than the window by record time.
 func (f *Fold) expire() {
-	limit := f.nowMS - f.hold.Milliseconds()
-	for i := f.slab.front(); i != none && f.slab.at(i).timeMS < limit; i = f.slab.front() {
+	f.expireList(false, f.nowMS-f.hold.Milliseconds())
+	f.expireList(true, f.nowMS-f.tomb.Milliseconds())
+	f.shrink()
+}
+
+func (f *Fold) expireList(released bool, limit int64) {
+	for i := f.slab.front(released); i != none && f.slab.at(i).timeMS < limit; i = f.slab.front(released) {
 		e := f.slab.at(i)
 		if !e.released {
 			f.unhold(i)
@@ -211,7 +239,6 @@
 		delete(f.claims, e.id)
 		f.slab.remove(i)
 	}
-	f.shrink()
 }
 
 // minShrink keeps small maps from being rebuilt.
@@ -245,10 +272,11 @@
 	}
 }
 
-// Verdict returns the verdict of a claim that was read, and Unknown otherwise.
+// Verdict returns the verdict of a claim that was read. It is Unknown for a
+// claim that was not, or that is too old for this fold to be sure.
 func (f *Fold) Verdict(id ID) Verdict {
 	i, ok := f.claims[id]
-	if !ok {
+	if !ok || f.slab.at(i).unsure {
 		return Verdict{}
 	}
 	e := f.slab.at(i)
--- a/core/claim/slab.go
+++ b/core/claim/slab.go
@@ -21,24 +21,43 @@
 	prev, next uint32
 	result     Result
 	released   bool
+	// unsure marks a claim whose verdict may depend on records not folded.
+	unsure bool
 }
 
-// slab holds entries by index in the order of their time.
+// slab holds entries by index. The entries that hold keys and the released ones
+// are two lists in the order of their time.
 type slab struct {
-	chunks      []*[chunkLen]entry
-	used        uint32
-	free        []uint32
-	first, last uint32
-	started     bool
+	chunks   []*[chunkLen]entry
+	used     uint32
+	live     int
+	free     []uint32
+	holding  list
+	released list
+}
+
+// list names its ends by index plus one, so that its zero value is empty.
+type list struct{ first, last uint32 }
+
+func (s *slab) listOf(e *entry) *list {
+	if e.released {
+		return &s.released
+	}
+	return &s.holding
+}
+
+// setReleased moves an entry to the back of the released ones.
+func (s *slab) setReleased(i uint32) {
+	s.unlink(i)
+	s.at(i).released = true
+	s.pushBack(i)
 }
 
 func (s *slab) at(i uint32) *entry { return &s.chunks[i/chunkLen][i%chunkLen] }
 
 // add returns a new entry at the back.
 func (s *slab) add() uint32 {
-	if !s.started {
-		s.first, s.last, s.started = none, none, true
-	}
+	s.live++
 	var i uint32
 	if n := len(s.free); n > 0 {
 		i = s.free[n-1]
@@ -57,24 +76,26 @@
 
 func (s *slab) pushBack(i uint32) {
 	e := s.at(i)
-	e.prev, e.next = s.last, none
-	if s.last == none {
-		s.first = i
+	l := s.listOf(e)
+	e.prev, e.next = l.last-1, none
+	if l.last == 0 {
+		l.first = i + 1
 	} else {
-		s.at(s.last).next = i
+		s.at(l.last - 1).next = i
 	}
-	s.last = i
+	l.last = i + 1
 }
 
 func (s *slab) unlink(i uint32) {
 	e := s.at(i)
+	l := s.listOf(e)
 	if e.prev == none {
-		s.first = e.next
+		l.first = e.next + 1
 	} else {
 		s.at(e.prev).next = e.next
 	}
 	if e.next == none {
-		s.last = e.prev
+		l.last = e.prev + 1
 	} else {
 		s.at(e.next).prev = e.prev
 	}
@@ -89,16 +110,18 @@
 func (s *slab) remove(i uint32) {
 	s.unlink(i)
 	s.free = append(s.free, i)
-	if s.first == none {
+	s.live--
+	if s.live == 0 {
 		*s = slab{}
 	}
 }
 
-func (s *slab) front() uint32 {
-	if !s.started {
-		return none
+// front returns the oldest entry of a list, or none.
+func (s *slab) front(released bool) uint32 {
+	if released {
+		return s.released.first - 1
 	}
-	return s.first
+	return s.holding.first - 1
 }
 
 // agent identifies one incarnation of an agent.
--- a/io/claimlog/partition.go
+++ b/io/claimlog/partition.go
@@ -99,7 +99,7 @@
 		reads:     make(chan readEvent),
 		appends:   make(chan appendResult, 1),
 		done:      make(chan struct{}),
-		fold:      claim.NewFold(0, b.cfg.Window),
+		fold:      claim.NewFold(0, time.Time{}, b.cfg.Window),
 		pending:   map[pendingKey]*pending{},
 		flush:     time.NewTimer(time.Hour),
 		batchTime: minBatchTime,
@@ -167,7 +167,7 @@
 		// A claim that meets a holder loses without an append. A holder that
 		// was released in records not yet read answers as abandoned.
 		logNow := p.fold.Time().Add(time.Since(p.readAt))
-		if h, held := p.fold.Held(r.op.KeyHash, logNow); held && p.pending[pendingKey{id, claim.OpClaim}] == nil {
+		if h, held := p.fold.Held(r.op.KeyHash, logNow); held && h.ClaimID != id && p.pending[pendingKey{id, claim.OpClaim}] == nil {
 			return foldVerdict(id, claim.Verdict{Result: claim.Lost, Holder: h})
 		}
 	}
