--- a/io/claimlog/claimlog_test.go
+++ b/io/claimlog/claimlog_test.go
@@ -40,6 +40,7 @@
 	down    atomic.Bool
 	noReads atomic.Bool
 	appends atomic.Int64
+	age     time.Duration
 }
 
 func newFakeLog() *fakeLog {
@@ -58,7 +59,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := int64(len(l.streams[stream]))
-	l.streams[stream] = append(l.streams[stream], core.Record{Offset: n, Time: time.Now(), Data: data})
+	l.streams[stream] = append(l.streams[stream], core.Record{Offset: n, Time: time.Now().Add(-l.age), Data: data})
 	close(l.grown)
 	l.grown = make(chan struct{})
 	if l.lose.Add(-1) >= 0 {
@@ -110,7 +111,11 @@
 }
 
 func newBench(t testing.TB, entries, partitions int) *bench {
-	b := &bench{log: newFakeLog(), batchers: map[string]*claimlog.Batcher{}, nodes: map[string]*peer.Node{}}
+	return newBenchOn(t, newFakeLog(), entries, partitions)
+}
+
+func newBenchOn(t testing.TB, log *fakeLog, entries, partitions int) *bench {
+	b := &bench{log: log, batchers: map[string]*claimlog.Batcher{}, nodes: map[string]*peer.Node{}}
 	for i := range entries {
 		b.config.EntrySet.Entries = append(b.config.EntrySet.Entries, core.EntryInfo{ID: fmt.Sprint("entry-", i)})
 	}
@@ -281,6 +286,34 @@
 	eventually(t, "reading stops", func() bool { return !next.Ready(context.Background(), 0) })
 }
 
+// Guards against a new batcher that starts too late to see the holder of a key,
+// or that holds keys whose window has passed.
+func TestStartInsideStream(t *testing.T) {
+	log := newFakeLog()
+	write := func(n int, key string) {
+		k := claim.KeyHash("org", "desk", key)
+		data, err := claim.Encode([]claim.Op{{Op: claim.OpClaim, ClaimID: claim.ID{1, byte(n >> 8), byte(n)}, KeyHash: k, AgentID: "a", AgentIncarnation: "i", AgentAddress: "x"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := log.Append(context.Background(), claim.Stream(0), data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, age := range []time.Duration{3 * time.Hour, 50 * time.Minute} {
+		log.age = age
+		for j := range 1500 {
+			write(1500*i+j, fmt.Sprint(age, j))
+		}
+	}
+	log.age = 0
+	write(3000, "recent")
+	b := newBenchOn(t, log, 1, 1)
+	want(t, b.claim("recent"), lost)
+	want(t, b.claim(fmt.Sprint(50*time.Minute, 0)), lost)
+	want(t, b.claim(fmt.Sprint(3*time.Hour, 1499)), won)
+}
+
 func BenchmarkClaims(b *testing.B) {
 	for _, perSecond := range []int{10, 100, 600} {
 		b.Run(fmt.Sprint(perSecond), func(b *testing.B) {
