Keep past entry sets in the state; refuse to run old claims

An agent that was paused for longer than a quarter of the claim window could run a claim that the log had forgotten. Ruled out for claims: the deadline check alone, since a contract may allow a reply time above the window. Conclusion: both gaps are closed; a suspended virtual machine, whose monotonic clock stands still, is not covered.

--- a/agent/desk_test.go
+++ b/agent/desk_test.go
@@ -145,6 +145,21 @@
 	})
 }
 
+// Guards against a run of a claim that the log may have forgotten, after the
+// agent was paused for long.
+func TestOldClaimIsNotRun(t *testing.T) {
+	d := newDesk(t)
+	c := newClaimer()
+	r := startRig(t, deskService, d, func(cfg *agent.Config) { cfg.Claimer, cfg.StoredAge = c, 200*time.Millisecond })
+	c.won = func() { time.Sleep(100 * time.Millisecond) }
+	if got := r.do(bookingHead("q1", "k"), "{}"); !got.verdict.GetNotRun() {
+		t.Errorf("verdict: got %+v, want not run", got.verdict)
+	}
+	if n := len(d.Runs()); n != 0 {
+		t.Errorf("runs: got %d, want 0", n)
+	}
+}
+
 // Guards against a key that stays claimed although its request was never sent.
 func TestUnreachableDeskIsNotRun(t *testing.T) {
 	d := newDesk(t)
--- a/agent/once.go
+++ b/agent/once.go
@@ -18,6 +18,10 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
+// claimAgeParts is the part of the claim window within which a won claim may
+// run. Later the log may have forgotten it and given the key to another claim.
+const claimAgeParts = 4
+
 // runOnce runs a request that must not run twice, if it wins the claim.
 func (t *serverTask) runOnce(ctx context.Context) {
 	c, refusal, ok := t.claim()
@@ -61,6 +65,7 @@
 		AgentAddress:     self.Address,
 		DeadlineUnixMs:   t.request.Deadline.UnixMilli(),
 	}
+	t.claimedAt = time.Now()
 	timeout := min(t.agent.cfg.ClaimTimeout, time.Until(t.request.Deadline))
 	ctx, cancel := context.WithTimeout(t.gone, timeout)
 	defer cancel()
@@ -103,6 +108,9 @@
 	if t.gone.Err() != nil {
 		return refuse(core.CodeConnectionBroken, "the caller has gone", 0), false
 	}
+	if time.Since(t.claimedAt) > t.agent.cfg.StoredAge/claimAgeParts {
+		return refuse(core.CodeLogUnavailable, "the claim is too old to run", retryLater), false
+	}
 	return t.agent.admission.mayRun(t.request, time.Now())
 }
 
--- a/agent/server.go
+++ b/agent/server.go
@@ -36,6 +36,8 @@
 	gone     context.Context
 	verdict  atomic.Bool
 	admitted admitted
+	// claimedAt is when the claim was asked for.
+	claimedAt time.Time
 }
 
 // ServeRequest serves one request stream.
--- a/core/config/checkpoint.go
+++ b/core/config/checkpoint.go
@@ -12,8 +12,9 @@
 type state struct {
 	Objects  []Object  `json:"objects"`
 	Outcomes []Outcome `json:"outcomes"`
-	// PreviousEntrySet is the entry set before the current one.
-	PreviousEntrySet []core.EntryInfo `json:"previous_entry_set,omitempty"`
+	// PastEntrySets holds the last entry sets, oldest first, the present one
+	// included.
+	PastEntrySets []core.VersionedEntrySet `json:"past_entry_sets,omitempty"`
 }
 
 type checkpoint struct {
@@ -23,7 +24,7 @@
 }
 
 func (f *Fold) state() *state {
-	s := &state{Objects: f.Objects(""), Outcomes: make([]Outcome, 0, len(f.order)), PreviousEntrySet: f.previous.Entries}
+	s := &state{Objects: f.Objects(""), Outcomes: make([]Outcome, 0, len(f.order)), PastEntrySets: f.cfg.PastEntrySets}
 	for _, id := range f.order {
 		s.Outcomes = append(s.Outcomes, f.outcomes[id])
 	}
@@ -108,7 +109,27 @@
 		}
 		f.remember(o)
 	}
-	f.setPrevious(core.EntrySet{Entries: s.PreviousEntrySet})
+	if err := f.restorePast(s.PastEntrySets, next); err != nil {
+		return nil, err
+	}
 	f.next = next
 	return f, nil
 }
+
+// restorePast checks that the entry sets are in order and end in the present
+// one.
+func (f *Fold) restorePast(past []core.VersionedEntrySet, next int64) error {
+	present := f.objects[core.ObjectEntrySet].Version
+	last := int64(0)
+	for _, p := range past {
+		if p.Version <= last || p.Version >= next {
+			return fmt.Errorf("restore entry set of version %d at offset %d: %w", p.Version, next, core.ErrInvalid)
+		}
+		last = p.Version
+	}
+	if last != present || len(past) > maxPastEntrySets {
+		return fmt.Errorf("restore %d entry sets up to version %d, the present version is %d: %w", len(past), last, present, core.ErrInvalid)
+	}
+	f.setPast(past)
+	return nil
+}
--- a/core/config/fold.go
+++ b/core/config/fold.go
@@ -25,8 +25,6 @@
 	outcomes map[string]Outcome
 	order    []string
 	cfg      core.Configuration
-	// previous is the entry set before the current one.
-	previous core.EntrySet
 	// paths, models and tokens map what must be unique to its owner.
 	paths  map[string]string
 	models map[string]string
@@ -86,19 +84,37 @@
 	return list
 }
 
+// maxPastEntrySets bounds the entry sets that the state holds. Entries propose
+// a set at most every 2 s, and credit looks back 8 s.
+const maxPastEntrySets = 8
+
 // PreviousEntrySet returns the entry set before the current one.
-func (f *Fold) PreviousEntrySet() core.EntrySet { return f.previous }
+func (f *Fold) PreviousEntrySet() core.EntrySet {
+	if n := len(f.cfg.PastEntrySets); n > 1 {
+		return f.cfg.PastEntrySets[n-2].Set
+	}
+	return core.EntrySet{}
+}
+
+// addEntrySet remembers a new entry set and forgets the oldest one.
+func (f *Fold) addEntrySet(version int64, set core.EntrySet) {
+	past := f.cfg.PastEntrySets
+	if len(past) >= maxPastEntrySets {
+		past = past[len(past)-maxPastEntrySets+1:]
+	}
+	f.setPast(append(append([]core.VersionedEntrySet{}, past...), core.VersionedEntrySet{Version: version, Set: set}))
+}
 
-func (f *Fold) setPrevious(s core.EntrySet) {
-	f.hash ^= entrySetHash(f.previous) ^ entrySetHash(s)
-	f.previous = s
+func (f *Fold) setPast(past []core.VersionedEntrySet) {
+	f.hash ^= pastHash(f.cfg.PastEntrySets) ^ pastHash(past)
+	f.cfg.PastEntrySets = past
 }
 
-func entrySetHash(s core.EntrySet) uint64 {
-	if len(s.Entries) == 0 {
+func pastHash(past []core.VersionedEntrySet) uint64 {
+	if len(past) == 0 {
 		return 0
 	}
-	return xxhash.Sum64String(fmt.Sprintf("p %q", s.Entries))
+	return xxhash.Sum64String(fmt.Sprintf("p %v", past))
 }
 
 // Configuration returns the immutable configuration at NextOffset.
@@ -170,7 +186,7 @@
 		return reject(err.Error())
 	}
 	if v.entrySet != nil {
-		f.setPrevious(f.cfg.EntrySet)
+		f.addEntrySet(offset, *v.entrySet)
 	}
 	if exists {
 		f.unset(current)
--- a/core/config/fold_test.go
+++ b/core/config/fold_test.go
@@ -259,3 +259,32 @@
 		}
 	})
 }
+
+// Guards against a process that starts from a checkpoint and does not know the
+// entry sets in between, whose homes may still admit work.
+func TestPastEntrySetsSurviveCheckpoint(t *testing.T) {
+	const changes = 12
+	f := config.New()
+	fold(t, f, []core.Record{{Offset: 0, Data: []byte(`{}`)}})
+	based := int64(0)
+	for i := int64(1); i <= changes; i++ {
+		value := json.RawMessage(fmt.Sprintf(`{"entries":[{"id":"e%d","address":"127.0.0.1:1","failure_domain":"d","region":"r"}]}`, i))
+		fold(t, f, []core.Record{record(t, i, config.Change{ChangeID: fmt.Sprint(i), Object: core.ObjectEntrySet, BasedOn: based, Value: value})})
+		based = i
+	}
+	data, err := f.EncodeState()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := config.DecodeState(f.NextOffset(), data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, want := restored.Configuration().PastEntrySets, f.Configuration().PastEntrySets
+	if len(got) != 8 || fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("past entry sets: got %v, want the last 8 of %v", got, want)
+	}
+	if got, want := restored.Hash(), f.Hash(); got != want {
+		t.Errorf("hash: got %d, want %d", got, want)
+	}
+}
