--- a/core/expertmap.go
+++ b/core/expertmap.go
@@ -1,13 +1,16 @@
 package core
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // ExpertMap places the experts of every layer on ranks. Replicas[l][e] lists
 // the ranks that hold expert e of layer l; the load of an expert is divided
 // evenly among its replicas.
 type ExpertMap struct {
-	Version  int64
-	Replicas [][][]int
+	Version  int64     `json:"version"`
+	Replicas [][][]int `json:"replicas"`
 }
 
 // Grant lets one rank run the steps [FromStep, ToStep) with one map version.
@@ -29,3 +32,48 @@
 	// whether it differs from the current one.
 	Plan(current ExpertMap, load ExpertLoad, now time.Time) (ExpertMap, bool)
 }
+
+// Run orders an engine to run the steps [From, To) with one map version. An
+// engine takes it only when its generation matches and From is its horizon; a
+// run that it already holds has no effect.
+type Run struct {
+	Generation int64 `json:"generation"`
+	Fence      int64 `json:"fence"`
+	From       int64 `json:"from"`
+	To         int64 `json:"to"`
+	MapVersion int64 `json:"map_version"`
+}
+
+// RankState is what the engine of a rank knows of itself. Generation 0 means
+// that it has never been started or has lost its state. Runs lists the newest
+// runs that it was ordered, in order of steps.
+type RankState struct {
+	Incarnation string `json:"incarnation"`
+	// Fencing reports that the engine keeps the highest fence and refuses
+	// orders with a lower one.
+	Fencing        bool    `json:"fencing"`
+	Fence          int64   `json:"fence"`
+	Generation     int64   `json:"generation"`
+	Stopped        bool    `json:"stopped"`
+	Step           int64   `json:"step"`
+	Horizon        int64   `json:"horizon"`
+	MapVersion     int64   `json:"map_version"`
+	LoadedVersions []int64 `json:"loaded_versions"`
+	Runs           []Run   `json:"runs"`
+}
+
+// RankEngine is the engine of one rank of a group. Only the agent beside it
+// gives it orders. ErrStaleFence reports a refused fence, ErrConflict an order
+// that does not fit the engine's state, and ErrUnavailable an unknown effect.
+type RankEngine interface {
+	State(ctx context.Context) (RankState, error)
+	// Fence tells the engine the highest fence. Engines without fencing ignore it.
+	Fence(ctx context.Context, fence int64) error
+	// Load starts loading a map and returns before it is loaded.
+	Load(ctx context.Context, fence int64, m ExpertMap) error
+	Run(ctx context.Context, r Run) error
+	// Stop gives up the steps not yet run and enters a generation, stopped.
+	Stop(ctx context.Context, generation, fence int64) error
+	// Start sets step and horizon of a stopped engine.
+	Start(ctx context.Context, generation, fence, step int64) error
+}
--- /dev/null
+++ b/core/expertmap/leader.go
@@ -0,0 +1,409 @@
+package expertmap
+
+import (
+	"slices"
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// phase is what a leader is doing.
+type phase int
+
+const (
+	phaseCollect phase = iota
+	phaseStop
+	phaseLoad
+	phaseBegin
+	phaseRun
+)
+
+// maxMapsPerLeader bounds the maps that one leader can name.
+const maxMapsPerLeader = 1 << 20
+
+// Message is one message of a leader to a rank. Exactly one of the pointers is
+// set.
+type Message struct {
+	Rank    int
+	Collect *Collect
+	Grant   *core.Grant
+	Load    *LoadMap
+	Stop    *Stop
+	Begin   *Begin
+}
+
+// rankView is what the leader knows of one rank.
+type rankView struct {
+	answer   *CollectAnswer
+	horizon  int64
+	loaded   []int64
+	stopped  bool
+	begun    bool
+	last     Message
+	sent     time.Time
+	loadSent time.Time
+	acked    bool
+}
+
+// Leader grants steps to all ranks of a group under one fence. One task owns
+// it. It is only safe because ranks refuse lower fences; it needs no lease.
+type Leader struct {
+	group      string
+	fence      int64
+	ranks      []rankView
+	phase      phase
+	deposed    bool
+	generation int64
+	start      int64
+	// plan holds the grants of the generation in order of steps. It is only
+	// ever appended to, so that no step is granted with two maps.
+	plan    []core.Grant
+	planEnd int64
+	current int64
+	pending int64
+	maps    map[int64]core.ExpertMap
+	mapsNew int64
+	step    int64
+	resets  int
+}
+
+// NewLeader returns a leader with the fence of its record. maps are the maps
+// whose content is known here. fallback is used when a generation has to begin
+// and the map used so far is not known here.
+func NewLeader(group string, fence int64, ranks int, maps map[int64]core.ExpertMap, fallback core.ExpertMap) *Leader {
+	l := &Leader{group: group, fence: fence, ranks: make([]rankView, ranks), maps: map[int64]core.ExpertMap{}}
+	for v, m := range maps {
+		l.maps[v] = m
+	}
+	l.maps[0] = fallback
+	return l
+}
+
+// Fence returns the fence of the leader.
+func (l *Leader) Fence() int64 { return l.fence }
+
+// Deposed reports that a rank has seen a higher fence.
+func (l *Leader) Deposed() bool { return l.deposed }
+
+// Running reports whether all ranks take grants.
+func (l *Leader) Running() bool { return l.phase == phaseRun }
+
+// Current returns the map version of new grants and Pending the one being
+// loaded, 0 when there is none.
+func (l *Leader) Current() int64 { return l.current }
+
+// Pending returns the map version that ranks are loading.
+func (l *Leader) Pending() int64 { return l.pending }
+
+// Generation returns the generation of the group.
+func (l *Leader) Generation() int64 { return l.generation }
+
+// Resets returns how many generations this leader has begun.
+func (l *Leader) Resets() int { return l.resets }
+
+// PlanEnd returns the step up to which steps have been granted.
+func (l *Leader) PlanEnd() int64 { return l.planEnd }
+
+// Map returns the content of a map version.
+func (l *Leader) Map(version int64) (core.ExpertMap, bool) {
+	m, ok := l.maps[version]
+	return m, ok && version != 0
+}
+
+// Propose starts a change to another map and returns its version. It reports
+// false while the group is not running or another change is under way.
+func (l *Leader) Propose(m core.ExpertMap) (int64, bool) {
+	if l.deposed || l.phase != phaseRun || l.pending != 0 {
+		return 0, false
+	}
+	l.pending = l.name(m)
+	return l.pending, true
+}
+
+// name gives a map a version that no other leader can give.
+func (l *Leader) name(m core.ExpertMap) int64 {
+	l.mapsNew++
+	m.Version = (l.fence+1)*maxMapsPerLeader + l.mapsNew
+	l.maps[m.Version] = m
+	return m.Version
+}
+
+// Step tells how far the group has come. Any rank's step will do, as no rank
+// runs ahead of another by more than one step.
+func (l *Leader) Step(step int64) {
+	l.step = step
+	if l.deposed || l.phase != phaseRun || step < l.planEnd-renewSteps {
+		return
+	}
+	l.plan = append(l.plan, core.Grant{Group: l.group, Generation: l.generation, Fence: l.fence,
+		FromStep: l.planEnd, ToStep: l.planEnd + GrantSteps, MapVersion: l.current})
+	l.planEnd += GrantSteps
+	l.trim()
+}
+
+// trim forgets grants that every rank holds, except the newest ones.
+func (l *Leader) trim() {
+	low := l.planEnd
+	for i := range l.ranks {
+		low = min(low, l.ranks[i].horizon)
+	}
+	for len(l.plan) > recentGrants && l.plan[0].ToStep <= low {
+		l.plan = l.plan[1:]
+	}
+}
+
+// Answered takes the answer of a rank to Collect.
+func (l *Leader) Answered(a CollectAnswer) {
+	if !l.knows(a.Rank, a.HighestFence) || a.Fence != l.fence || a.HighestFence != l.fence || l.phase != phaseCollect {
+		return
+	}
+	r := &l.ranks[a.Rank]
+	r.acked, r.answer, r.horizon, r.loaded = true, &a, a.Horizon, a.Loaded
+	for i := range l.ranks {
+		if l.ranks[i].answer == nil {
+			return
+		}
+	}
+	l.takeOver()
+}
+
+// knows checks rank and fence of an answer. It reports false when the answer
+// must be ignored.
+func (l *Leader) knows(rank int, fence int64) bool {
+	if rank < 0 || rank >= len(l.ranks) {
+		return false
+	}
+	if fence > l.fence {
+		l.deposed = true
+	}
+	return !l.deposed
+}
+
+// takeOver goes on from what all ranks have answered.
+func (l *Leader) takeOver() {
+	first := l.ranks[0].answer
+	low, high := first.Horizon, first.Horizon
+	same := true
+	for i := range l.ranks {
+		a := l.ranks[i].answer
+		low, high = min(low, a.Horizon), max(high, a.Horizon)
+		l.generation = max(l.generation, a.Generation)
+		same = same && !a.StateLost && !a.Stopped && a.Generation == first.Generation
+	}
+	l.planEnd = high
+	plan, ok := l.adopt(low, high)
+	if !same || !ok {
+		l.reset()
+		return
+	}
+	l.plan, l.current, l.phase = plan, plan[len(plan)-1].MapVersion, phaseRun
+}
+
+// adopt joins the recent grants of all ranks from below low up to high. It
+// reports false when a step is missing or has two maps.
+func (l *Leader) adopt(low, high int64) ([]core.Grant, bool) {
+	var all []core.Grant
+	for i := range l.ranks {
+		for _, g := range l.ranks[i].answer.Recent {
+			if g.Generation == l.generation {
+				all = append(all, g)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b core.Grant) int { return int(a.FromStep - b.FromStep) })
+	var plan []core.Grant
+	at := low
+	for _, g := range all {
+		if n := len(plan); n > 0 && g.FromStep < at && g.ToStep > plan[n-1].FromStep && g.MapVersion != plan[n-1].MapVersion {
+			return nil, false
+		}
+		if g.FromStep > at && at < high {
+			return nil, false
+		}
+		if n := len(plan); n == 0 && g.ToStep >= low || g.ToStep > at {
+			if n > 0 {
+				g.FromStep = at
+			}
+			plan, at = append(plan, g), g.ToStep
+		}
+	}
+	return plan, len(plan) > 0 && at == high
+}
+
+// reset begins a new generation: all ranks stop, load the current map and
+// begin above every known horizon.
+func (l *Leader) reset() {
+	l.generation++
+	l.resets++
+	l.phase = phaseStop
+	if l.pending != 0 {
+		delete(l.maps, l.pending)
+		l.pending = 0
+	}
+	if l.current == 0 {
+		l.current = l.newestKnown()
+	}
+	for i := range l.ranks {
+		l.ranks[i].stopped, l.ranks[i].begun, l.ranks[i].sent = false, false, time.Time{}
+	}
+}
+
+// newestKnown returns the map of the last grant that any rank holds when its
+// content is known, else a new version of the fallback map.
+func (l *Leader) newestKnown() int64 {
+	var newest core.Grant
+	for i := range l.ranks {
+		if a := l.ranks[i].answer; a != nil && len(a.Recent) > 0 {
+			if g := a.Recent[len(a.Recent)-1]; g.ToStep > newest.ToStep {
+				newest = g
+			}
+		}
+	}
+	if _, ok := l.maps[newest.MapVersion]; ok && newest.MapVersion != 0 {
+		return newest.MapVersion
+	}
+	return l.name(l.maps[0])
+}
+
+// Stopped takes the answer of a rank to Stop.
+func (l *Leader) Stopped(a StopAck) {
+	if !l.knows(a.Rank, a.HighestFence) || l.phase == phaseCollect || l.phase == phaseRun {
+		return
+	}
+	r := &l.ranks[a.Rank]
+	r.acked = true
+	if !a.Stopped {
+		if a.Generation >= l.generation {
+			l.generation = a.Generation
+			l.reset()
+		}
+		return
+	}
+	if a.Generation != l.generation || l.phase != phaseStop {
+		return
+	}
+	r.stopped, r.loaded, r.horizon = true, a.Loaded, max(r.horizon, a.Horizon)
+	l.planEnd = max(l.planEnd, a.Horizon)
+	if l.all(func(r *rankView) bool { return r.stopped }) {
+		l.phase = phaseLoad
+		l.start = l.planEnd + restartGap
+		l.plan = nil
+		l.loadedAll()
+	}
+}
+
+func (l *Leader) all(f func(*rankView) bool) bool {
+	for i := range l.ranks {
+		if !f(&l.ranks[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// loadedAll goes on when all ranks have loaded the map that is waited for.
+func (l *Leader) loadedAll() {
+	want := l.pending
+	if l.phase == phaseLoad {
+		want = l.current
+	}
+	if want == 0 || !l.all(func(r *rankView) bool { return slices.Contains(r.loaded, want) }) {
+		return
+	}
+	switch l.phase {
+	case phaseLoad:
+		l.phase = phaseBegin
+	case phaseRun:
+		l.current, l.pending = l.pending, 0
+	default:
+	}
+}
+
+// Loaded takes the answer of a rank to LoadMap.
+func (l *Leader) Loaded(a LoadAck) {
+	if !l.knows(a.Rank, a.HighestFence) || l.phase == phaseCollect {
+		return
+	}
+	r := &l.ranks[a.Rank]
+	r.acked = true
+	if a.StateLost {
+		l.lost()
+		return
+	}
+	if a.Loaded && !slices.Contains(r.loaded, a.Version) {
+		r.loaded = append(r.loaded, a.Version)
+		l.loadedAll()
+	}
+}
+
+// lost begins a new generation unless ranks are being stopped for one already.
+func (l *Leader) lost() {
+	if l.phase != phaseStop {
+		l.reset()
+	}
+}
+
+// Began takes the answer of a rank to Begin.
+func (l *Leader) Began(a BeginAck) {
+	if !l.knows(a.Rank, a.HighestFence) || l.phase != phaseBegin {
+		return
+	}
+	r := &l.ranks[a.Rank]
+	r.acked = true
+	if a.StateLost {
+		l.lost()
+		return
+	}
+	if !a.Begun || a.Generation != l.generation {
+		return
+	}
+	r.begun, r.horizon = true, l.start
+	if l.all(func(r *rankView) bool { return r.begun }) {
+		l.phase, l.planEnd = phaseRun, l.start
+		l.Step(l.start)
+	}
+}
+
+// Granted takes the answer of a rank to a grant. A refusal tells the horizon
+// from which the rank is filled up again.
+func (l *Leader) Granted(a GrantAck) {
+	if !l.knows(a.Rank, a.HighestFence) || l.phase != phaseRun {
+		return
+	}
+	r := &l.ranks[a.Rank]
+	r.acked = true
+	switch {
+	case a.StateLost:
+		l.lost()
+	case a.Generation < l.generation:
+	case a.Generation > l.generation || a.Horizon > l.planEnd:
+		l.generation = max(l.generation, a.Generation)
+		l.planEnd = max(l.planEnd, a.Horizon)
+		l.reset()
+	case !a.Accepted && a.Horizon == r.horizon:
+		l.refused(r)
+	default:
+		r.horizon = a.Horizon
+		if _, ok := l.next(r.horizon); !ok && r.horizon < l.planEnd {
+			l.reset()
+		}
+	}
+}
+
+// refused forgets that the rank has loaded the map of its next grant.
+func (l *Leader) refused(r *rankView) {
+	if g, ok := l.next(r.horizon); ok {
+		r.loaded = slices.DeleteFunc(slices.Clone(r.loaded), func(v int64) bool { return v == g.MapVersion })
+	}
+}
+
+// next returns the part of the plan that follows a horizon.
+func (l *Leader) next(horizon int64) (core.Grant, bool) {
+	for _, g := range l.plan {
+		if g.FromStep <= horizon && horizon < g.ToStep {
+			g.FromStep, g.Fence, g.Generation = horizon, l.fence, l.generation
+			return g, true
+		}
+	}
+	return core.Grant{}, false
+}
--- /dev/null
+++ b/core/expertmap/rank.go
@@ -0,0 +1,189 @@
+package expertmap
+
+import (
+	"slices"
+
+	"nutmegnotch/core"
+)
+
+// Rank decides at an agent which orders of leaders its engine gets. One task
+// owns it. It counts a grant as given from the moment it accepts it, whether
+// or not the engine has got the order yet.
+type Rank struct {
+	group      string
+	rank       int
+	recovered  bool
+	fence      int64
+	generation int64
+	horizon    int64
+	recent     []core.Grant
+	loaded     []int64
+	stateLost  bool
+	stopped    bool
+}
+
+// NewRank returns a rank that answers nothing until Recover.
+func NewRank(group string, rank int) *Rank { return &Rank{group: group, rank: rank} }
+
+// Recover takes over the state of the engine. fence is the highest fence that
+// the rank may have seen before: for an engine that keeps fences its own, else
+// the highest offset of the group in the leaders stream, read to its end.
+func (r *Rank) Recover(s core.RankState, fence int64) {
+	r.recovered = true
+	r.fence = max(r.fence, fence, s.Fence)
+	r.loaded = slices.Clone(s.LoadedVersions)
+	r.generation, r.horizon, r.stopped = s.Generation, s.Horizon, s.Stopped
+	r.stateLost = s.Generation == 0
+	r.recent = nil
+	for _, run := range s.Runs {
+		r.remember(core.Grant{Group: r.group, Generation: run.Generation, Fence: run.Fence,
+			FromStep: run.From, ToStep: run.To, MapVersion: run.MapVersion})
+	}
+}
+
+// Recovered reports whether the rank may answer.
+func (r *Rank) Recovered() bool { return r.recovered }
+
+// EngineLost tells that the engine has restarted without its state. The rank
+// keeps its horizon, since no later generation may begin below it.
+func (r *Rank) EngineLost() { r.stateLost, r.loaded = true, nil }
+
+// SetLoaded tells which map versions the engine holds.
+func (r *Rank) SetLoaded(versions []int64) { r.loaded = slices.Clone(versions) }
+
+// Fence returns the highest fence seen.
+func (r *Rank) Fence() int64 { return r.fence }
+
+// Horizon returns the step up to which the rank has been granted.
+func (r *Rank) Horizon() int64 { return r.horizon }
+
+// Generation returns the generation of the rank.
+func (r *Rank) Generation() int64 { return r.generation }
+
+// StateLost reports that only a new generation lets the rank go on.
+func (r *Rank) StateLost() bool { return r.stateLost }
+
+// MapVersion returns the map of the last granted step, or 0.
+func (r *Rank) MapVersion() int64 {
+	if len(r.recent) == 0 {
+		return 0
+	}
+	return r.recent[len(r.recent)-1].MapVersion
+}
+
+// Heeds reports whether an order with this fence is not stale, and records the
+// fence.
+func (r *Rank) Heeds(fence int64) bool {
+	if !r.recovered || fence < r.fence {
+		return false
+	}
+	r.fence = fence
+	return true
+}
+
+// Collect records the fence and answers with the state of the rank. The caller
+// tells the fence to the engine before it sends the answer.
+func (r *Rank) Collect(c Collect) CollectAnswer {
+	a := CollectAnswer{Rank: r.rank, Fence: c.Fence}
+	if r.Heeds(c.Fence) {
+		a.Generation, a.Horizon, a.Recent = r.generation, r.horizon, slices.Clone(r.recent)
+		a.Loaded, a.StateLost, a.Stopped = slices.Clone(r.loaded), r.stateLost, r.stopped
+	}
+	a.HighestFence = r.fence
+	return a
+}
+
+// Grant accepts a grant that continues at the horizon, acknowledges one that
+// it holds and refuses any other.
+func (r *Rank) Grant(g core.Grant) GrantAck {
+	accepted := r.Heeds(g.Fence) && r.accept(g)
+	return GrantAck{Rank: r.rank, Accepted: accepted, Horizon: r.horizon, HighestFence: r.fence,
+		Generation: r.generation, StateLost: r.stateLost}
+}
+
+func (r *Rank) accept(g core.Grant) bool {
+	if r.stateLost || r.stopped || g.Generation != r.generation || g.ToStep <= g.FromStep {
+		return false
+	}
+	if g.FromStep == r.horizon {
+		if !slices.Contains(r.loaded, g.MapVersion) {
+			return false
+		}
+		r.remember(g)
+		r.horizon = g.ToStep
+		return true
+	}
+	return r.holds(g)
+}
+
+// holds reports whether every step of g is granted with the same map.
+func (r *Rank) holds(g core.Grant) bool {
+	at := g.FromStep
+	for _, have := range r.recent {
+		if have.FromStep <= at && at < have.ToStep && have.MapVersion == g.MapVersion {
+			at = have.ToStep
+		}
+	}
+	return at >= g.ToStep
+}
+
+func (r *Rank) remember(g core.Grant) {
+	r.recent = append(r.recent, g)
+	if n := len(r.recent) - recentGrants; n > 0 {
+		r.recent = slices.Clone(r.recent[n:])
+	}
+}
+
+// Orders returns the runs that an engine with this horizon still has to get.
+func (r *Rank) Orders(engineHorizon int64) []core.Run {
+	if r.stateLost || r.stopped {
+		return nil
+	}
+	var runs []core.Run
+	for _, g := range r.recent {
+		if g.ToStep > engineHorizon && g.Generation == r.generation {
+			runs = append(runs, core.Run{Generation: g.Generation, Fence: r.fence,
+				From: max(g.FromStep, engineHorizon), To: g.ToStep, MapVersion: g.MapVersion})
+		}
+	}
+	return runs
+}
+
+// MayStop reports whether a Stop is to be passed on to the engine. Stopped is
+// called once the engine has stopped.
+func (r *Rank) MayStop(s Stop) bool {
+	return r.Heeds(s.Fence) && s.Generation > r.generation
+}
+
+// Stopped enters the generation of s and answers it.
+func (r *Rank) Stopped(s Stop) {
+	r.generation, r.stopped, r.stateLost, r.recent = s.Generation, true, false, nil
+}
+
+// StopAck answers a Stop.
+func (r *Rank) StopAck(s Stop) StopAck {
+	return StopAck{Rank: r.rank, Stopped: r.stopped && !r.stateLost && r.generation == s.Generation,
+		Generation: r.generation, Horizon: r.horizon, HighestFence: r.fence, Loaded: slices.Clone(r.loaded)}
+}
+
+// MayBegin reports whether a Begin is to be passed on to the engine. Begun is
+// called once the engine has started.
+func (r *Rank) MayBegin(b Begin) bool {
+	return r.Heeds(b.Fence) && r.stopped && !r.stateLost && b.Generation == r.generation && b.Step >= r.horizon
+}
+
+// Begun sets the horizon to the first step of the generation.
+func (r *Rank) Begun(b Begin) { r.stopped, r.horizon = false, b.Step }
+
+// BeginAck answers a Begin.
+func (r *Rank) BeginAck(b Begin) BeginAck {
+	return BeginAck{Rank: r.rank, Begun: !r.stopped && !r.stateLost && r.generation == b.Generation && r.horizon >= b.Step,
+		Generation: r.generation, HighestFence: r.fence, StateLost: r.stateLost}
+}
+
+// LoadAck answers a LoadMap. The caller passes the order on to the engine when
+// Heeds allows it.
+func (r *Rank) LoadAck(m LoadMap) LoadAck {
+	return LoadAck{Rank: r.rank, Version: m.Version, Loaded: slices.Contains(r.loaded, m.Version),
+		HighestFence: r.fence, StateLost: r.stateLost}
+}
