--- a/core/expertmap.go
+++ b/core/expertmap.go
@@ -72,8 +72,9 @@
 	// Load starts loading a map and returns before it is loaded.
 	Load(ctx context.Context, fence int64, m ExpertMap) error
 	Run(ctx context.Context, r Run) error
-	// Stop gives up the steps not yet run and enters a generation, stopped.
-	Stop(ctx context.Context, generation, fence int64) error
+	// Stop gives up the steps not yet run and enters a generation, stopped. The
+	// engine reports horizon as its own from then on, unless its own is higher.
+	Stop(ctx context.Context, generation, fence, horizon int64) error
 	// Start sets step and horizon of a stopped engine.
 	Start(ctx context.Context, generation, fence, step int64) error
 }
--- a/core/expertmap/doc.go
+++ b/core/expertmap/doc.go
@@ -50,7 +50,6 @@
 	Stopped      bool
 }
 
-
 // GrantAck answers a grant.
 type GrantAck struct {
 	Rank         int
@@ -76,10 +75,12 @@
 	StateLost    bool
 }
 
-// Stop ends the generation that a rank runs.
+// Stop ends the generation that a rank runs. Horizon is the highest horizon
+// that the leader knows, so that ranks remember it for those that lost theirs.
 type Stop struct {
 	Fence      int64
 	Generation int64
+	Horizon    int64
 }
 
 // StopAck answers a Stop.
--- a/core/expertmap/leader.go
+++ b/core/expertmap/leader.go
@@ -1,6 +1,7 @@
 package expertmap
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -199,42 +200,66 @@
 	l.plan, l.current, l.phase = plan, plan[len(plan)-1].MapVersion, phaseRun
 }
 
-// adopt joins the recent grants of all ranks from below low up to high. It
-// reports false when a step is missing or has two maps.
+// adopt joins the recent grants of all ranks to one plan that covers low to
+// high. It reports false when a step is missing or has two maps.
 func (l *Leader) adopt(low, high int64) ([]core.Grant, bool) {
+	var plan []core.Grant
+	for _, g := range l.recent() {
+		if n := len(plan); n > 0 {
+			end := plan[n-1].ToStep
+			if g.FromStep > end {
+				plan = nil
+			} else if g.ToStep <= end {
+				continue
+			} else {
+				g.FromStep = end
+			}
+		}
+		plan = append(plan, g)
+	}
+	n := len(plan)
+	ok := n > 0 && plan[0].FromStep <= low && plan[n-1].ToStep == high
+	return plan, ok && !l.conflict(plan)
+}
+
+// recent returns the different grants that ranks hold, in order of steps.
+func (l *Leader) recent() []core.Grant {
+	seen := map[core.Grant]bool{}
 	var all []core.Grant
 	for i := range l.ranks {
 		for _, g := range l.ranks[i].answer.Recent {
-			if g.Generation == l.generation {
+			g.Fence, g.Group = 0, l.group
+			if g.Generation == l.generation && !seen[g] {
+				seen[g] = true
 				all = append(all, g)
 			}
 		}
 	}
-	slices.SortFunc(all, func(a, b core.Grant) int { return int(a.FromStep - b.FromStep) })
-	var plan []core.Grant
-	at := low
-	for _, g := range all {
-		if n := len(plan); n > 0 && g.FromStep < at && g.ToStep > plan[n-1].FromStep && g.MapVersion != plan[n-1].MapVersion {
-			return nil, false
-		}
-		if g.FromStep > at && at < high {
-			return nil, false
-		}
-		if n := len(plan); n == 0 && g.ToStep >= low || g.ToStep > at {
-			if n > 0 {
-				g.FromStep = at
+	slices.SortFunc(all, func(a, b core.Grant) int {
+		return cmp.Or(cmp.Compare(a.FromStep, b.FromStep), cmp.Compare(a.ToStep, b.ToStep))
+	})
+	return all
+}
+
+// conflict reports whether a rank holds a grant that names another map than
+// the plan.
+func (l *Leader) conflict(plan []core.Grant) bool {
+	for _, g := range l.recent() {
+		for _, p := range plan {
+			if g.FromStep < p.ToStep && p.FromStep < g.ToStep && g.MapVersion != p.MapVersion {
+				return true
 			}
-			plan, at = append(plan, g), g.ToStep
 		}
 	}
-	return plan, len(plan) > 0 && at == high
+	return false
 }
 
 // reset begins a new generation: all ranks stop, load the current map and
 // begin above every known horizon.
 func (l *Leader) reset() {
-	l.generation++
+	l.generation = max(l.generation, l.fence) + 1
 	l.resets++
+	l.planEnd = max(l.planEnd, l.start)
 	l.phase = phaseStop
 	if l.pending != 0 {
 		delete(l.maps, l.pending)
--- a/core/expertmap/messages.go
+++ b/core/expertmap/messages.go
@@ -57,7 +57,7 @@
 	case phaseCollect:
 		return Message{Rank: rank, Collect: &Collect{Fence: l.fence}}, true
 	case phaseStop, phaseLoad:
-		return Message{Rank: rank, Stop: &Stop{Fence: l.fence, Generation: l.generation}}, true
+		return Message{Rank: rank, Stop: &Stop{Fence: l.fence, Generation: l.generation, Horizon: l.planEnd}}, true
 	case phaseBegin:
 		return Message{Rank: rank, Begin: &Begin{Fence: l.fence, Generation: l.generation, Step: l.start}}, true
 	default:
--- a/core/expertmap/rank.go
+++ b/core/expertmap/rank.go
@@ -152,11 +152,19 @@
 // MayStop reports whether a Stop is to be passed on to the engine. Stopped is
 // called once the engine has stopped.
 func (r *Rank) MayStop(s Stop) bool {
-	return r.Heeds(s.Fence) && s.Generation > r.generation
+	if !r.Heeds(s.Fence) {
+		return false
+	}
+	again := r.stopped && s.Generation == r.generation && s.Horizon > r.horizon
+	return s.Generation > r.generation || again
 }
 
-// Stopped enters the generation of s and answers it.
+// StopHorizon returns the horizon that a stopped engine has to remember.
+func (r *Rank) StopHorizon(s Stop) int64 { return max(r.horizon, s.Horizon) }
+
+// Stopped enters the generation of s.
 func (r *Rank) Stopped(s Stop) {
+	r.horizon = r.StopHorizon(s)
 	r.generation, r.stopped, r.stateLost, r.recent = s.Generation, true, false, nil
 }
 
