--- a/core/expertmap.go
+++ b/core/expertmap.go
@@ -71,6 +71,8 @@
 	Fence(ctx context.Context, fence int64) error
 	// Load starts loading a map and returns before it is loaded.
 	Load(ctx context.Context, fence int64, m ExpertMap) error
+	// Map returns a loaded map, so that an agent that has restarted knows it.
+	Map(ctx context.Context, version int64) (ExpertMap, error)
 	Run(ctx context.Context, r Run) error
 	// Stop gives up the steps not yet run and enters a generation, stopped. The
 	// engine reports horizon as its own from then on, unless its own is higher.
--- a/core/expertmap/leader.go
+++ b/core/expertmap/leader.go
@@ -340,10 +340,21 @@
 		l.phase = phaseBegin
 	case phaseRun:
 		l.current, l.pending = l.pending, 0
+		l.forget()
 	default:
 	}
 }
 
+// forget drops the content of maps that no grant in the plan names.
+func (l *Leader) forget() {
+	for v := range l.maps {
+		used := v == 0 || v == l.current || slices.ContainsFunc(l.plan, func(g core.Grant) bool { return g.MapVersion == v })
+		if !used {
+			delete(l.maps, v)
+		}
+	}
+}
+
 // Loaded takes the answer of a rank to LoadMap.
 func (l *Leader) Loaded(a LoadAck) {
 	if !l.knows(a.Rank, a.HighestFence) || l.phase == phaseCollect {
@@ -415,9 +426,16 @@
 	}
 }
 
-// refused forgets that the rank has loaded the map of its next grant.
+// refused forgets that the rank has loaded the map of its next grant. A map
+// whose content is not known here cannot be loaded again, so the group begins
+// a new generation with the fallback map.
 func (l *Leader) refused(r *rankView) {
 	if g, ok := l.next(r.horizon); ok {
+		if _, known := l.maps[g.MapVersion]; !known {
+			l.current = 0
+			l.reset()
+			return
+		}
 		r.loaded = slices.DeleteFunc(slices.Clone(r.loaded), func(v int64) bool { return v == g.MapVersion })
 	}
 }
--- a/core/expertmap/world_test.go
+++ b/core/expertmap/world_test.go
@@ -241,6 +241,9 @@
 	w.elect()
 	l := w.leaders[len(w.leaders)-1]
 	w.leaders = []*testLeader{l}
+	faulty := w.pick
+	w.pick = func(n int) int { return n - 1 }
+	defer func() { w.pick = faulty }()
 	for range rounds {
 		w.send(l)
 		for len(w.net) > 0 {
