--- a/core/expertmap/leadership.go
+++ b/core/expertmap/leadership.go
@@ -31,6 +31,12 @@
 // NextOffset returns the first offset that is not folded.
 func (s Leaders) NextOffset() int64 { return s.next }
 
+// Skip passes over the records below an offset, which have expired.
+func (s Leaders) Skip(to int64) Leaders {
+	s.next = max(s.next, to)
+	return s
+}
+
 // Of returns the leader of a group and whether there has been one.
 func (s Leaders) Of(group string) (Leadership, bool) {
 	l, ok := s.groups[group]
@@ -61,7 +67,12 @@
 }
 
 // CandidateDelay returns how long a rank waits after it last heard a leader
-// before it stands for leadership.
-func CandidateDelay(rank int) time.Duration {
-	return leaderSilence + time.Duration(rank)*candidateGap
+// before it stands for leadership. A group that has never had a leader has
+// none to wait for.
+func CandidateDelay(rank int, hadLeader bool) time.Duration {
+	d := time.Duration(rank) * candidateGap
+	if hadLeader {
+		d += leaderSilence
+	}
+	return d
 }
--- /dev/null
+++ b/io/group/group.go
@@ -0,0 +1,194 @@
+// Package group is the task of an agent that belongs to a group of ranks in
+// lock-step. It serves its own rank, follows the leaders stream, stands for
+// leadership and leads when the stream names it.
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"nutmegnotch/core"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+)
+
+// Times of the tasks.
+const (
+	// orderTimeout bounds one order to the engine.
+	orderTimeout   = time.Second
+	pollInterval   = 100 * time.Millisecond
+	leadInterval   = 50 * time.Millisecond
+	answerTimeout  = 2 * time.Second
+	appendTimeout  = 5 * time.Second
+	readWait       = 2 * time.Second
+	readRetryDelay = 200 * time.Millisecond
+	// pauseLimit is the time between two turns of a leader from which it checks
+	// that it still leads before it sends anything.
+	pauseLimit   = time.Second
+	checkTimeout = 500 * time.Millisecond
+	// lostDelay keeps a rank without state from standing before the others.
+	lostDelay     = 3 * time.Second
+	senderBacklog = 4
+	keptMaps      = 4
+)
+
+// Opener opens streams to peers; *peer.Node is one.
+type Opener interface {
+	Open(peerID string, kind peerpb.StreamKind, requestID string) (*peer.Stream, error)
+}
+
+// Config is what a Group needs. RankIDs holds the agent id of every rank.
+// InitialMap is used when the group has no map yet. An empty Incarnation gets
+// a random one.
+type Config struct {
+	Group       string
+	Rank        int
+	RankIDs     []string
+	Incarnation string
+	InitialMap  core.ExpertMap
+	Log         core.Log
+	Engine      core.RankEngine
+	Peers       Opener
+	Logger      *zap.Logger
+}
+
+// Status is the state of a group as one agent knows it. Pending is the map
+// being loaded. The sums count what this agent sent and received as leader.
+type Status struct {
+	Leading       bool
+	Running       bool
+	LeaderID      string
+	Fence         int64
+	Generation    int64
+	Step          int64
+	Horizon       int64
+	StateLost     bool
+	MapVersion    int64
+	Current       int64
+	Pending       int64
+	Resets        int
+	Map           core.ExpertMap
+	SentMessages  int64
+	SentBytes     int64
+	ReceivedBytes int64
+}
+
+// Group is the task. It is safe for concurrent use.
+type Group struct {
+	cfg      Config
+	requests chan request
+	infos    chan rankInfo
+	folds    chan fold
+	floors   chan int64
+	answers  chan answer
+	ops      chan func(*leadTask)
+	done     chan struct{}
+}
+
+// New returns a group that works once Run is called.
+func New(cfg Config) *Group {
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	if cfg.Incarnation == "" {
+		cfg.Incarnation = uuid.NewString()
+	}
+	cfg.Logger = cfg.Logger.With(zap.String("group", cfg.Group), zap.Int("rank", cfg.Rank))
+	return &Group{
+		cfg:      cfg,
+		requests: make(chan request),
+		infos:    make(chan rankInfo),
+		folds:    make(chan fold),
+		floors:   make(chan int64),
+		answers:  make(chan answer),
+		ops:      make(chan func(*leadTask)),
+		done:     make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (g *Group) Done() <-chan struct{} { return g.done }
+
+// Run works until ctx ends. It may be called once.
+func (g *Group) Run(ctx context.Context) {
+	defer close(g.done)
+	var wg conc.WaitGroup
+	wg.Go(func() { newRankTask(g).run(ctx) })
+	wg.Go(func() { g.follow(ctx) })
+	wg.Go(func() { newLeadTask(g).run(ctx) })
+	wg.Wait()
+}
+
+// ServeStream answers a leader's messages until the stream ends or the rank
+// cannot answer. It is the peer.Handler of STREAM_KIND_GROUP.
+func (g *Group) ServeStream(ctx context.Context, s *peer.Stream) {
+	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Now()) })
+	defer stop()
+	for {
+		f, err := s.Receive()
+		if err != nil {
+			return
+		}
+		reply := g.ask(ctx, f)
+		if reply == nil || s.Send(reply) != nil {
+			return
+		}
+	}
+}
+
+// request is a leader's message for the rank task.
+type request struct {
+	frame *peerpb.Frame
+	reply chan *peerpb.Frame
+}
+
+// ask lets the rank task answer a frame. It returns nil when it cannot.
+func (g *Group) ask(ctx context.Context, f *peerpb.Frame) *peerpb.Frame {
+	r := request{frame: f, reply: make(chan *peerpb.Frame, 1)}
+	select {
+	case g.requests <- r:
+	case <-ctx.Done():
+		return nil
+	case <-g.done:
+		return nil
+	}
+	select {
+	case reply := <-r.reply:
+		return reply
+	case <-g.done:
+		return nil
+	}
+}
+
+// do runs op in the lead task.
+func (g *Group) do(op func(*leadTask)) bool {
+	ran := make(chan struct{})
+	select {
+	case g.ops <- func(t *leadTask) { op(t); close(ran) }:
+		<-ran
+		return true
+	case <-g.done:
+		return false
+	}
+}
+
+// Propose starts a change to another map and returns its version. ErrNotReady
+// means that this agent does not lead a running group, ErrConflict that another
+// change is under way.
+func (g *Group) Propose(m core.ExpertMap) (int64, error) {
+	var version int64
+	err := error(core.ErrUnavailable)
+	g.do(func(t *leadTask) { version, err = t.propose(m) })
+	return version, err
+}
+
+// Status returns the state of the group.
+func (g *Group) Status() Status {
+	var s Status
+	g.do(func(t *leadTask) { s = t.status() })
+	return s
+}
