Test groups of four ranks over real sessions

Change: change of map, leader killed, paused and resumed, log down, agent and engine restarted during a change, and a stalled rank.

--- /dev/null
+++ b/io/group/group_test.go
@@ -0,0 +1,138 @@
+package group
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	emurank "nutmegnotch/emulator/rank"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func fourRanks(t *testing.T) (*cluster, int) {
+	t.Helper()
+	t.Parallel()
+	c := startCluster(t, clusterConfig{ranks: 4, stepTime: 10 * time.Millisecond, loadTime: 300 * time.Millisecond,
+		fencing: func(rank int) bool { return rank%2 == 0 }})
+	c.wait("a leader", 30*time.Second, func() bool { return c.leader() >= 0 })
+	c.waitProgress("first steps", 30)
+	return c, c.leader()
+}
+
+// Guards against a change of map that stalls the group or mixes maps.
+func TestChangeMap(t *testing.T) {
+	c, l := fourRanks(t)
+	for range 3 {
+		c.waitMap(c.propose(l))
+	}
+	c.check()
+}
+
+// Guards against a group that does not go on after its leader has died.
+func TestLeaderKilled(t *testing.T) {
+	c, l := fourRanks(t)
+	c.propose(l)
+	c.kill(l)
+	time.Sleep(time.Second)
+	c.start(l)
+	c.waitProgress("steps after the leader was killed", 200)
+	c.wait("a leader", 30*time.Second, func() bool { return c.leader() >= 0 })
+	c.waitMap(c.propose(c.leader()))
+	c.check()
+}
+
+// Guards against a paused leader that grants steps after it was replaced.
+func TestLeaderPausedAndResumed(t *testing.T) {
+	c, l := fourRanks(t)
+	c.propose(l)
+	old := c.agents[l].group
+	resumed := make(chan struct{})
+	go func() {
+		defer close(resumed)
+		old.do(func(*leadTask) { time.Sleep(5 * time.Second) })
+	}()
+	<-resumed
+	c.waitProgress("steps after the leader was resumed", 200)
+	c.wait("one leader remains", 10*time.Second, func() bool {
+		n := 0
+		for _, a := range c.agents {
+			if a.group.Status().Leading {
+				n++
+			}
+		}
+		return n == 1
+	})
+	if c.leader() == l {
+		t.Error("the paused leader was not replaced")
+	}
+	c.check()
+}
+
+// Guards against a group that stops, or cannot change its map, while the log is
+// down.
+func TestLogDownDuringChange(t *testing.T) {
+	c, l := fourRanks(t)
+	c.log.setDown(true)
+	c.waitMap(c.propose(l))
+	c.waitProgress("steps while the log is down", 400)
+	if got := c.leader(); got != l {
+		t.Errorf("leader while the log is down: got %d, want %d", got, l)
+	}
+	c.log.setDown(false)
+	c.waitProgress("steps after the log returned", 100)
+	c.check()
+}
+
+// Guards against an agent that recovers a wrong horizon or fence, for engines
+// with and without fencing.
+func TestAgentRestartMidChange(t *testing.T) {
+	for _, fencing := range []bool{false, true} {
+		t.Run(map[bool]string{false: "without fencing", true: "with fencing"}[fencing], func(t *testing.T) {
+			c, l := fourRanks(t)
+			rank := c.other(l, fencing)
+			v := c.propose(l)
+			c.kill(rank)
+			c.start(rank)
+			c.waitMap(v)
+			c.waitProgress("steps after the agent restarted", 100)
+			c.check()
+		})
+	}
+}
+
+// Guards against a group that stays stalled, or runs a step again, when the
+// engine of a rank loses its state in the middle of a change.
+func TestEngineRestartMidChange(t *testing.T) {
+	for _, agentToo := range []bool{false, true} {
+		t.Run(map[bool]string{false: "engine only", true: "engine and agent"}[agentToo], func(t *testing.T) {
+			c, l := fourRanks(t)
+			before, _ := c.engines[0].State(context.Background())
+			c.propose(l)
+			rank := c.other(l, false)
+			if agentToo {
+				c.kill(rank)
+			}
+			c.engines[rank].Fault(emurank.Faults{Restart: true})
+			if agentToo {
+				c.start(rank)
+			}
+			c.wait("a new generation", 30*time.Second, func() bool {
+				s, _ := c.engines[rank].State(context.Background())
+				return s.Generation > before.Generation && s.Step > before.Horizon
+			})
+			c.waitProgress("steps of the new generation", 100)
+			c.check()
+		})
+	}
+}
+
+// Guards against a stalled rank that the others run past.
+func TestRankStall(t *testing.T) {
+	c, _ := fourRanks(t)
+	c.engines[1].Fault(emurank.Faults{StallMS: 1500})
+	c.waitProgress("steps after the stall", 100)
+	c.check()
+}
--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -55,6 +55,7 @@
 				t.heard = i.heard
 			}
 		case a := <-t.g.answers:
+			t.wake(ctx)
 			t.answered(a)
 		case op := <-t.g.ops:
 			op(t)
@@ -123,16 +124,20 @@
 	t.dispatch(time.Now())
 }
 
-// turn does what is due. A leader that was paused first checks that it still
-// leads, as far as it can tell; ranks refuse its fence in any case.
-func (t *leadTask) turn(ctx context.Context) {
-	now := time.Now()
-	paused := now.Sub(t.lastTurn) > pauseLimit
-	t.lastTurn = now
-	if t.leader != nil && paused {
+// wake lets a leader that was paused first check that it still leads, as far
+// as it can tell. Ranks refuse a stale fence in any case.
+func (t *leadTask) wake(ctx context.Context) {
+	if t.leader != nil && time.Since(t.lastTurn) > pauseLimit {
 		t.check(ctx)
 		t.lastTurn = time.Now()
 	}
+}
+
+// turn does what is due.
+func (t *leadTask) turn(ctx context.Context) {
+	t.wake(ctx)
+	now := time.Now()
+	t.lastTurn = now
 	if t.leader != nil {
 		t.leader.Step(t.info.step)
 		t.dispatch(now)
