--- a/core/expertmap/placement.go
+++ b/core/expertmap/placement.go
@@ -254,11 +254,17 @@
 func Moves(current, next core.ExpertMap) int {
 	n := 0
 	for l := range next.Replicas {
-		for e, on := range next.Replicas[l] {
-			for _, r := range on {
-				if !slices.Contains(current.Replicas[l][e], r) {
-					n++
-				}
+		n += layerMoves(current.Replicas[l], next.Replicas[l])
+	}
+	return n
+}
+
+func layerMoves(current, next [][]int) int {
+	n := 0
+	for e, on := range next {
+		for _, r := range on {
+			if !slices.Contains(current[e], r) {
+				n++
 			}
 		}
 	}
--- a/core/expertmap/rebalance.go
+++ b/core/expertmap/rebalance.go
@@ -1,6 +1,8 @@
 package expertmap
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"nutmegnotch/core"
@@ -33,7 +35,7 @@
 type Policy struct {
 	Shape Shape
 	Cost  Cost
-	// Life is the expected life of a map.
+	// Life bounds the expected life of a map.
 	Life time.Duration
 	// Smoothing is the weight of the newest window, above 0 and at most 1.
 	Smoothing float64
@@ -41,8 +43,11 @@
 	// one window for the smoothed load to be dropped; 0 means never.
 	JumpDistance float64
 
-	smooth core.ExpertLoad
-	busy   time.Time
+	smooth  core.ExpertLoad
+	busy    time.Time
+	last    time.Time
+	elapsed float64
+	moved   float64
 }
 
 var (
@@ -51,40 +56,89 @@
 	_ core.Rebalancer = (*Always)(nil)
 )
 
-// slacks are the shares above the lower bound at which Place is tried. A larger
-// slack needs fewer moves.
+// slacks are the shares above the lower bound at which a new placement of a
+// layer is tried. A larger slack needs fewer moves.
 var slacks = []float64{0, 0.05, 0.15, 0.3}
 
-// Plan returns the candidate with the largest net gain, when there is one.
+// maxRepairs bounds the single moves that are tried for a layer.
+const maxRepairs = 96
+
+// Plan chooses for each layer the placement with the largest net gain and
+// adopts them when the gain also covers the delay of the switch.
 func (p *Policy) Plan(current core.ExpertMap, load core.ExpertLoad, now time.Time) (core.ExpertMap, bool) {
 	p.smooth = Smooth(p.smooth, load, p.Smoothing, p.JumpDistance)
+	life := p.expectedLife(current, now)
 	if now.Before(p.busy) {
 		return current, false
 	}
-	best, gain, bestMoves := current, time.Duration(0), 0
-	before := Skew(current, p.smooth, p.Shape.Ranks)
-	for _, slack := range slacks {
-		m := Place(p.Shape, current, p.smooth, slack)
-		moves := Moves(current, m)
-		if g := p.net(before, Skew(m, p.smooth, p.Shape.Ranks), moves); g > gain {
-			best, gain, bestMoves = m, g, moves
-		}
+	total := 0.0
+	for l := range p.smooth {
+		total += slices.Max(RankLoads(current.Replicas[l], p.smooth[l], p.Shape.Ranks))
+	}
+	next := core.ExpertMap{Replicas: make([][][]int, p.Shape.Layers)}
+	for l := range next.Replicas {
+		next.Replicas[l] = p.bestLayer(current.Replicas[l], p.smooth[l], total, life)
 	}
-	if gain <= 0 {
+	moves := Moves(current, next)
+	before, after := Skew(current, p.smooth, p.Shape.Ranks), Skew(next, p.smooth, p.Shape.Ranks)
+	if before <= after || p.net(life, (before-after)/before, moves) <= 0 {
 		return current, false
 	}
-	p.busy = now.Add(p.Cost.LoadTime(bestMoves))
-	return best, true
+	p.busy = now.Add(p.Cost.LoadTime(moves))
+	p.moved += float64(moves)
+	return next, true
+}
+
+// expectedLife is how long a replica stays where it is put: the number of
+// replicas over the recent rate of moves, and at most Life. A policy that
+// counted on longer lives than its own changes allow would change too often.
+func (p *Policy) expectedLife(m core.ExpertMap, now time.Time) time.Duration {
+	if !p.last.IsZero() {
+		d := now.Sub(p.last)
+		keep := math.Exp(-float64(d) / float64(p.Life))
+		p.elapsed = (p.elapsed + float64(d)) * keep
+		p.moved *= keep
+	}
+	p.last = now
+	if p.moved < 1 {
+		return p.Life
+	}
+	life := float64(ReplicaCount(m)) * p.elapsed / p.moved
+	return time.Duration(min(float64(p.Life), max(life, p.elapsed/p.moved)))
+}
+
+// bestLayer returns the placement of a layer with the largest net gain; total
+// is the step time of all layers in units of load.
+func (p *Policy) bestLayer(current [][]int, load []float64, total float64, life time.Duration) [][]int {
+	before := slices.Max(RankLoads(current, load, p.Shape.Ranks))
+	best, gain := current, time.Duration(0)
+	try := func(layer [][]int, slowest float64) {
+		g := p.net(life, (before-slowest)/total, layerMoves(current, layer)) + p.Cost.SwitchDelay
+		if g > gain {
+			best, gain = layer, g
+		}
+	}
+	r := newRepair(p.Shape, current, load)
+	for i := 1; i <= maxRepairs && r.step(); i++ {
+		if i&(i-1) == 0 || i%8 == 0 {
+			try(r.layer(), slices.Max(r.loads))
+		}
+	}
+	for _, slack := range slacks {
+		layer := placeLayer(p.Shape, current, load, slack)
+		try(layer, slices.Max(RankLoads(layer, load, p.Shape.Ranks)))
+	}
+	return best
 }
 
-// net returns the time gained over the life of a map. The gain starts when the
-// weights have been loaded.
-func (p *Policy) net(before, after float64, moves int) time.Duration {
-	life := p.Life - p.Cost.LoadTime(moves)
-	if life <= 0 || before <= after {
-		return 0
+// net returns the time gained when steps get shorter by a share. The gain
+// starts when the weights have been loaded.
+func (p *Policy) net(life time.Duration, share float64, moves int) time.Duration {
+	left := life - p.Cost.LoadTime(moves)
+	if left <= 0 {
+		return -p.Cost.lost(moves)
 	}
-	return time.Duration(float64(life)*(before-after)/before) - p.Cost.lost(moves)
+	return time.Duration(float64(left)*share) - p.Cost.lost(moves)
 }
 
 // Fixed never changes the map.
--- a/core/expertmap/rebalance_test.go
+++ b/core/expertmap/rebalance_test.go
@@ -166,7 +166,14 @@
 // BenchmarkRebalanceDay compares the policy with both baselines and the lower
 // bounds over five seeds in one run.
 func BenchmarkRebalanceDay(b *testing.B) {
-	s := Shape{Ranks: 128, Layers: 4, Experts: 64, SlotsPerRank: 2}
+	for _, slots := range []int{1, 2} {
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			benchmarkPolicies(b, Shape{Ranks: 128, Layers: 4, Experts: 64, SlotsPerRank: slots})
+		})
+	}
+}
+
+func benchmarkPolicies(b *testing.B, s Shape) {
 	c := Cost{ExpertBytes: 44e6, StoreBytesPerSecond: 1e9, LoadSlowdown: 0.05, SwitchDelay: 0}
 	policies := []struct {
 		name string
@@ -175,7 +182,7 @@
 		{"fixed", func() core.Rebalancer { return Fixed{} }},
 		{"every_10_min", func() core.Rebalancer { return &Always{Shape: s, Interval: 10 * time.Minute} }},
 		{"policy", func() core.Rebalancer {
-			return &Policy{Shape: s, Cost: c, Life: 30 * time.Minute, Smoothing: 0.3, JumpDistance: 0.15}
+			return &Policy{Shape: s, Cost: c, Life: time.Hour, Smoothing: 0.3, JumpDistance: 0.15}
 		}},
 	}
 	for _, p := range policies {
