Let another agent lead when a leader does not reach all ranks

Cause: in go test ./io/group -bench Group with agents connected to the first one only, agents that reached one other rank kept the leadership and no group ran within a minute. Change: a leader gives up after 5 s of collecting and stands back for 10 s.

--- a/core/expertmap/leader.go
+++ b/core/expertmap/leader.go
@@ -85,6 +85,9 @@
 // Deposed reports that a rank has seen a higher fence.
 func (l *Leader) Deposed() bool { return l.deposed }
 
+// Collecting reports whether ranks have still to answer the first message.
+func (l *Leader) Collecting() bool { return l.phase == phaseCollect }
+
 // Running reports whether all ranks take grants.
 func (l *Leader) Running() bool { return l.phase == phaseRun }
 
--- a/core/expertmap/rebalance.go
+++ b/core/expertmap/rebalance.go
@@ -60,6 +60,10 @@
 // layer is tried. A larger slack needs fewer moves.
 var slacks = []float64{0, 0.05, 0.15, 0.3}
 
+// meanGain is the mean of a gain over the life of a map when it falls evenly to
+// zero as the popularity of experts moves on.
+const meanGain = 0.5
+
 // maxRepairs bounds the single moves that are tried for a layer.
 const maxRepairs = 96
 
@@ -138,7 +142,7 @@
 	if left <= 0 {
 		return -p.Cost.lost(moves)
 	}
-	return time.Duration(float64(left)*share) - p.Cost.lost(moves)
+	return time.Duration(float64(left)*share*meanGain) - p.Cost.lost(moves)
 }
 
 // Fixed never changes the map.
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -30,6 +30,10 @@
 	// that it still leads before it sends anything.
 	pauseLimit   = time.Second
 	checkTimeout = 500 * time.Millisecond
+	// collectLimit is the time after which a leader that does not reach all
+	// ranks lets another agent try, and holdOff how long it then stands back.
+	collectLimit = 5 * time.Second
+	holdOff      = 10 * time.Second
 	// lostDelay keeps a rank without state from standing before the others.
 	lostDelay     = 3 * time.Second
 	senderBacklog = 4
--- a/io/group/harness_test.go
+++ b/io/group/harness_test.go
@@ -102,6 +102,8 @@
 	fencing  func(rank int) bool
 	// star connects the agents to the first one only.
 	star bool
+	// direct calls the stand-ins without HTTP.
+	direct bool
 }
 
 func startCluster(t testing.TB, cfg clusterConfig) *cluster {
@@ -121,10 +123,17 @@
 		srv := httptest.NewServer(e.Handler())
 		t.Cleanup(srv.Close)
 		c.engines = append(c.engines, e)
-		c.clients = append(c.clients, &rank.Client{URL: srv.URL, HTTP: srv.Client()})
+		var client core.RankEngine = &rank.Client{URL: srv.URL, HTTP: srv.Client()}
+		if cfg.direct {
+			client = e
+		}
+		c.clients = append(c.clients, client)
 	}
 	for i := range cfg.ranks {
 		c.start(i)
+		if i == 0 && cfg.star {
+			c.wait("the first agent leads", 10*time.Second, func() bool { return c.agents[0].group.Status().Leading })
+		}
 	}
 	t.Cleanup(func() {
 		for i := range c.agents {
@@ -220,7 +229,7 @@
 	c.t.Helper()
 	for end := time.Now().Add(limit); !f(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
-			for i, a := range c.agents {
+			for i, a := range c.agents[:min(4, len(c.agents))] {
 				s, _ := c.engines[i].State(context.Background())
 				s.Runs = nil
 				c.t.Logf("engine %d: %+v", i, s)
--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -24,6 +24,8 @@
 	lastTurn  time.Time
 	standing  bool
 	stoodAt   time.Time
+	tookAt    time.Time
+	backAt    time.Time
 	leader    *expertmap.Leader
 	senders   *senders
 	past      map[int64]bool
@@ -93,6 +95,7 @@
 	t.leader = expertmap.NewLeader(t.g.cfg.Group, fence, len(t.g.cfg.RankIDs), t.info.maps, t.g.cfg.InitialMap)
 	t.senders = t.g.startSenders(ctx, fence)
 	t.lastTurn = time.Now()
+	t.tookAt = t.lastTurn
 }
 
 func (t *leadTask) resign(why string) {
@@ -138,6 +141,10 @@
 	t.wake(ctx)
 	now := time.Now()
 	t.lastTurn = now
+	if t.leader != nil && t.leader.Collecting() && now.Sub(t.tookAt) > collectLimit {
+		t.resign("some ranks do not answer")
+		t.backAt = now.Add(holdOff)
+	}
 	if t.leader != nil {
 		t.leader.Step(t.info.step)
 		t.dispatch(now)
@@ -184,7 +191,7 @@
 	if t.standing && now.Sub(t.stoodAt) > appendTimeout {
 		t.standing = false
 	}
-	if t.standing || !t.info.recovered || !t.fold.atEnd || now.Sub(t.heard) < delay {
+	if now.Before(t.backAt) || t.standing || !t.info.recovered || !t.fold.atEnd || now.Sub(t.heard) < delay {
 		return
 	}
 	t.standing, t.stoodAt = true, now
