Replace a leader that does not get on

Cause: ranks that a failing leader could reach took its Collect for a sign of life, so TestLeaderWithoutAllSessionsGivesWay failed after 60 s. Change: only messages after Collect count, and a leader that collected in vain stands back. Conclusion: the leadership goes to an agent that reaches all ranks.

--- a/io/group/group.go
+++ b/io/group/group.go
@@ -31,8 +31,10 @@
 	pauseLimit   = time.Second
 	checkTimeout = 500 * time.Millisecond
 	// collectLimit is the time after which a leader that does not reach all
-	// ranks lets another agent try, and holdOff how long it then stands back.
+	// ranks gives up. A leader that has collected in vain for holdOffAfter stands
+	// back for holdOff, so that other agents can try.
 	collectLimit = 5 * time.Second
+	holdOffAfter = 2 * time.Second
 	holdOff      = 10 * time.Second
 	// lostDelay keeps a rank without state from standing before the others.
 	lostDelay     = 3 * time.Second
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -136,3 +136,15 @@
 	c.waitProgress("steps after the stall", 100)
 	c.check()
 }
+
+// Guards against a leader that keeps the leadership although it cannot reach
+// all ranks while another agent can.
+func TestLeaderWithoutAllSessionsGivesWay(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, clusterConfig{ranks: 4, stepTime: 10 * time.Millisecond, fencing: func(int) bool { return true },
+		star: true, anyFirst: true})
+	c.agents[1].group.do(func(l *leadTask) { l.g.stand(context.Background()) })
+	c.wait("the agent that reaches all ranks leads", time.Minute, func() bool { return c.leader() == 0 })
+	c.waitProgress("steps", 100)
+	c.check()
+}
--- a/io/group/harness_test.go
+++ b/io/group/harness_test.go
@@ -104,6 +104,8 @@
 	star bool
 	// direct calls the stand-ins without HTTP.
 	direct bool
+	// anyFirst does not wait for the first agent to lead.
+	anyFirst bool
 }
 
 func startCluster(t testing.TB, cfg clusterConfig) *cluster {
@@ -131,7 +133,7 @@
 	}
 	for i := range cfg.ranks {
 		c.start(i)
-		if i == 0 && cfg.star {
+		if i == 0 && cfg.star && !cfg.anyFirst {
 			c.wait("the first agent leads", 10*time.Second, func() bool { return c.agents[0].group.Status().Leading })
 		}
 	}
--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -103,6 +103,9 @@
 		return
 	}
 	t.log.Info("no longer leads the group", zap.Int64("fence", t.leader.Fence()), zap.String("reason", why))
+	if t.leader.Collecting() && time.Since(t.tookAt) > holdOffAfter {
+		t.backAt = time.Now().Add(holdOff)
+	}
 	t.senders.cancel()
 	s := t.senders
 	t.wg.Go(s.wait)
@@ -143,7 +146,6 @@
 	t.lastTurn = now
 	if t.leader != nil && t.leader.Collecting() && now.Sub(t.tookAt) > collectLimit {
 		t.resign("some ranks do not answer")
-		t.backAt = now.Add(holdOff)
 	}
 	if t.leader != nil {
 		t.leader.Step(t.info.step)
--- a/io/group/rank.go
+++ b/io/group/rank.go
@@ -177,20 +177,21 @@
 	}
 }
 
-// ours checks the group of a message and notes that its leader lives.
-func (t *rankTask) ours(group string, fence int64) bool {
+// ours checks the group of a message and notes that its leader gets on. Collect
+// does not count, so that a leader that does not reach all ranks is replaced.
+func (t *rankTask) ours(group string, fence int64, getsOn bool) bool {
 	if group != t.g.cfg.Group {
 		t.log.Warn("message for another group", zap.String("for", group))
 		return false
 	}
-	if fence >= t.rank.Fence() {
+	if getsOn && fence >= t.rank.Fence() {
 		t.heard = time.Now()
 	}
 	return true
 }
 
 func (t *rankTask) collect(ctx context.Context, c *peerpb.Collect) *peerpb.Frame {
-	if !t.ours(c.GetGroup(), c.GetFence()) {
+	if !t.ours(c.GetGroup(), c.GetFence(), false) {
 		return nil
 	}
 	a := t.rank.Collect(expertmap.Collect{Fence: c.GetFence()})
@@ -204,7 +205,7 @@
 }
 
 func (t *rankTask) grant(ctx context.Context, g *peerpb.Grant) *peerpb.Frame {
-	if !t.ours(g.GetGroup(), g.GetFence()) {
+	if !t.ours(g.GetGroup(), g.GetFence(), true) {
 		return nil
 	}
 	before := t.rank.Horizon()
@@ -216,7 +217,7 @@
 }
 
 func (t *rankTask) load(ctx context.Context, l *peerpb.LoadMap) *peerpb.Frame {
-	if !t.ours(l.GetGroup(), l.GetFence()) {
+	if !t.ours(l.GetGroup(), l.GetFence(), true) {
 		return nil
 	}
 	m, err := decodeMap(l)
@@ -237,7 +238,7 @@
 }
 
 func (t *rankTask) stop(ctx context.Context, p *peerpb.Stop) *peerpb.Frame {
-	if !t.ours(p.GetGroup(), p.GetFence()) {
+	if !t.ours(p.GetGroup(), p.GetFence(), true) {
 		return nil
 	}
 	s := expertmap.Stop{Fence: p.GetFence(), Generation: p.GetGeneration(), Horizon: p.GetHorizon()}
@@ -253,7 +254,7 @@
 }
 
 func (t *rankTask) begin(ctx context.Context, p *peerpb.Begin) *peerpb.Frame {
-	if !t.ours(p.GetGroup(), p.GetFence()) {
+	if !t.ours(p.GetGroup(), p.GetFence(), true) {
 		return nil
 	}
 	b := expertmap.Begin{Fence: p.GetFence(), Generation: p.GetGeneration(), Step: p.GetStep()}
