Serve all stand-ins with one function

Change: emulator/cli/serve.go holds one; the command rank is added to the program. Figures: before, three copies and a rank command that was never run; after, one copy, and the command listens on both of its addresses.

--- a/emulator/cli/cli.go
+++ b/emulator/cli/cli.go
@@ -3,14 +3,8 @@
 package cli
 
 import (
-	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
 )
@@ -22,6 +16,8 @@
 	Engine EngineCommand `cmd:"" help:"Run the stand-in of a model engine."`
 	Desk   DeskCommand   `cmd:"" help:"Run the stand-in of a plain service."`
 
+	Rank RankCommand `cmd:"" help:"Run the stand-in for the engine of one rank."`
+
 	Request RequestCommand `cmd:"" help:"Send one request and print the reply."`
 
 	Load LoadCommand `cmd:"" help:"Send requests and report what became of them."`
@@ -47,32 +43,3 @@
 	}
 	return 0
 }
-
-// shutdownTimeout bounds the time in which running calls may end.
-const shutdownTimeout = 2 * time.Second
-
-// Serve answers HTTP on an address until SIGINT or SIGTERM. It prints the
-// address it listens on.
-func Serve(listen string, h http.Handler) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer cancel()
-	l, err := net.Listen("tcp", listen)
-	if err != nil {
-		return fmt.Errorf("listen on %q: %w", listen, err)
-	}
-	fmt.Printf("listening on %s\n", l.Addr())
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(l) }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve on %q: %w", listen, err)
-	case <-ctx.Done():
-	}
-	stopCtx, stop := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer stop()
-	if err := srv.Shutdown(stopCtx); err != nil {
-		return srv.Close()
-	}
-	return nil
-}
--- a/emulator/cli/desk.go
+++ b/emulator/cli/desk.go
@@ -11,5 +11,5 @@
 func (c *DeskCommand) Run() error {
 	d := desk.New()
 	defer d.Close()
-	return serveBackend(c.Listen, d)
+	return serve(c.Listen, d)
 }
--- a/emulator/cli/engine.go
+++ b/emulator/cli/engine.go
@@ -38,5 +38,5 @@
 		Models:          c.Models,
 	})
 	defer e.Close()
-	return serveBackend(c.Listen, e)
+	return serve(c.Listen, e)
 }
--- a/emulator/cli/hosts.go
+++ b/emulator/cli/hosts.go
@@ -32,5 +32,5 @@
 	}
 	s := hostlist.New(hosts)
 	defer s.Close()
-	return Serve(c.Listen, s)
+	return serve(c.Listen, s)
 }
--- a/emulator/cli/log.go
+++ b/emulator/cli/log.go
@@ -24,5 +24,5 @@
 		AppendBurst:      c.AppendBurst,
 	})
 	defer s.Close()
-	return Serve(c.Listen, s)
+	return serve(c.Listen, s)
 }
--- a/emulator/cli/rank.go
+++ b/emulator/cli/rank.go
@@ -2,20 +2,15 @@
 
 import (
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"nutmegnotch/emulator/rank"
 )
 
-// Rank runs the stand-in for the engine of one rank. One rank of a group also
+// RankCommand runs the stand-in for the engine of one rank. One rank of a group also
 // serves the step barrier of the group.
-type Rank struct {
+type RankCommand struct {
 	Listen       string        `help:"Address of the engine." required:""`
 	Rank         int           `help:"Number of the rank, from 0." required:""`
 	Ranks        int           `help:"Number of ranks of the group." default:"1"`
@@ -27,7 +22,7 @@
 }
 
 // Run serves until SIGTERM or SIGINT.
-func (c *Rank) Run() error {
+func (c *RankCommand) Run() error {
 	if (c.Barrier == "") == (c.ServeBarrier == "") {
 		return errors.New("give exactly one of --barrier and --serve-barrier")
 	}
@@ -38,41 +33,18 @@
 	defer stop()
 	r := rank.New(rank.Config{Rank: c.Rank, Barrier: barrier, Fencing: c.Fencing, StepTime: c.StepTime, LoadTime: c.LoadTime})
 	defer r.Close()
-	closeServer, err := serve(c.Listen, r.Handler())
-	if err != nil {
-		return err
-	}
-	defer closeServer()
-	quit := make(chan os.Signal, 1)
-	signal.Notify(quit, syscall.SIGTERM, syscall.SIGINT)
-	<-quit
-	return nil
+	return serve(c.Listen, r.Handler())
 }
 
-func (c *Rank) barrier() (rank.Barrier, func(), error) {
+func (c *RankCommand) barrier() (rank.Barrier, func(), error) {
 	if c.Barrier != "" {
 		return &rank.RemoteBarrier{URL: c.Barrier, HTTP: &http.Client{}}, func() {}, nil
 	}
 	b := rank.NewBarrier(c.Ranks)
-	closeServer, err := serve(c.ServeBarrier, b)
+	closeServer, err := start(c.ServeBarrier, b)
 	if err != nil {
 		b.Close()
 		return nil, nil, err
 	}
 	return b, func() { closeServer(); b.Close() }, nil
 }
-
-// serve serves a handler in the background and returns how to end it.
-func serve(address string, h http.Handler) (func(), error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = srv.Serve(l)
-	}()
-	return func() { srv.Close(); <-done }, nil
-}
--- a/emulator/cli/serve.go
+++ b/emulator/cli/serve.go
@@ -1,4 +1,3 @@
-// Package cli holds the commands of the emulator.
 package cli
 
 import (
@@ -14,20 +13,32 @@
 // readHeaderTimeout bounds slow clients of the stand-ins.
 const readHeaderTimeout = 10 * time.Second
 
-// serveBackend serves a stand-in for a backend server until SIGTERM or SIGINT.
-// It prints the address, since a port of 0 picks a free one.
-func serveBackend(address string, h http.Handler) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+// start serves a handler in the background and prints the address, since a
+// port of 0 picks a free one. The returned function ends it; streams break.
+func start(address string, h http.Handler) (func(), error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("listen on %q: %w", address, err)
 	}
 	fmt.Printf("listening on %s\n", l.Addr())
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	defer context.AfterFunc(ctx, func() { s.Close() })()
-	if err := s.Serve(l); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve: %w", err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	return func() { s.Close(); <-done }, nil
+}
+
+// serve serves a handler until SIGTERM or SIGINT.
+func serve(address string, h http.Handler) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	stop, err := start(address, h)
+	if err != nil {
+		return err
 	}
+	<-ctx.Done()
+	stop()
 	return nil
 }
