--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -1,5 +1,5 @@
-// Package rendezvous orders entries by highest random weight, so that a change
-// of the entry set moves only the keys of the entries that came or went.
+// Package rendezvous orders ids by highest random weight, so that a change of a
+// set moves only the keys of the members that came or went.
 package rendezvous
 
 import (
@@ -27,10 +27,30 @@
 // Top returns the first k entries of a key in order, or all when there are
 // fewer. It is meant for a small k.
 func Top(key string, entries []core.EntryInfo, k int) []core.EntryInfo {
-	k = min(k, len(entries))
+	best := first(key, len(entries), k, func(i int) string { return entries[i].ID })
+	top := make([]core.EntryInfo, len(best))
+	for i, s := range best {
+		top[i] = entries[s.index]
+	}
+	return top
+}
+
+// IDs returns the first k ids of a key in order, or all when there are fewer.
+func IDs(key string, ids []string, k int) []string {
+	best := first(key, len(ids), k, func(i int) string { return ids[i] })
+	top := make([]string, len(best))
+	for i, s := range best {
+		top[i] = s.id
+	}
+	return top
+}
+
+// first keeps the best k of n ids in order while it scores them.
+func first(key string, n, k int, id func(int) string) []scored {
+	k = min(k, n)
 	best := make([]scored, 0, k+1)
-	for i, e := range entries {
-		s := scored{score: score(key, e.ID), id: e.ID, index: i}
+	for i := range n {
+		s := scored{score: score(key, id(i)), id: id(i), index: i}
 		if len(best) == k && (k == 0 || !s.before(best[k-1])) {
 			continue
 		}
@@ -38,13 +58,10 @@
 		best = slices.Insert(best, at, s)
 		best = best[:min(len(best), k)]
 	}
-	top := make([]core.EntryInfo, len(best))
-	for i, s := range best {
-		top[i] = entries[s.index]
-	}
-	return top
+	return best
 }
 
+// score separates key and id by a zero byte, so that shifted pairs differ.
 func score(key, id string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
