Drain a backend server for one request that must be alone

Cause: a suspect of a crash runs only on an empty backend server, and nothing emptied one. On a busy system an innocent suspect was refused again and again.

Change: the agent drains its backend server for one exclusive request at a time. The request waits up to 2 s; other new work is refused as not run with Retry-After and the load report shows a full server. A drain lasts at most 10 s, ends 4 s after its request last came, and is followed by a rest of the same length. The entry tries no other agent for such a request after 1 s, so that its refusal comes within 3 s.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -40,8 +40,10 @@
 	incarnation string
 	models      []string
 	// active counts requests from admission to the end of their reply.
-	active  int
-	idle    []chan struct{}
+	active int
+	idle   []chan struct{}
+	// empty holds the exclusive requests that wait until nothing is held.
+	empty   []chan struct{}
 	nextRun uint64
 	// running and broken hold the fingerprints that a crash report names.
 	running map[string]uint64
@@ -126,6 +128,7 @@
 	t.do(func(s *admissionState) {
 		delete(s.running, ad.request.ID)
 		s.admitter.Done(ad.request, o, now)
+		s.wakeExclusive()
 	})
 }
 
@@ -242,6 +245,10 @@
 	l.State, l.Models, l.Seq = string(core.AgentReady), s.models, s.seq
 	l.HeldTokens, l.HeldCount = heldTokens, int32(heldCount)
 	l.LimitTokens, l.LimitCount = limitTokens, int32(min(limitCount, math.MaxInt32))
+	if s.draining(now) {
+		// Entries see a full server and make another choice.
+		l.LimitTokens, l.LimitCount = heldTokens, int32(heldCount)
+	}
 	if len(l.Models) == 0 {
 		l.Models = service.Models
 	}
--- a/agent/server.go
+++ b/agent/server.go
@@ -132,7 +132,7 @@
 		t.refuse(refuse(core.CodeKeyRequired, "a request that must not run twice needs a key", 0))
 		return
 	}
-	ad, refusal, ok := t.agent.admission.admit(t.request, time.Now())
+	ad, refusal, ok := t.agent.admission.admitAlone(t.gone, t.request)
 	if !ok {
 		t.refuse(refusal)
 		return
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -37,6 +37,7 @@
 	held      map[string]holding
 	tokens    int64
 	exclusive bool
+	drain     drain
 	releases  releaseRate
 }
 
@@ -70,6 +71,7 @@
 	a.held[r.ID] = h
 	a.tokens += h.cost
 	a.exclusive = r.Exclusive
+	a.endDrain(r, now)
 	a.orgs.add(r.Organisation, weightOf(r), h.cost)
 	return core.Refusal{}, true
 }
@@ -84,6 +86,9 @@
 		text := fmt.Sprintf("request needs %d tokens of memory, the backend server has %d", cost, a.limits.MemoryTokens)
 		return refuse(core.CodeTooLarge, text, 0), false
 	}
+	if a.barred(r, now) {
+		return refuse(core.CodeOverloaded, "the backend server is drained for another request", a.wait(a.tokens)), false
+	}
 	if a.exclusive || (r.Exclusive && len(a.held) > 0) {
 		return refuse(core.CodeOverloaded, "a request must be alone on the backend server", a.wait(a.tokens)), false
 	}
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -218,3 +218,42 @@
 		t.Errorf("retry after: got %v, want about %v", refusal.RetryAfter, want)
 	}
 }
+
+// Guards against an exclusive request that never finds an empty server, and
+// against drains that refuse new work without bound.
+func TestDrainForExclusiveRequest(t *testing.T) {
+	a := admission.New(limits, start)
+	held, suspect, other := request(1, "org", 100), request(2, "org", 100), request(3, "org", 100)
+	suspect.Exclusive, suspect.Fingerprint, other.Fingerprint = true, 7, 8
+	a.Admit(held, start)
+	if _, ok := a.Admit(suspect, start); ok || !a.Drain(suspect, start) {
+		t.Fatal("exclusive request on a busy server: got admitted or no drain, want a drain")
+	}
+	if refusal, ok := a.Admit(other, start); ok || !refusal.NotRun || refusal.RetryAfter <= 0 {
+		t.Errorf("new work during a drain: got %+v, want not run with a time to come back", refusal)
+	}
+	second := other
+	second.Exclusive = true
+	if a.Drain(second, start) {
+		t.Error("second drain at once: got true, want false")
+	}
+	a.Done(held, good(time.Millisecond), start)
+	if _, ok := a.Admit(suspect, start.Add(time.Second)); !ok {
+		t.Error("exclusive request on the drained server: got refused, want admitted")
+	}
+	now := start.Add(time.Second)
+	a.Done(suspect, good(time.Millisecond), now)
+	if _, ok := a.Admit(other, now); !ok || a.Drain(second, now) {
+		t.Error("after a drain of 1 s: want new work admitted and no other drain yet")
+	}
+	now = now.Add(time.Second)
+	if !a.Drain(second, now) {
+		t.Error("drain after as long a rest: got false, want true")
+	}
+	for end := now.Add(time.Minute); a.Drain(second, now) && now.Before(end); {
+		now = now.Add(time.Second)
+	}
+	if waited := now.Sub(start.Add(2 * time.Second)); waited > 10*time.Second || a.Draining(now) {
+		t.Errorf("drain that is renewed again and again: got %v, want at most 10 s", waited)
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -32,6 +32,8 @@
 	// mayHaveRun reports an attempt that was not proven not run.
 	mayHaveRun bool
 	crashed    bool
+	// exclusive reports that the last attempt had to be alone on its server.
+	exclusive bool
 }
 
 // attempt hands the request to one agent.
@@ -99,9 +101,14 @@
 	if refusal.Code == "" {
 		refusal.Code = core.CodeOverloaded
 	}
-	return result{refusal: refusal, final: !elsewhere(refusal), attempt: core.Attempt{Number: number, NotRun: refusal.NotRun}}
+	final := !elsewhere(refusal) || (c.exclusive && time.Since(c.r.Arrived) > exclusiveWait)
+	return result{refusal: refusal, final: final, attempt: core.Attempt{Number: number, NotRun: refusal.NotRun}}
 }
 
+// exclusiveWait bounds the time after which a request that must be alone is not
+// tried elsewhere, so that its refusal comes within 3 s.
+const exclusiveWait = time.Second
+
 // elsewhere reports whether another agent may answer differently.
 func elsewhere(r core.Refusal) bool {
 	switch r.Code {
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -114,14 +114,14 @@
 		return result{refusal: core.Refusal{Code: core.CodeOverloaded, NotRun: true, RetryAfter: retryOther,
 			Message: "an equal request runs alone after a crash of a backend server"}}, false
 	}
-	exclusive := p.exclusive() || c.crashed
-	ch := c.e.views.choose(c.r.Request, c.tried, exclusive)
+	c.exclusive = p.exclusive() || c.crashed
+	ch := c.e.views.choose(c.r.Request, c.tried, c.exclusive)
 	if !ch.ok {
 		return result{refusal: core.Refusal{Code: ch.code, NotRun: true, RetryAfter: retryOther,
 			Message: "no backend server can take the request now"}}, false
 	}
 	c.tried[ch.view.Load.AgentID] = true
-	return c.attempt(ctx, ch.view, exclusive, number), true
+	return c.attempt(ctx, ch.view, c.exclusive, number), true
 }
 
 // truthful withdraws "not run" when an earlier attempt may have run.
