--- a/agent/admission.go
+++ b/agent/admission.go
@@ -208,7 +208,7 @@
 	case !s.up:
 		return refuse(core.CodeNoServer, "the backend server does not answer", retryLater), false
 	case r.Deadline.Sub(now) < minDeadline:
-		return refuse(core.CodeDeadline, "not enough time left until the deadline", 0), false
+		return refuse(core.CodeDeadline, "not enough time left until the deadline", retrySoon), false
 	}
 	s.follow(service)
 	return core.Refusal{}, true
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -63,7 +63,7 @@
 	crashed := broken && t.agent.crashed(t.admitted)
 	t.free(core.Outcome{Crashed: crashed, Cancelled: notSent || t.gone.Err() != nil})
 	if notSent && clock.expired.Load() {
-		t.refuse(refuse(core.CodeDeadline, "the deadline passed before the request was sent", 0))
+		t.refuse(refuse(core.CodeDeadline, "the deadline passed before the request was sent", retrySoon))
 		return
 	}
 	if notSent {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -99,7 +99,7 @@
 	}
 	refusal := refusalOf(v)
 	if refusal.Code == "" {
-		refusal.Code = core.CodeOverloaded
+		refusal.Code, refusal.RetryAfter = core.CodeOverloaded, retryOther
 	}
 	final := !elsewhere(refusal) || (c.exclusive && time.Since(c.r.Arrived) > exclusiveWait)
 	return result{refusal: refusal, final: final, attempt: core.Attempt{Number: number, NotRun: refusal.NotRun}}
--- a/systemtest/booking_test.go
+++ b/systemtest/booking_test.go
@@ -18,7 +18,7 @@
 		c.ready()
 		stop := make(chan struct{})
 		injected := make(chan struct{})
-		go func() { defer close(injected); injectFaults(t, c, r, commonFaults(), stop) }()
+		go func() { defer close(injected); injectFaults(t, c, r, append(commonFaults(), backendFaults()...), stop) }()
 		ops := c.bookAll(t, 60, 15*time.Second)
 		close(stop)
 		<-injected
--- a/systemtest/caller_test.go
+++ b/systemtest/caller_test.go
@@ -101,7 +101,7 @@
 		return l.record(answer{result: resultUnknown, body: err.Error()}, "", "")
 	}
 	defer resp.Body.Close()
-	a := answer{status: resp.StatusCode, id: resp.Header.Get("X-Request-Id"), result: resultCut}
+	a := answer{status: resp.StatusCode, id: resp.Header.Get("X-Request-Id"), result: resultCut, elapsed: time.Since(start)}
 	if resp.StatusCode != http.StatusOK {
 		return l.record(refused(a, resp), "", "")
 	}
@@ -136,10 +136,13 @@
 }
 
 // book makes a booking that must not run twice.
-func (l *client) book(e *proc, key string) answer {
+func (l *client) book(e *proc, key string) answer { return l.bookMule(e, key, "m7") }
+
+// bookMule makes a booking whose body names the mule.
+func (l *client) bookMule(e *proc, key, mule string) answer {
 	start := time.Now()
 	l.c.history.add(event{kind: eventInvoke, key: key})
-	resp, err := l.send(e, http.MethodPost, "/bookings", key, map[string]string{"mule": "m7", "key": key})
+	resp, err := l.send(e, http.MethodPost, "/bookings", key, map[string]string{"mule": mule, "key": key})
 	if err != nil {
 		return l.record(answer{result: resultUnknown, body: err.Error()}, key, "")
 	}
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -37,6 +37,8 @@
 	agent  *proc
 	engine *engine.Engine
 	desk   *desk.Desk
+	// link is the way from the agent to the backend server.
+	link *proxy
 }
 
 // sizes tells what a cluster holds.
@@ -134,14 +136,29 @@
 	return s.Entry.AgentsReady
 }
 
+func (c *cluster) backends() []*backend {
+	return append(append([]*backend(nil), c.models...), c.desks...)
+}
+
 func (c *cluster) procs() []*proc {
 	all := append([]*proc(nil), c.entries...)
-	for _, b := range append(append([]*backend(nil), c.models...), c.desks...) {
+	for _, b := range c.backends() {
 		all = append(all, b.agent)
 	}
 	return all
 }
 
+// heal ends the faults of the log and of all links.
+func (c *cluster) heal() {
+	c.log.SetFaults(platformlog.Faults{})
+	for _, l := range c.links {
+		l.heal()
+	}
+	for _, b := range c.backends() {
+		b.link.heal()
+	}
+}
+
 // address returns a new loopback IP number.
 func (c *cluster) address() string {
 	c.hosts++
@@ -222,9 +239,9 @@
 
 func (c *cluster) addAgent(id, service, kind, domain string, h http.Handler) *backend {
 	p := c.newProc(core.RoleAgent, id, domain)
-	b := &backend{agent: p}
+	b := &backend{agent: p, link: newProxy(c.t, c.serve(h))}
 	extra := fmt.Sprintf("[agent]\nservice = %q\nbackend_address = %q\nbackend_kind = %q\n[listen]\nadmin = %q\npeer = %q\n",
-		service, c.serve(h), kind, p.admin, p.peer)
+		service, b.link.address(), kind, p.admin, p.peer)
 	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, extra))
 	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: p.peer, Domain: domain, Region: "r1", Service: service, State: core.HostLive})
 	return b
--- a/systemtest/faults_test.go
+++ b/systemtest/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -21,7 +22,7 @@
 	t.Helper()
 	for n := range *seeds {
 		seed := uint64(n + 1)
-		t.Run("seed", func(t *testing.T) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Logf("seed %d", seed)
 			run(t, rand.New(rand.NewPCG(seed, seed)))
 		})
@@ -120,6 +121,37 @@
 	}
 }
 
+// backendFaults are failures between an agent and its backend server.
+func backendFaults() []fault {
+	return []fault{
+		{"cut off a backend server", func(c *cluster, r *rand.Rand) {
+			l := pickBackend(c, r).link
+			l.cut()
+			time.Sleep(between(r, 100*time.Millisecond, 2*time.Second))
+			l.heal()
+		}},
+		{"freeze a backend server's link", func(c *cluster, r *rand.Rand) {
+			l := pickBackend(c, r).link
+			l.freeze(direction(r.IntN(2)))
+			time.Sleep(between(r, 100*time.Millisecond, 3*time.Second))
+			l.heal()
+		}},
+		{"break a backend server's connections", func(c *cluster, r *rand.Rand) { pickBackend(c, r).link.breakAll() }},
+		{"split and drop a backend server's answers", func(c *cluster, r *rand.Rand) {
+			l := pickBackend(c, r).link
+			l.splitWrites()
+			l.dropAnswers(1 + r.IntN(3))
+			time.Sleep(between(r, 100*time.Millisecond, time.Second))
+			l.heal()
+		}},
+	}
+}
+
+func pickBackend(c *cluster, r *rand.Rand) *backend {
+	all := c.backends()
+	return all[r.IntN(len(all))]
+}
+
 // injectFaults runs random faults, at most two at a time, until stop is closed,
 // and heals everything.
 func injectFaults(t *testing.T, c *cluster, r *rand.Rand, faults []fault, stop <-chan struct{}) {
@@ -142,8 +174,5 @@
 		}()
 	}
 	wg.Wait()
-	c.log.SetFaults(platformlog.Faults{})
-	for _, l := range c.links {
-		l.heal()
-	}
+	c.heal()
 }
--- /dev/null
+++ b/systemtest/notrun_test.go
@@ -0,0 +1,137 @@
+package systemtest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// noRepeat are the codes of refusals that a repeat of the same request meets
+// again.
+var noRepeat = map[string]bool{
+	"bad_request": true, "unauthorized": true, "forbidden": true, "not_found": true, "too_large": true,
+	"idempotency_key_required": true, "idempotency_key_mismatch": true, "idempotency_key_expired": true,
+	"crashes_backend_servers": true,
+}
+
+// linkStages returns the links of each stage of a request's way.
+func (c *cluster) linkStages() [][]*proxy {
+	var peers, servers []*proxy
+	for _, b := range c.backends() {
+		for _, e := range c.entries {
+			peers = append(peers, c.links[e.id+">"+b.agent.id])
+		}
+		servers = append(servers, b.link)
+	}
+	return [][]*proxy{peers, servers}
+}
+
+// linkFaults are the failures of one connection.
+var linkFaults = []struct {
+	name string
+	run  func(p *proxy, r *rand.Rand)
+}{
+	{"cut", func(p *proxy, _ *rand.Rand) { p.cut() }},
+	{"break", func(p *proxy, _ *rand.Rand) { p.breakAll() }},
+	{"freeze requests", func(p *proxy, _ *rand.Rand) { p.freeze(toServer) }},
+	{"freeze answers", func(p *proxy, _ *rand.Rand) { p.freeze(toClient) }},
+	{"drop answers", func(p *proxy, r *rand.Rand) { p.dropAnswers(1 + r.IntN(4)) }},
+	{"split", func(p *proxy, r *rand.Rand) {
+		p.splitWrites()
+		p.slow(direction(r.IntN(2)), between(r, time.Millisecond, 20*time.Millisecond))
+	}},
+}
+
+// tally counts the answers of a test.
+type tally struct {
+	mu      sync.Mutex
+	n       map[result]int
+	slowest time.Duration
+	resent  int
+}
+
+func (y *tally) add(t *testing.T, a answer, again bool) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.n[a.result]++
+	if again {
+		y.resent++
+	}
+	if a.result != resultNotRun {
+		return
+	}
+	y.slowest = max(y.slowest, a.elapsed)
+	if a.elapsed > refusalBound {
+		t.Errorf("refusal as not run: got %+v, want it within %v", a, refusalBound)
+	}
+	if a.retry <= 0 && !noRepeat[a.code] {
+		t.Errorf("refusal as not run: got %+v without Retry-After, want one", a)
+	}
+}
+
+// Guards against a "not run" that is false, late or without Retry-After, while
+// connections at every stage of a request's way fail under load. A caller that
+// gets "not run" sends the request again.
+func TestNotRunIsTrue(t *testing.T) {
+	eachSeed(t, func(t *testing.T, r *rand.Rand) {
+		c := newCluster(t, sizes{entries: 3, engines: 2, desks: 2})
+		c.ready()
+		y := &tally{n: map[result]int{}}
+		var stop atomic.Bool
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				l := c.client([]string{"trails", "farm"}[n%2])
+				for i := 0; !stop.Load(); i++ {
+					c.sendUntilRun(t, l, y, n, i)
+				}
+			}()
+		}
+		end := time.Now().Add(12 * time.Second)
+		for time.Now().Before(end) {
+			for stage, links := range c.linkStages() {
+				f := linkFaults[r.IntN(len(linkFaults))]
+				p := links[r.IntN(len(links))]
+				t.Logf("stage %d: %s", stage, f.name)
+				f.run(p, r)
+				time.Sleep(between(r, 100*time.Millisecond, 1200*time.Millisecond))
+				p.heal()
+			}
+		}
+		c.heal()
+		stop.Store(true)
+		wg.Wait()
+		events := c.collect()
+		checkAll(t, events)
+		if err := checkWhole(events); err != nil {
+			t.Error(err)
+		}
+		t.Logf("answers %v, %d sent again, slowest refusal after %v", y.n, y.resent, y.slowest.Round(time.Millisecond))
+		if y.n[resultOK] == 0 || y.n[resultNotRun] == 0 {
+			t.Errorf("got answers %v, want replies and refusals", y.n)
+		}
+	})
+}
+
+// sendUntilRun sends one request and sends it again while it gets "not run".
+func (c *cluster) sendUntilRun(t *testing.T, l *client, y *tally, n, i int) {
+	for again := 0; again < 5; again++ {
+		e := c.entries[(n+i+again)%len(c.entries)]
+		var a answer
+		if n%4 < 2 {
+			a = l.book(e, fmt.Sprintf("%s-%d-%d", l.org, n, i))
+		} else {
+			a = l.complete(e, fmt.Sprintf("prompt %d %d", n, i), 10)
+		}
+		y.add(t, a, again > 0)
+		if a.result != resultNotRun {
+			return
+		}
+		time.Sleep(min(a.retry, 300*time.Millisecond))
+	}
+}
