Convict a request only after a second crash

Cause: a request that happened to be alone on a backend server was convicted by one crash, and a cut connection to the server counts as a crash while the server's incarnation cannot be read. A chance failure made an innocent request refused for good.

Change: the first crash makes a suspect, which runs alone and is cleared by a good completion. A crash of that run convicts, so a crashing request still ends after at most three crashes.

--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -50,10 +50,6 @@
 	}
 	ran := unique(fingerprints)
 	q.rememberCrash(crashID, ran)
-	if len(ran) == 1 {
-		q.convict(ran[0])
-		return true
-	}
 	for _, fp := range ran {
 		q.suspect(fp, crashID)
 	}
@@ -101,7 +97,8 @@
 }
 
 // guilty reports whether the fingerprint is the only one that was on all of its
-// two crashed servers. Requests that were together each time cannot be told
+// two crashed servers. One crash convicts nobody, even of a request that ran
+// alone: servers also fail by chance, and their connections break. Requests that were together each time cannot be told
 // apart until one of them runs alone; the third crash convicts them all, so that
 // no request crashes a fourth server.
 func (q *Quarantine) guilty(fp uint64) bool {
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -82,6 +82,20 @@
 	})
 }
 
+// Guards against an innocent request that is refused for good because its
+// server failed by chance while it ran there alone.
+func TestOneCrashConvictsNobody(t *testing.T) {
+	q := retry.NewQuarantine()
+	q.Crashed("chance", []uint64{1}, now)
+	if got, want := q.Status(1, now), core.QuarantineSuspect; got != want {
+		t.Errorf("after one crash alone: got %d, want %d", got, want)
+	}
+	q.Crashed("again", []uint64{1}, now)
+	if got, want := q.Status(1, now), core.QuarantineConvicted; got != want {
+		t.Errorf("after two crashes alone: got %d, want %d", got, want)
+	}
+}
+
 // Guards against counts that depend on the order or number of reports.
 func TestCrashesMergeByID(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -108,6 +122,7 @@
 	q := retry.NewQuarantine()
 	for i := range uint64(retry.MaxFingerprints + 10) {
 		q.Crashed(fmt.Sprint(i), []uint64{i + 1}, now)
+		q.Crashed(fmt.Sprint("again ", i), []uint64{i + 1}, now)
 	}
 	if got, want := q.Status(1, now), core.QuarantineClear; got != want {
 		t.Errorf("oldest conviction: got %d, want %d", got, want)
--- a/systemtest/crash_test.go
+++ b/systemtest/crash_test.go
@@ -175,3 +175,40 @@
 	stop.Store(true)
 	wg.Wait()
 }
+
+// Guards against an innocent request that is refused for good because its only
+// fault was to run alone when a backend server or its connection failed.
+func TestLoneRequestSurvivesChanceFailure(t *testing.T) {
+	c := newCluster(t, sizes{entries: 2, engines: 2, desks: 1})
+	c.ready()
+	for _, failure := range []struct {
+		name string
+		run  func(b *backend)
+	}{
+		{"crash by chance", func(b *backend) { b.engine.Inject(engine.Faults{Crash: true}) }},
+		{"connections cut", func(b *backend) { b.link.cut(); time.Sleep(time.Second); b.link.heal() }},
+	} {
+		t.Run(failure.name, func(t *testing.T) {
+			l := c.client("farm")
+			done := make(chan answer, 1)
+			go func() { done <- l.complete(c.entries[0], failure.name, 200) }()
+			var on *backend
+			eventually(t, "the request runs", func() bool {
+				for _, b := range c.models {
+					if runs := b.engine.Runs(); len(runs) > 0 && runs[len(runs)-1].Tokens > 0 && runs[len(runs)-1].Outcome == engine.OutcomeRunning {
+						on = b
+					}
+				}
+				return on != nil
+			})
+			failure.run(on)
+			first := <-done
+			eventually(t, "the agent is ready", on.agent.ready)
+			for _, e := range c.entries {
+				if a := l.complete(e, failure.name, 200); a.result != resultOK {
+					t.Errorf("repeat at %s after %+v: got %+v, want a reply", e.id, first, a)
+				}
+			}
+		})
+	}
+}
