--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 TEST_FLAGS ?=
+SEEDS ?= 20
+# The tests with random faults are those that call eachSeed.
+SEEDED_TESTS ?= $(shell awk '/^func Test/ {f = $$2; sub(/[^A-Za-z0-9_].*/, "", f)} /^\teachSeed.t, / {print f}' systemtest/*_test.go | paste -sd'|')
 
 export CGO_ENABLED := 1
 
@@ -17,6 +20,9 @@
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
 	go test -race -timeout 20m $(SKIP) $(TEST_FLAGS) ./...
 
+soak:
+	go test -count=1 -timeout 0 -v -run '^($(SEEDED_TESTS))$$' ./systemtest -args -seeds $(SEEDS)
+
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "run gofmt"; exit 1; }
 	go vet ./...
