systemtest: give the proxies of a cluster an address of their own

Proxies listened on 127.0.0.1 with ports that the machine uses again, so a process of another test reached this cluster through a port that its own test had freed, and its records were taken for those of a peer.

Change: the proxies listen on a loopback address of the cluster. Also sends the links between entries through the faults of TestNotRunIsTrue.

--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -51,10 +51,14 @@
 // and entries and agents as processes. Every link goes through a proxy of its
 // own: each entry has a host list that names the proxies of its own links.
 type cluster struct {
-	t       *testing.T
-	dir     string
-	net     string
-	hosts   int
+	t     *testing.T
+	dir   string
+	net   string
+	hosts int
+	// proxyIP is an address of this cluster only. On a shared one, a process
+	// that another test left behind may reach a proxy by a port used again, and
+	// its configuration would be taken for that of a peer.
+	proxyIP string
 	log     *platformlog.Server
 	logAddr string
 	lists   map[string]*hostlist.Server
@@ -79,6 +83,7 @@
 	}
 	t.Cleanup(c.dumpLogs)
 	t.Cleanup(c.log.Close)
+	c.proxyIP = c.address()
 	c.logAddr = c.serve(c.log)
 	for i := range s.entries {
 		c.addEntry(i)
@@ -181,7 +186,7 @@
 func (c *cluster) link(from, to, target string) *proxy {
 	key := from + ">" + to
 	if c.links[key] == nil {
-		c.links[key] = newProxy(c.t, target)
+		c.links[key] = newProxy(c.t, c.proxyIP, target)
 	}
 	return c.links[key]
 }
@@ -239,7 +244,7 @@
 
 func (c *cluster) addAgent(id, service, kind, domain string, h http.Handler) *backend {
 	p := c.newProc(core.RoleAgent, id, domain)
-	b := &backend{agent: p, link: newProxy(c.t, c.serve(h))}
+	b := &backend{agent: p, link: newProxy(c.t, c.proxyIP, c.serve(h))}
 	extra := fmt.Sprintf("[agent]\nservice = %q\nbackend_address = %q\nbackend_kind = %q\n[listen]\nadmin = %q\npeer = %q\n",
 		service, b.link.address(), kind, p.admin, p.peer)
 	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, extra))
--- a/systemtest/notrun_test.go
+++ b/systemtest/notrun_test.go
@@ -19,14 +19,21 @@
 
 // linkStages returns the links of each stage of a request's way.
 func (c *cluster) linkStages() [][]*proxy {
-	var peers, servers []*proxy
+	var entries, peers, servers []*proxy
+	for _, from := range c.entries {
+		for _, to := range c.entries {
+			if from != to {
+				entries = append(entries, c.links[from.id+">"+to.id])
+			}
+		}
+	}
 	for _, b := range c.backends() {
 		for _, e := range c.entries {
 			peers = append(peers, c.links[e.id+">"+b.agent.id])
 		}
 		servers = append(servers, b.link)
 	}
-	return [][]*proxy{peers, servers}
+	return [][]*proxy{entries, peers, servers}
 }
 
 // linkFaults are the failures of one connection.
--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -34,10 +34,10 @@
 	done  chan struct{}
 }
 
-// newProxy starts a proxy that ends with the test.
-func newProxy(t *testing.T, target string) *proxy {
+// newProxy starts a proxy on an IP number that ends with the test.
+func newProxy(t *testing.T, ip, target string) *proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatalf("listen for proxy: %v", err)
 	}
