--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,13 @@
 GOLANGCI_LINT_VERSION := v2.15.0
 PROTOC_GEN_GO_VERSION := v1.36.12
 GOBIN := $(shell go env GOPATH)/bin
-KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
-SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+# One pattern of go test for each known red test or subtest.
+KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | sed 's,/,$$/^,g; s/.*/^&$$/' | paste -sd'|' -)
+SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 TEST_FLAGS ?=
+SEEDS ?= 20
+# The tests with random faults are those that call eachSeed.
+SEEDED_TESTS ?= $(shell awk '/^func Test/ {f = $$2; sub(/[^A-Za-z0-9_].*/, "", f)} /^\teachSeed.t, / {print f}' systemtest/*_test.go | paste -sd'|')
 
 export CGO_ENABLED := 1
 
@@ -14,12 +18,15 @@
 	go build -o bin/nutmegnotch-emulator ./cmd/nutmegnotch-emulator
 
 test: build
-	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
+	@if [ -n '$(KNOWN_RED)' ]; then echo "known red, not run:"; cat KNOWN-RED.txt; fi
 	go test -race -timeout 20m $(SKIP) $(TEST_FLAGS) ./...
 
 demo: build
 	demo/run.sh
 
+soak:
+	go test -count=1 -timeout 0 -v -run '^($(SEEDED_TESTS))$$' ./systemtest -args -seeds $(SEEDS)
+
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "run gofmt"; exit 1; }
 	go vet ./...
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -37,6 +37,8 @@
 	agent  *proc
 	engine *engine.Engine
 	desk   *desk.Desk
+	// link is the way from the agent to the backend server.
+	link *proxy
 }
 
 // sizes tells what a cluster holds.
@@ -49,10 +51,14 @@
 // and entries and agents as processes. Every link goes through a proxy of its
 // own: each entry has a host list that names the proxies of its own links.
 type cluster struct {
-	t       *testing.T
-	dir     string
-	net     string
-	hosts   int
+	t     *testing.T
+	dir   string
+	net   string
+	hosts int
+	// proxyIP is an address of this cluster only. On a shared one, a process
+	// that another test left behind may reach a proxy by a port used again, and
+	// its configuration would be taken for that of a peer.
+	proxyIP string
 	log     *platformlog.Server
 	logAddr string
 	lists   map[string]*hostlist.Server
@@ -77,6 +83,7 @@
 	}
 	t.Cleanup(c.dumpLogs)
 	t.Cleanup(c.log.Close)
+	c.proxyIP = c.address()
 	c.logAddr = c.serve(c.log)
 	for i := range s.entries {
 		c.addEntry(i)
@@ -134,14 +141,29 @@
 	return s.Entry.AgentsReady
 }
 
+func (c *cluster) backends() []*backend {
+	return append(append([]*backend(nil), c.models...), c.desks...)
+}
+
 func (c *cluster) procs() []*proc {
 	all := append([]*proc(nil), c.entries...)
-	for _, b := range append(append([]*backend(nil), c.models...), c.desks...) {
+	for _, b := range c.backends() {
 		all = append(all, b.agent)
 	}
 	return all
 }
 
+// heal ends the faults of the log and of all links.
+func (c *cluster) heal() {
+	c.log.SetFaults(platformlog.Faults{})
+	for _, l := range c.links {
+		l.heal()
+	}
+	for _, b := range c.backends() {
+		b.link.heal()
+	}
+}
+
 // address returns a new loopback IP number.
 func (c *cluster) address() string {
 	c.hosts++
@@ -164,7 +186,7 @@
 func (c *cluster) link(from, to, target string) *proxy {
 	key := from + ">" + to
 	if c.links[key] == nil {
-		c.links[key] = newProxy(c.t, target)
+		c.links[key] = newProxy(c.t, c.proxyIP, target)
 	}
 	return c.links[key]
 }
@@ -222,9 +244,9 @@
 
 func (c *cluster) addAgent(id, service, kind, domain string, h http.Handler) *backend {
 	p := c.newProc(core.RoleAgent, id, domain)
-	b := &backend{agent: p}
+	b := &backend{agent: p, link: newProxy(c.t, c.proxyIP, c.serve(h))}
 	extra := fmt.Sprintf("[agent]\nservice = %q\nbackend_address = %q\nbackend_kind = %q\n[listen]\nadmin = %q\npeer = %q\n",
-		service, c.serve(h), kind, p.admin, p.peer)
+		service, b.link.address(), kind, p.admin, p.peer)
 	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, extra))
 	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: p.peer, Domain: domain, Region: "r1", Service: service, State: core.HostLive})
 	return b
