Read the host list only when it has changed

Cause: an entry read and decoded the whole host list four times a second (two readers), an agent twice. The subset of agents keeps only its first n, and is chosen again only when the list or the configuration has changed.

--- a/core/routing/cluster_test.go
+++ b/core/routing/cluster_test.go
@@ -59,7 +59,6 @@
 	runs       []*simRun
 	served     float64
 	down       time.Duration
-	collapses  int
 	seq        uint64
 }
 
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -129,6 +129,21 @@
 	})
 }
 
+// BenchmarkSubset chooses the usual subset of the agents of one service.
+func BenchmarkSubset(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("agents=%d", n), func(b *testing.B) {
+			ids := make([]string, n)
+			for i := range ids {
+				ids[i] = fmt.Sprintf("agent-%06d", i)
+			}
+			for b.Loop() {
+				routing.Subset("entry-000001/text", ids, routing.DefaultSubsetSize)
+			}
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{64, 512, 4096} {
 		b.Run(fmt.Sprintf("views=%d", n), func(b *testing.B) {
--- a/core/routing/subset.go
+++ b/core/routing/subset.go
@@ -15,24 +15,34 @@
 // best first. An id that joins or leaves changes at most one member. With at
 // most n ids it returns all of them.
 func Subset(key string, ids []string, n int) []string {
-	type weighted struct {
-		id     string
-		weight uint64
-	}
-	all := make([]weighted, 0, len(ids))
+	n = min(n, len(ids))
+	best := make([]weighted, 0, n+1)
 	for _, id := range ids {
-		all = append(all, weighted{id, weigh(key, id)})
+		w := weighted{id, weigh(key, id)}
+		if len(best) == n && (n == 0 || compare(w, best[n-1]) >= 0) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, w, compare)
+		best = slices.Insert(best, at, w)
+		best = best[:min(len(best), n)]
 	}
-	slices.SortFunc(all, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
-	})
-	out := make([]string, 0, min(n, len(all)))
-	for i := 0; i < len(all) && i < n; i++ {
-		out = append(out, all[i].id)
+	out := make([]string, 0, n)
+	for _, w := range best {
+		out = append(out, w.id)
 	}
 	return out
 }
 
+type weighted struct {
+	id     string
+	weight uint64
+}
+
+// compare puts the higher weight first.
+func compare(a, b weighted) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
+}
+
 // weigh separates key and id by a zero byte, so that shifted pairs differ.
 func weigh(key, id string) uint64 {
 	var d xxhash.Digest
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -51,9 +51,15 @@
 
 func (v *views) setHosts(hosts []core.Host) {
 	v.do(func() {
+		unchanged := len(hosts) > 0 && len(hosts) == len(v.hosts) && &hosts[0] == &v.hosts[0]
 		v.hosts = hosts
 		v.markLeaving()
-		v.reconnect()
+		// Choosing the subsets costs milliseconds at the design size; the host
+		// list hands out the same slice while it has not changed. Addresses of
+		// lookups expire, and are rare.
+		if !unchanged || len(v.lookups) > 0 {
+			v.reconnect()
+		}
 	})
 }
 
--- a/io/hostlist/client_test.go
+++ b/io/hostlist/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +63,35 @@
 		t.Errorf("outage: got %v, want ErrUnavailable", err)
 	}
 }
+
+// Guards against an unchanged list that is sent again, and against a changed
+// one that is not.
+func TestUnchangedListIsNotSent(t *testing.T) {
+	list := emulator.New([]core.Host{{ID: "a", Role: core.RoleEntry, State: core.HostLive}})
+	var statuses []int
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		list.ServeHTTP(rec, r)
+		statuses = append(statuses, rec.Code)
+		for name, v := range rec.Header() {
+			w.Header()[name] = v
+		}
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	defer func() { list.Close(); srv.Close() }()
+	c := hostlist.New(srv.URL, 0)
+	defer c.Close()
+	for i, want := range []string{"a", "a", "b", "b"} {
+		if i == 2 {
+			list.Put([]core.Host{{ID: "b", Role: core.RoleAgent, State: core.HostLive}})
+		}
+		hosts, err := c.Hosts(context.Background())
+		if err != nil || len(hosts) != 1 || hosts[0].ID != want {
+			t.Fatalf("read %d: got %v (%v), want %q", i, hosts, err, want)
+		}
+	}
+	if want := []int{200, 304, 200, 304}; !slices.Equal(statuses, want) {
+		t.Errorf("answers: got %v, want %v", statuses, want)
+	}
+}
