Ask a seemingly full agent again when its report is old

Cause: with reports every second an entry refused requests although agents had room again, as its views did not know of requests that had ended. Change: when no agent has room by its view, the least loaded one with a report older than 100 ms is asked; its refusal brings a new report.

--- a/core/routing/cluster_test.go
+++ b/core/routing/cluster_test.go
@@ -202,7 +202,7 @@
 // report brings the views up to date; each agent reports at times of its own.
 func (w *simWorld) report() {
 	for i, s := range w.servers {
-		if (w.now+time.Duration(i)*simStep)%w.plan.report != 0 {
+		if w.now > 0 && (w.now+time.Duration(i)*simStep)%w.plan.report != 0 {
 			continue
 		}
 		l := s.load()
--- a/core/routing/policy.go
+++ b/core/routing/policy.go
@@ -22,6 +22,9 @@
 	maxExtraChoices = 2
 	// probesPerChoice bounds the random probes before all views are scanned.
 	probesPerChoice = 4
+	// probeAge is the age from which a report no longer proves that an agent is
+	// full.
+	probeAge = 100 * time.Millisecond
 )
 
 // Policy is the product's router: the best of two random candidates and of the
@@ -50,12 +53,32 @@
 			best, bestScore = i, s
 		}
 	}
+	if best < 0 {
+		best = probe(r, views, now)
+	}
 	if best < 0 {
 		return core.AgentView{}, false
 	}
 	return views[best], true
 }
 
+// probe returns the least loaded candidate that seems full by an old report, or
+// -1. What it held then may have ended since; its refusal brings a new report,
+// so a full agent is asked at most once in probeAge.
+func probe(r core.Request, views []core.AgentView, now time.Time) int {
+	best := -1
+	for i := range views {
+		v := &views[i]
+		if !Candidate(r, v, now) || now.Sub(v.ReportedAt) < probeAge || r.Cost() > v.Load.LimitTokens {
+			continue
+		}
+		if best < 0 || loadOf(r, v) < loadOf(r, &views[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
 // addCached adds the agents that probably hold the prefix of the prompt.
 func (p *Policy) addCached(r core.Request, views []core.AgentView, now time.Time) {
 	ids := p.prefixes.agents(r.PrefixHash)
