--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -17,13 +17,11 @@
 	}{{3, false, 10, 11}, {3, true, 49, 50}, {38, true, 10, 11}, {1000, true, 10, 11}} {
 		r := reporter{interval: 200 * time.Millisecond}
 		now, sent, last := time.Now(), 0, time.Time{}
-		l := &peerpb.Load{AgentId: "a", State: "ready", LimitCount: 9}
 		for i := range 50 {
-			next := &peerpb.Load{AgentId: "a", State: "ready", LimitCount: 9, Seq: uint64(i + 1)}
+			l := &peerpb.Load{AgentId: "a", State: "ready", LimitCount: 9, Seq: uint64(i + 1)}
 			if c.busy {
-				next.HeldTokens = int64(i)
+				l.HeldTokens = int64(i)
 			}
-			l = next
 			if got := r.next(l, c.sessions, now); got != nil {
 				if !last.IsZero() && now.Sub(last) > maxReportInterval {
 					t.Errorf("%+v: got no report for %v, want at most %v", c, now.Sub(last), maxReportInterval)
