--- a/systemtest/capacity_test.go
+++ b/systemtest/capacity_test.go
@@ -165,7 +165,7 @@
 		mesh bool
 	}{{3, 0, 0, false}, {12, 0, 0, false}, {48, 0, 0, false}, {192, 0, 0, false}, {0, 3, 0, false}, {0, 12, 0, false}, {0, 48, 0, false},
 		{0, 96, 0, false}, {12, 0, 1000, false}, {12, 0, 4000, false}, {12, 0, 11600, false},
-		{12, 9, 0, true}, {48, 9, 0, true}, {96, 9, 0, true}} {
+		{12, 9, 0, true}, {48, 9, 0, true}, {96, 9, 0, true}, {192, 9, 0, true}} {
 		t.Run(fmt.Sprintf("agents=%d/entries=%d/rows=%d/mesh=%v", s.agents, s.entries, s.rows, s.mesh), func(t *testing.T) {
 			c := newCluster(t, sizes{entries: 1})
 			e := c.entries[0]
