Let the delay before a checkpoint grow with the entry set

Cause: all entries drew their delay from 30 s, so at 1,600 entries 54.5 wrote the same 2.2 MB before they had read the first (readers within 1 s, assumed). Change: the delay is drawn from a second per entry, at least the setting and at most a tenth of the retention; half of it is left then. Up to 30 entries nothing changes.

--- a/io/configlog/checkpoint.go
+++ b/io/configlog/checkpoint.go
@@ -10,7 +10,11 @@
 	"nutmegnotch/core/config"
 )
 
-const checkpointTimeout = 10 * time.Second
+// Times of writing checkpoints.
+const (
+	checkpointTimeout = 10 * time.Second
+	checkpointPause   = time.Second
+)
 
 // checkpoints tracks the age of the oldest record that a new process needs:
 // the first one that the newest checkpoint does not cover, or that checkpoint.
@@ -43,6 +47,18 @@
 	c.oldest, c.due = now.Add(-retention/4), time.Time{}
 }
 
+// checkpointDelay returns the bound of the random delay.
+func (t *task) checkpointDelay() time.Duration {
+	return spread(len(t.fold.Configuration().EntrySet.Entries), t.f.cfg.CheckpointDelay, t.f.cfg.Retention)
+}
+
+// spread lets about one entry a second write, so that the others read the first
+// checkpoint before their turn. It stays far below the half of the retention
+// that is left.
+func spread(entries int, least, retention time.Duration) time.Duration {
+	return max(least, min(time.Duration(entries)*checkpointPause, retention/10))
+}
+
 // writeCheckpoint appends a checkpoint when the oldest needed record is older
 // than half of the retention and a random delay has passed without one.
 func (t *task) writeCheckpoint(now time.Time) {
@@ -55,7 +71,7 @@
 		return
 	}
 	if c.due.IsZero() {
-		c.due = now.Add(jitter(t.f.cfg.CheckpointDelay))
+		c.due = now.Add(jitter(t.checkpointDelay()))
 	}
 	if now.Before(c.due) {
 		return
@@ -83,6 +99,6 @@
 	}
 	t.f.do(t.ctx, func(t *task) {
 		t.checkpoints.busy = false
-		t.checkpoints.due = time.Now().Add(retryDelay + jitter(t.f.cfg.CheckpointDelay))
+		t.checkpoints.due = time.Now().Add(retryDelay + jitter(t.checkpointDelay()))
 	})
 }
