Count what organisations get and report it through the log

Add core/report (records, counter, merge), io/reportlog (task and reader of the reports stream), hooks at the caller front end and at admission, the setting reports.interval, GET /reports, the command report and read-only teams.

--- a/core/config/fold.go
+++ b/core/config/fold.go
@@ -227,7 +227,10 @@
 			}
 		}
 	case v.team != nil:
-		return taken("token_hash", v.team.TokenHash, f.tokens, v.team.Name)
+		if err := taken("token_hash", v.team.TokenHash, f.tokens, v.team.Name); err != nil {
+			return err
+		}
+		return f.checkReadOnly(*v.team)
 	case v.service != nil:
 		for _, m := range v.service.Models {
 			if err := taken(fmt.Sprintf("model %q", m), m, f.models, v.service.Name); err != nil {
@@ -241,6 +244,21 @@
 	return nil
 }
 
+// checkReadOnly rejects a read-only team while no other team may change every
+// object: the bootstrap token ends with the first team, so that nobody could
+// change anything any more.
+func (f *Fold) checkReadOnly(t core.Team) error {
+	if !t.ReadOnly {
+		return nil
+	}
+	for name, other := range f.cfg.Teams {
+		if name != t.Name && other.Administers() {
+			return nil
+		}
+	}
+	return fmt.Errorf("read_only needs another team that is not read-only and has \"*\" in organisations: %w", core.ErrInvalid)
+}
+
 // own copies the maps of the configuration if they were handed out.
 func (f *Fold) own() {
 	if !f.shared {
--- a/core/contract.go
+++ b/core/contract.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -101,11 +102,21 @@
 
 // Team is a group of operators. TokenHash is the SHA-256 of its bearer token in
 // hexadecimal. Organisations limits the contracts it may change; "*" stands for
-// every organisation and also permits services, failure domains and teams.
+// every organisation and also permits services, failure domains and teams. A
+// ReadOnly team may read what is in its scope and change nothing.
 type Team struct {
 	Name          string   `json:"name"`
 	TokenHash     string   `json:"token_hash"`
 	Organisations []string `json:"organisations"`
+	ReadOnly      bool     `json:"read_only,omitempty"`
+}
+
+// AllOrganisations in Team.Organisations stands for every organisation.
+const AllOrganisations = "*"
+
+// Administers reports whether the team may change every object.
+func (t Team) Administers() bool {
+	return !t.ReadOnly && slices.Contains(t.Organisations, AllOrganisations)
 }
 
 // EntryInfo names one entry of the entry set.
--- a/core/log.go
+++ b/core/log.go
@@ -11,6 +11,7 @@
 	StreamConfig      = "config"
 	StreamAudit       = "audit"
 	StreamLeaders     = "leaders"
+	StreamReports     = "reports"
 	ClaimStreamPrefix = "claims-"
 )
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -178,7 +178,7 @@
 	c.count(l.err)
 	if writeErr != nil || l.dropping || errors.Is(l.err, errGone) {
 		c.e.metrics.callersGone.Add(1)
-		c.w.Abort(core.CodeConnectionBroken)
+		c.w.CallerGone()
 		return result{done: true, attempt: core.Attempt{Crashed: l.end.GetCrashed()}}
 	}
 	c.e.log.Warn("reply was not whole", zap.String("request_id", c.r.ID),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/reply"
+	"nutmegnotch/core/report"
 	"nutmegnotch/core/retry"
 	"nutmegnotch/core/routing"
 	"nutmegnotch/io/caller"
@@ -50,6 +51,12 @@
 	Acquire(ctx context.Context, c core.Contract, r core.Request) (release func(), refusal core.Refusal, ok bool)
 }
 
+// Reporter counts what organisations get. Its methods must not block.
+type Reporter interface {
+	Admitted(a report.Admission)
+	Ended(o report.Outcome)
+}
+
 // Config is what an Entry needs. Source, Hosts, Limiter and Self are required;
 // zero values of the others get defaults.
 type Config struct {
@@ -81,7 +88,9 @@
 	ReplyIdle    time.Duration
 	HostInterval time.Duration
 	Seed         uint64
-	Log          *zap.Logger
+	// Reports may be nil.
+	Reports Reporter
+	Log     *zap.Logger
 }
 
 // withDefaults fills the zero values.
@@ -151,7 +160,12 @@
 	e.views = startViews(ctx, cfg, e.metrics)
 	e.memory = startMemory(ctx, cfg.Budget, e.metrics)
 	e.suspects = startSuspects(ctx, cfg.Retrier, cfg.Quarantine, e.metrics)
+	var ended func(report.Outcome)
+	if cfg.Reports != nil {
+		ended = cfg.Reports.Ended
+	}
 	e.front = caller.New(caller.Config{
+		Ended:  ended,
 		Source: cfg.Source, Reserve: e.memory.reserveUpload, Serve: e.serve, Gate: e.gate,
 		UploadTimeout: cfg.UploadTimeout, ClaimWindow: cfg.ClaimWindow, StallTimeout: cfg.StallTimeout, Log: cfg.Log,
 	})
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/report"
 	"nutmegnotch/io/caller"
 )
 
@@ -34,6 +35,7 @@
 		return refusal, true
 	}
 	defer release()
+	e.reportAdmission(r)
 	held, ok := e.memory.reserve(r.Organisation, expectedReply(r.ServiceInfo, r.Request), r.Contract.ReplyMemoryBytes)
 	if !ok {
 		return core.Refusal{Code: core.CodeReplyMemory, NotRun: true, RetryAfter: retryOther,
@@ -44,6 +46,16 @@
 	return c.run(ctx)
 }
 
+// reportAdmission counts the credit that the request has spent.
+func (e *Entry) reportAdmission(r *caller.Request) {
+	if e.cfg.Reports == nil {
+		return
+	}
+	e.cfg.Reports.Admitted(report.Admission{
+		Subject: r.Subject(), PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Cost: r.Cost(),
+	})
+}
+
 // check refuses new work without a confirmed configuration, during a stop, and
 // for requests that crash backend servers.
 func (e *Entry) check(fingerprint uint64) (core.Refusal, bool) {
@@ -73,7 +85,7 @@
 	for n := 1; ; n++ {
 		if ctx.Err() != nil {
 			c.e.metrics.callersGone.Add(1)
-			c.w.Abort(core.CodeConnectionBroken)
+			c.w.CallerGone()
 			return core.Refusal{}, false
 		}
 		res, tried := c.once(ctx, n)
--- a/io/admin/access.go
+++ b/io/admin/access.go
@@ -13,9 +13,6 @@
 	"nutmegnotch/core"
 )
 
-// allOrganisations is the scope that permits everything.
-const allOrganisations = "*"
-
 // maxOperatorLen bounds the X-Operator header.
 const maxOperatorLen = 60
 
@@ -24,6 +21,7 @@
 	team     string
 	operator string
 	scope    []string
+	readOnly bool
 }
 
 func (id identity) author() string {
@@ -35,7 +33,12 @@
 
 // mayChange reports whether the identity may change an object.
 func (id identity) mayChange(object string) bool {
-	if slices.Contains(id.scope, allOrganisations) {
+	return !id.readOnly && id.covers(object)
+}
+
+// covers reports whether the object is in the scope of the identity.
+func (id identity) covers(object string) bool {
+	if slices.Contains(id.scope, core.AllOrganisations) {
 		return true
 	}
 	kind, name, _ := strings.Cut(object, "/")
@@ -46,7 +49,7 @@
 // domains and the entry set hold no secrets of an organisation.
 func (id identity) mayRead(object string) bool {
 	kind, _, _ := strings.Cut(object, "/")
-	return id.mayChange(object) || kind == core.KindService || kind == core.KindDomain || kind == core.KindEntrySet
+	return id.covers(object) || kind == core.KindService || kind == core.KindDomain || kind == core.KindEntrySet
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, p httprouter.Params, id identity)
@@ -80,12 +83,12 @@
 	found := false
 	for _, t := range teams {
 		if subtle.ConstantTimeCompare(hash, []byte(t.TokenHash)) == 1 {
-			id, found = identity{team: t.Name, scope: t.Organisations}, true
+			id, found = identity{team: t.Name, scope: t.Organisations, readOnly: t.ReadOnly}, true
 		}
 	}
 	bootstrap := s.cfg.BootstrapTokenHash
 	if len(teams) == 0 && bootstrap != "" && subtle.ConstantTimeCompare(hash, []byte(bootstrap)) == 1 {
-		id, found = identity{team: "bootstrap", scope: []string{allOrganisations}}, true
+		id, found = identity{team: "bootstrap", scope: []string{core.AllOrganisations}}, true
 	}
 	return id, found
 }
--- a/io/admin/audit.go
+++ b/io/admin/audit.go
@@ -229,7 +229,7 @@
 	for _, rec := range records {
 		from = rec.Offset + 1
 		a := listedAudit{Offset: rec.Offset, Time: rec.Time}
-		if json.Unmarshal(rec.Data, &a.auditRecord) != nil || seen[a.AuditID] || !id.mayChange(a.Object) || object != "" && object != a.Object {
+		if json.Unmarshal(rec.Data, &a.auditRecord) != nil || seen[a.AuditID] || !id.covers(a.Object) || object != "" && object != a.Object {
 			continue
 		}
 		seen[a.AuditID] = true
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -36,11 +36,13 @@
 // Config is what the API needs. BootstrapTokenHash is the SHA-256 of a token
 // that is accepted while no team exists; it may be empty.
 type Config struct {
-	ID                 string
-	Configuration      Configuration
-	Log                core.Log
-	Readiness          core.Readiness
-	Status             core.StatusReporter
+	ID            string
+	Configuration Configuration
+	Log           core.Log
+	Readiness     core.Readiness
+	Status        core.StatusReporter
+	// ReportInterval is the interval of the records of the reports stream.
+	ReportInterval     time.Duration
 	BootstrapTokenHash string
 	Logger             *zap.Logger
 }
@@ -68,6 +70,7 @@
 	s.router.DELETE("/objects/:kind/:name", s.authorized(s.delete))
 	s.router.GET("/changes/:id", s.authorized(s.change))
 	s.router.GET("/audit", s.authorized(s.listAudit))
+	s.router.GET("/reports", s.authorized(s.reports))
 	s.router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, http.StatusNotFound, "not_found", "path "+strconv.Quote(r.URL.Path)+" does not exist")
 	})
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -14,6 +14,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/claim"
+	"nutmegnotch/core/report"
 )
 
 // CompletionsPath takes the requests of model services.
@@ -48,7 +49,9 @@
 	ServiceInfo core.Service
 	// ConfigOffset is the NextOffset of the configuration that was used.
 	ConfigOffset int64
-	freeBody     func()
+	// ContractVersion is the version of the contract that was used.
+	ContractVersion int64
+	freeBody        func()
 }
 
 // DropBody gives back the memory of the body. It may be called more than once.
@@ -76,7 +79,10 @@
 	// StallTimeout bounds the time in which a caller accepts no part of a write
 	// of at most WriteBytes.
 	StallTimeout time.Duration
-	Log          *zap.Logger
+	// Ended is told the final outcome of each request whose caller key belongs
+	// to a contract. It must not block. It may be nil.
+	Ended func(o report.Outcome)
+	Log   *zap.Logger
 }
 
 // Front is the http.Handler for callers.
@@ -124,18 +130,21 @@
 	if refusal != nil {
 		reply.Refuse(*refusal)
 		f.logEnd(reply, "", "")
+		f.unidentified(reply, r)
 		return
 	}
 	req, refusal := read(id, w, r)
 	if refusal != nil {
 		reply.Refuse(*refusal)
 		f.logEnd(reply, id.contract.Organisation, "")
+		f.ended(reply, subject(id, ""))
 		return
 	}
 	defer req.DropBody()
 	req.ID = reply.id
 	f.cfg.Serve(r.Context(), req, reply)
 	f.logEnd(reply, req.Organisation, req.Service)
+	f.ended(reply, req.Subject())
 	reply.end()
 }
 
--- a/io/caller/identify.go
+++ b/io/caller/identify.go
@@ -53,20 +53,7 @@
 		refusal := StaleRefusal()
 		return identity{}, &refusal
 	}
-	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") || key == "" {
-		return identity{}, refuse(core.CodeUnauthorized, "a bearer caller key is required")
-	}
-	cfg := f.cfg.Source.Current()
-	organisation, ok := cfg.KeyOrganisations[KeyHash(strings.TrimSpace(key))]
-	if !ok {
-		return identity{}, refuse(core.CodeUnauthorized, "the caller key is not known")
-	}
-	contract, ok := cfg.Contracts[organisation]
-	if !ok {
-		return identity{}, refuse(core.CodeUnauthorized, "the organisation has no contract")
-	}
-	return identity{config: cfg, contract: contract}, nil
+	return f.callerOf(r)
 }
 
 // plainService returns the plain service with the longest prefix of the path.
--- a/io/caller/read.go
+++ b/io/caller/read.go
@@ -98,7 +98,7 @@
 	now := time.Now()
 	req := &Request{
 		Method: r.Method, Path: r.URL.RequestURI(), Header: requestHeader(r.Header),
-		Contract: id.contract, ServiceInfo: service, ConfigOffset: id.config.NextOffset,
+		Contract: id.contract, ServiceInfo: service, ConfigOffset: id.config.NextOffset, ContractVersion: id.version(),
 	}
 	req.Organisation, req.Service = id.contract.Organisation, service.Name
 	req.Weight = max(1, id.contract.Weight)
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -55,6 +55,7 @@
 
 // Refuse writes the final answer to a request that got no reply.
 func (p *Reply) Refuse(r core.Refusal) {
+	p.refused = &r
 	body, err := json.Marshal(refusalBody{refusalError{
 		Code: r.Code, Message: r.Message, NotRun: r.NotRun, OutcomeUnknown: r.OutcomeUnknown,
 		RetryAfterMS: r.RetryAfter.Milliseconds(), RequestID: p.id,
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -23,6 +23,12 @@
 	code    core.Code
 	written int64
 	aborted bool
+	// gone reports that the caller went away first.
+	gone bool
+	// refused holds the refusal that was the answer.
+	refused *core.Refusal
+	// first is when the first byte of the reply's body was handed over.
+	first time.Time
 }
 
 func newReply(w http.ResponseWriter, id string, stall time.Duration) *Reply {
@@ -50,6 +56,9 @@
 // caller reads slowly, and fails when the caller takes nothing for the stall
 // timeout.
 func (p *Reply) Write(data []byte) error {
+	if p.first.IsZero() && len(data) > 0 {
+		p.first = time.Now()
+	}
 	for len(data) > 0 {
 		n := min(len(data), WriteBytes)
 		if err := p.rc.SetWriteDeadline(time.Now().Add(p.stall)); err != nil {
@@ -74,6 +83,12 @@
 	p.aborted = true
 }
 
+// CallerGone ends a reply whose caller has gone away.
+func (p *Reply) CallerGone() {
+	p.Abort(core.CodeConnectionBroken)
+	p.gone = true
+}
+
 // Aborted reports whether the reply is cut short.
 func (p *Reply) Aborted() bool { return p.aborted }
 
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -32,6 +32,7 @@
 	Drain   drainCommand   `cmd:"" help:"Take a failure domain out of service."`
 	Restore restoreCommand `cmd:"" help:"Bring a failure domain back into service."`
 	Audit   auditCommand   `cmd:"" help:"Print the audit trail of changes."`
+	Report  reportCommand  `cmd:"" help:"Hold what organisations got against their contracts."`
 	Status  statusCommand  `cmd:"" help:"Print the state of a process."`
 	Check   checkCommand   `cmd:"" help:"Check settings and object files without a server."`
 	Version versionCommand `cmd:"" help:"Print the version."`
--- a/options/check.go
+++ b/options/check.go
@@ -14,15 +14,18 @@
 
 // Limits of settings.
 const (
-	minRetention  = time.Second
-	maxRetention  = 366 * 24 * time.Hour
-	maxTimeout    = time.Minute
-	maxDrain      = 24 * time.Hour
-	maxPartitions = 100
-	minReplyBytes = 64 << 10
-	maxReplyBytes = 1 << 40
-	maxRanks      = 4096
-	maxRetryBurst = 100_000
+	minRetention = time.Second
+	maxRetention = 366 * 24 * time.Hour
+	maxTimeout   = time.Minute
+	maxDrain     = 24 * time.Hour
+	// minReportInterval keeps the appends of many entries within the log's rate.
+	minReportInterval = time.Second
+	maxReportInterval = 10 * time.Minute
+	maxPartitions     = 100
+	minReplyBytes     = 64 << 10
+	maxReplyBytes     = 1 << 40
+	maxRanks          = 4096
+	maxRetryBurst     = 100_000
 )
 
 var (
@@ -138,6 +141,7 @@
 	c.duration("host_list.timeout", s.HostList.Timeout, 10*time.Millisecond, maxTimeout)
 	c.duration("claims.window", s.Claims.Window, time.Millisecond, s.Log.Retention.Std()/2)
 	c.integer("claims.partitions", int64(s.Claims.Partitions), 1, maxPartitions)
+	c.duration("reports.interval", s.Reports.Interval, minReportInterval, min(maxReportInterval, s.Log.Retention.Std()))
 	switch s.Role {
 	case core.RoleEntry:
 		c.listen("listen.caller", s.Listen.Caller)
--- a/options/options.go
+++ b/options/options.go
@@ -50,6 +50,7 @@
 	Log      Log      `toml:"log"`
 	HostList HostList `toml:"host_list"`
 	Claims   Claims   `toml:"claims"`
+	Reports  Reports  `toml:"reports"`
 	Entry    Entry    `toml:"entry"`
 	Agent    Agent    `toml:"agent"`
 	Group    Group    `toml:"group"`
@@ -83,6 +84,11 @@
 	Partitions int      `toml:"partitions"`
 }
 
+// Reports describes the reports stream. All processes must agree on it.
+type Reports struct {
+	Interval Duration `toml:"interval"`
+}
+
 // Entry holds the settings of entries.
 type Entry struct {
 	ReplyMemoryBytes   int64    `toml:"reply_memory_bytes"`
@@ -117,6 +123,7 @@
 		Log:      Log{Retention: newDuration(24 * time.Hour), Timeout: newDuration(2 * time.Second)},
 		HostList: HostList{Timeout: newDuration(2 * time.Second)},
 		Claims:   Claims{Window: newDuration(6 * time.Hour), Partitions: 4},
+		Reports:  Reports{Interval: newDuration(time.Minute)},
 		Entry: Entry{
 			ReplyMemoryBytes: 256 << 20,
 			UploadTimeout:    newDuration(30 * time.Second),
--- a/process/entry.go
+++ b/process/entry.go
@@ -17,9 +17,14 @@
 	"nutmegnotch/io/credit"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/io/reportlog"
 	"nutmegnotch/options"
 )
 
+// reportStopTimeout bounds the wait for the log to take the last reports at a
+// planned stop.
+const reportStopTimeout = 5 * time.Second
+
 // entryProcess is one running entry with its peers.
 type entryProcess struct {
 	*base
@@ -27,6 +32,7 @@
 	role    *entry.Entry
 	credit  *credit.Credit
 	batcher *claimlog.Batcher
+	reports *reportlog.Reporter
 }
 
 // RunEntry runs an entry until ctx ends and then stops it gracefully.
@@ -54,6 +60,13 @@
 		Window:     cfg.Claims.Window.Std(),
 		Logger:     p.logger,
 	})
+	p.reports = reportlog.New(reportlog.Config{
+		EntryID:     cfg.ID,
+		Incarnation: p.self.Incarnation,
+		Log:         p.log,
+		Interval:    cfg.Reports.Interval.Std(),
+		Logger:      p.logger,
+	})
 	defer p.stopAll()
 	if err := p.build(); err != nil {
 		return err
@@ -80,6 +93,7 @@
 		UploadTimeout:    p.cfg.Entry.UploadTimeout.Std(),
 		ClaimWindow:      p.cfg.Claims.Window.Std(),
 		Seed:             uint64(time.Now().UnixNano()),
+		Reports:          p.reports,
 		Log:              p.logger,
 	})
 	if err != nil {
@@ -87,12 +101,16 @@
 	}
 	role.Attach(p.node)
 	expvar.Publish("entry", role.Metrics())
+	expvar.Publish("reports", p.reports.Metrics())
 	p.role = role
 	return nil
 }
 
 // stopAll ends the tasks in the order that lets the last ones still be asked.
 func (p *entryProcess) stopAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), reportStopTimeout)
+	defer cancel()
+	p.reports.Stop(ctx)
 	p.stop(p.node)
 	p.credit.Stop()
 	p.batcher.Stop()
--- a/process/process.go
+++ b/process/process.go
@@ -106,6 +106,7 @@
 		Log:                b.log,
 		Readiness:          ready,
 		Status:             report,
+		ReportInterval:     b.cfg.Reports.Interval.Std(),
 		BootstrapTokenHash: b.cfg.Entry.BootstrapTokenHash,
 		Logger:             b.logger,
 	})
