Test reports against callers' history; split records by size

The system test compares callers' histories with the merged report, also with a killed agent and a killed entry.

--- a/core/report/record.go
+++ b/core/report/record.go
@@ -11,9 +11,12 @@
 	"nutmegnotch/core"
 )
 
-// MaxCounts bounds the counts of one record, so that it stays below the record
-// limit of the log.
-const MaxCounts = 256
+// MaxRecordBytes bounds one record. It equals the bound of configuration
+// records, which the log is known to take.
+const MaxRecordBytes = 256 << 10
+
+// headBytes bounds what a record without counts takes.
+const headBytes = 1 << 10
 
 // Ways in which a record ends the reports of an incarnation for the time after
 // it. A record without one promises another record.
@@ -85,6 +88,31 @@
 	return data, nil
 }
 
+// Split spreads the counts over as few records as the size limit permits. The
+// sequence numbers follow on; only the first record holds the idle time and the
+// dropped events, and only the last one closes.
+func (r Record) Split() ([]Record, error) {
+	part := r
+	part.Counts, part.Closed = nil, ""
+	var parts []Record
+	size := headBytes
+	for _, c := range r.Counts {
+		data, err := json.Marshal(c)
+		if err != nil {
+			return nil, fmt.Errorf("encode count of organisation %q: %w", c.Organisation, err)
+		}
+		if size+len(data)+1 > MaxRecordBytes && len(part.Counts) > 0 {
+			parts = append(parts, part)
+			part = Record{EntryID: r.EntryID, Incarnation: r.Incarnation, Sequence: part.Sequence + 1, LengthMS: r.LengthMS}
+			size = headBytes
+		}
+		part.Counts = append(part.Counts, c)
+		size += len(data) + 1
+	}
+	part.Closed = r.Closed
+	return append(parts, part), nil
+}
+
 // Decode reads one record. Members that it does not know are ignored, so that
 // newer entries can add some.
 func Decode(data []byte) (Record, error) {
--- /dev/null
+++ b/io/reportlog/reportlog_test.go
@@ -0,0 +1,207 @@
+package reportlog_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/report"
+	emulator "nutmegnotch/emulator/platformlog"
+	"nutmegnotch/io/platformlog"
+	"nutmegnotch/io/reportlog"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testInterval = 100 * time.Millisecond
+	patience     = 20 * time.Second
+)
+
+// bench is a stand-in of the log with one reporter.
+type bench struct {
+	t   *testing.T
+	srv *emulator.Server
+	log *platformlog.Client
+	r   *reportlog.Reporter
+	// from is before the first event.
+	from    time.Time
+	stopped bool
+}
+
+func start(t *testing.T, cfg reportlog.Config) *bench {
+	b := &bench{t: t, srv: emulator.New(emulator.Config{}), from: time.Now()}
+	srv := httptest.NewServer(b.srv)
+	b.log = platformlog.New(srv.URL, 500*time.Millisecond)
+	cfg.EntryID, cfg.Incarnation, cfg.Log = "entry-1", "i", b.log
+	if cfg.Interval == 0 {
+		cfg.Interval = testInterval
+	}
+	b.r = reportlog.New(cfg)
+	t.Cleanup(func() {
+		b.stop(0)
+		b.log.Close()
+		b.srv.Close()
+		srv.Close()
+	})
+	return b
+}
+
+func (b *bench) stop(d time.Duration) {
+	if b.stopped {
+		return
+	}
+	b.stopped = true
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	b.r.Stop(ctx)
+}
+
+func (b *bench) request() {
+	s := report.Subject{Contract: core.Contract{Organisation: "trails", RequestsPerSecond: 1e6, TokensPerSecond: 1e6, ReplyTimeMS: 1000}, Service: "desk"}
+	b.r.Admitted(report.Admission{Subject: s, Cost: 1})
+	b.r.Ended(report.Outcome{Subject: s, Elapsed: time.Millisecond})
+}
+
+func (b *bench) merge() report.Result {
+	b.t.Helper()
+	w := report.Window{From: b.from.Add(-time.Second), To: time.Now()}
+	all := func(string) bool { return true }
+	list, gaps, err := reportlog.Read(context.Background(), b.log, w, all)
+	if err != nil {
+		b.t.Fatalf("read reports: %v", err)
+	}
+	w.Gaps = gaps
+	return report.Merge(list, w, []string{"trails"}, all)
+}
+
+func (b *bench) want(verdict report.Verdict, requests int64) report.Result {
+	b.t.Helper()
+	got := b.merge()
+	n := got.Organisations[0].Total
+	if got.Verdict != verdict || n.Requests != requests || n.Whole != requests || n.AdmittedRequests != requests {
+		b.t.Errorf("merged: got %s with %d requests, %d whole, %d admitted, gaps %+v, want %s with %d",
+			got.Verdict, n.Requests, n.Whole, n.AdmittedRequests, got.Gaps, verdict, requests)
+	}
+	return got
+}
+
+// closedIdle reports whether the last record says that the entry is idle.
+func (b *bench) closedIdle() bool {
+	list, _, err := reportlog.Read(context.Background(), b.log, report.Window{From: b.from, To: time.Now()}, func(string) bool { return true })
+	return err == nil && len(list) > 0 && list[len(list)-1].Record.Closed == report.ClosedIdle
+}
+
+// Guards against outcomes that count twice after a lost answer.
+func TestLostAnswers(t *testing.T) {
+	b := start(t, reportlog.Config{})
+	b.srv.SetFaults(emulator.Faults{LoseAppendAnswers: 3})
+	for range 10 {
+		b.request()
+		time.Sleep(testInterval / 2)
+	}
+	b.stop(patience)
+	if got := b.want(report.Kept, 10); got.Copies != 3 {
+		t.Errorf("copies: got %d, want 3, one for each lost answer", got.Copies)
+	}
+}
+
+// Guards against counts that are lost in an outage that is longer than the
+// bounded number of intervals, and against gaps that the merging of intervals
+// leaves.
+func TestOutage(t *testing.T) {
+	b := start(t, reportlog.Config{MaxPending: 3})
+	b.request()
+	b.srv.SetFaults(emulator.Faults{Outage: emulator.OutageRefuse})
+	for range 20 {
+		b.request()
+		time.Sleep(testInterval / 2)
+	}
+	b.srv.SetFaults(emulator.Faults{})
+	b.stop(patience)
+	b.want(report.Kept, 21)
+}
+
+// Guards against a killed entry whose last interval reads as kept, however
+// short its life was.
+func TestKilled(t *testing.T) {
+	for _, intervals := range []int{0, 3} {
+		t.Run(fmt.Sprintf("after %d intervals", intervals), func(t *testing.T) {
+			b := start(t, reportlog.Config{})
+			b.request()
+			for end := time.Now().Add(patience); len(b.merge().Gaps) == 0 || b.merge().Records == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the announcement of the first request did not reach the log")
+				}
+			}
+			for range intervals {
+				b.request()
+				time.Sleep(testInterval)
+			}
+			b.request()
+			b.stop(0)
+			got := b.merge()
+			if got.Verdict == report.Kept || len(got.Gaps) == 0 || got.Gaps[len(got.Gaps)-1].Reason != report.GapNoEnd {
+				t.Errorf("killed entry: got %s with gaps %+v, want not_known with no_end", got.Verdict, got.Gaps)
+			}
+		})
+	}
+}
+
+// Guards against a request path that blocks on a full queue, and against
+// dropped events that do not show.
+func TestFullQueue(t *testing.T) {
+	b := start(t, reportlog.Config{QueueLen: 1})
+	for range 20_000 {
+		b.request()
+	}
+	b.stop(patience)
+	got := b.merge()
+	if got.Verdict == report.Kept || len(got.Gaps) == 0 || got.Gaps[0].Reason != report.GapDropped || got.Gaps[0].Dropped == 0 {
+		t.Errorf("full queue: got %s with gaps %+v, want not_known with dropped events", got.Verdict, got.Gaps)
+	}
+}
+
+// Guards against idle entries that append, and against idle time that reads as
+// a gap.
+func TestIdle(t *testing.T) {
+	b := start(t, reportlog.Config{})
+	time.Sleep(3 * testInterval)
+	if got := b.merge(); got.Records != 0 {
+		t.Errorf("records of an entry without requests: got %d, want 0", got.Records)
+	}
+	b.request()
+	for end := time.Now().Add(patience); !b.closedIdle(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the entry did not report that it is idle: %+v", b.merge())
+		}
+	}
+	before := b.merge().Records
+	time.Sleep(5 * testInterval)
+	if got := b.want(report.Kept, 1).Records; got != before {
+		t.Errorf("records after 5 idle intervals: got %d, want %d", got, before)
+	}
+	b.request()
+	b.stop(patience)
+	b.want(report.Kept, 2)
+}
+
+// Guards against records above the size that the log takes and against a split
+// that loses counts.
+func TestManyOrganisations(t *testing.T) {
+	b := start(t, reportlog.Config{})
+	for n := range 1300 {
+		s := report.Subject{Contract: core.Contract{Organisation: fmt.Sprintf("org-%d", n), ReplyTimeMS: 1000}, Service: "desk"}
+		b.r.Ended(report.Outcome{Subject: s, Elapsed: time.Millisecond})
+	}
+	b.stop(patience)
+	got := b.merge()
+	if got.Verdict != report.Kept || len(got.Organisations) != 1301 {
+		t.Errorf("merged: got %s with %d organisations, gaps %+v, want kept with 1301", got.Verdict, len(got.Organisations), got.Gaps)
+	}
+}
--- a/io/reportlog/state.go
+++ b/io/reportlog/state.go
@@ -126,22 +126,22 @@
 	return data, true
 }
 
-// split numbers the records of an interval. Only the last one closes.
+// split numbers the records of an interval.
 func (s *state) split(i *interval) {
-	counts := i.counter.Counts()
-	idle := i.start.Sub(i.idleFrom)
-	for first := true; first || len(counts) > 0; first = false {
-		n := min(len(counts), report.MaxCounts)
-		s.sequence++
-		r := report.Record{EntryID: s.cfg.EntryID, Incarnation: s.cfg.Incarnation, Sequence: s.sequence,
-			LengthMS: i.end.Sub(i.start).Milliseconds(), Counts: counts[:n]}
-		if first {
-			r.IdleMS, r.Dropped = idle.Milliseconds(), i.dropped
-		}
-		counts = counts[n:]
-		s.parts = append(s.parts, r)
-	}
-	s.parts[len(s.parts)-1].Closed = i.closed
+	r := report.Record{
+		EntryID: s.cfg.EntryID, Incarnation: s.cfg.Incarnation, Sequence: s.sequence + 1,
+		LengthMS: i.end.Sub(i.start).Milliseconds(), IdleMS: i.start.Sub(i.idleFrom).Milliseconds(),
+		Closed: i.closed, Dropped: i.dropped, Counts: i.counter.Counts(),
+	}
+	parts, err := r.Split()
+	if err != nil {
+		s.cfg.Logger.Error("encoding a report record failed; its counts are reported as dropped", zap.Error(err))
+		r.Dropped += int64(len(r.Counts))
+		r.Counts = nil
+		parts = []report.Record{r}
+	}
+	s.parts = parts
+	s.sequence += int64(len(parts))
 }
 
 // sent drops the record that was sent.
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -43,6 +43,8 @@
 type sizes struct {
 	entries, engines, desks int
 	engine                  engine.Options
+	// reports is the interval of the reports, 1m when it is empty.
+	reports string
 }
 
 // cluster is a log, host lists, stand-in backend servers in the test process,
@@ -55,6 +57,7 @@
 	hosts   int
 	log     *platformlog.Server
 	logAddr string
+	reports string
 	lists   map[string]*hostlist.Server
 	rows    []core.Host
 	entries []*proc
@@ -78,6 +81,7 @@
 	t.Cleanup(c.dumpLogs)
 	t.Cleanup(c.log.Close)
 	c.logAddr = c.serve(c.log)
+	c.reports = s.reports
 	for i := range s.entries {
 		c.addEntry(i)
 	}
@@ -202,7 +206,7 @@
 	p := &proc{
 		t: c.t, id: id, role: role, domain: domain,
 		caller: ip + ":8080", admin: ip + ":8081", peer: ip + ":8082",
-		logFile: c.dir + "/" + id + ".log",
+		logFile: c.dir + "/" + id + ".log", reports: c.reports,
 	}
 	list := hostlist.New(nil)
 	c.t.Cleanup(list.Close)
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -31,6 +31,7 @@
 	peer     string
 	logAddr  string
 	listAddr string
+	reports  string
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	// fault is held by the one fault that acts on the process.
@@ -126,6 +127,9 @@
 }
 
 func settingsText(p *proc, extra string) string {
+	if p.reports != "" {
+		extra = fmt.Sprintf("[reports]\ninterval = %q\n%s", p.reports, extra)
+	}
 	return fmt.Sprintf(`id = %q
 role = %q
 failure_domain = %q
--- /dev/null
+++ b/systemtest/report_test.go
@@ -0,0 +1,190 @@
+package systemtest
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/report"
+)
+
+// reportInterval is short, so that each test sees many intervals.
+const reportInterval = time.Second
+
+// report asks an entry for the report of an organisation over a time that every
+// entry has reported on.
+func (c *cluster) report(e *proc, organisation string, from, to time.Time) report.Result {
+	c.t.Helper()
+	q := url.Values{"organisation": {organisation}, "from": {from.Format(time.RFC3339Nano)}, "to": {to.Format(time.RFC3339Nano)}}
+	var r report.Result
+	if code := c.call(e, http.MethodGet, "/reports?"+q.Encode(), nil, &r); code != http.StatusOK {
+		c.t.Fatalf("report of %s: got status %d, want 200", organisation, code)
+	}
+	return r
+}
+
+// settle waits until every entry has reported on the time before now, and
+// returns that time.
+func settle() time.Time {
+	to := time.Now()
+	time.Sleep(3 * reportInterval)
+	return to
+}
+
+// seen counts what the callers of one organisation saw.
+type seen struct {
+	mu       sync.Mutex
+	requests int64
+	results  map[result]int64
+	refused  map[string]int64
+}
+
+func (s *seen) add(a answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	s.results[a.result]++
+	if a.result == resultNotRun {
+		s.refused[a.code]++
+	}
+}
+
+// drive sends requests of an organisation from several callers until the stop.
+func (c *cluster) drive(org string, workers int, stop <-chan struct{}, entries []*proc) *seen {
+	s := &seen{results: map[result]int64{}, refused: map[string]int64{}}
+	var wg sync.WaitGroup
+	for n := range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			l := c.client(org)
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				e := entries[(n+i)%len(entries)]
+				s.add(l.complete(e, fmt.Sprintf("prompt %d %d", n, i), 20))
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+	}
+	wg.Wait()
+	return s
+}
+
+func after(d time.Duration) <-chan struct{} {
+	stop := make(chan struct{})
+	time.AfterFunc(d, func() { close(stop) })
+	return stop
+}
+
+// newReportCluster has an organisation "small" whose limit its load exceeds.
+func newReportCluster(t *testing.T) *cluster {
+	c := newCluster(t, sizes{entries: 3, engines: 3, desks: 1, reports: reportInterval.String()})
+	c.ready()
+	c.mustPublish("contract/small", core.Contract{Organisation: "small", CallerKeyHashes: []string{hash("small-key")},
+		Services: []string{modelService}, RequestsPerSecond: 5, TokensPerSecond: 1e6, Concurrency: 100,
+		ReplyTimeMS: 20000, ReplyMemoryBytes: 64 << 20, MaxPriority: 3, Weight: 1})
+	return c
+}
+
+// Guards against a report that differs from what callers saw, with refusals by
+// the organisation's own limit and without faults.
+func TestReportEqualsCallersHistory(t *testing.T) {
+	c := newReportCluster(t)
+	time.Sleep(reportInterval)
+	from := time.Now()
+	time.Sleep(2 * reportInterval)
+	stop := after(5 * time.Second)
+	histories := map[string]*seen{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, org := range []string{"farm", "small"} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s := c.drive(org, 4, stop, c.entries)
+			mu.Lock()
+			defer mu.Unlock()
+			histories[org] = s
+		}()
+	}
+	wg.Wait()
+	to := settle()
+	for org, s := range histories {
+		r := c.report(c.entries[0], org, from, to)
+		n := r.Organisations[0].Total
+		t.Logf("%s: callers saw %d requests, %v, refused %v; report %s with %d requests", org, s.requests, s.results, s.refused, r.Verdict, n.Requests)
+		if n.Requests != s.requests || n.Whole != s.results[resultOK] {
+			t.Errorf("%s: report has %d requests and %d whole replies, callers saw %d and %d", org, n.Requests, n.Whole, s.requests, s.results[resultOK])
+		}
+		if fmt.Sprint(n.NotRun) != fmt.Sprint(s.refused) {
+			t.Errorf("%s: report has refusals %v, callers saw %v", org, n.NotRun, s.refused)
+		}
+		if r.Verdict != report.Kept {
+			t.Errorf("%s: got verdict %s, gaps %+v, promises %+v, want kept", org, r.Verdict, r.Gaps, r.Organisations[0].Promises)
+		}
+	}
+	if len(histories["small"].refused) == 0 {
+		t.Error("the load of \"small\" met no refusal, so that the test shows nothing")
+	}
+}
+
+// Guards against an entry that is killed under load and whose missing interval
+// reads as kept, and against counts of the others that go with it.
+func TestReportOfKilledEntryAndAgent(t *testing.T) {
+	c := newReportCluster(t)
+	time.Sleep(reportInterval)
+	from := time.Now()
+	stop := make(chan struct{})
+	var survivors, victim *seen
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() { defer wg.Done(); survivors = c.drive("farm", 4, stop, c.entries[:2]) }()
+	go func() { defer wg.Done(); victim = c.drive("trails", 4, stop, c.entries[2:]) }()
+	time.Sleep(3 * time.Second)
+	c.models[0].agent.kill()
+	time.Sleep(2 * time.Second)
+	c.entries[2].kill()
+	killed := time.Now()
+	time.Sleep(2 * time.Second)
+	close(stop)
+	wg.Wait()
+	to := settle()
+	farm, trails := c.report(c.entries[0], "farm", from, to), c.report(c.entries[0], "trails", from, to)
+	n, m := farm.Organisations[0].Total, trails.Organisations[0].Total
+	t.Logf("farm: callers saw %d, %v; report %d requests, %d whole, %d cut; verdict %s", survivors.requests, survivors.results, n.Requests, n.Whole, n.Cut, farm.Verdict)
+	t.Logf("trails: callers saw %d, %v; report %d requests, %d whole, %d cut; gaps %+v", victim.requests, victim.results, m.Requests, m.Whole, m.Cut, trails.Gaps)
+	if n.Requests != survivors.requests || n.Whole != survivors.results[resultOK] {
+		t.Errorf("farm: report has %d requests and %d whole, callers saw %d and %d", n.Requests, n.Whole, survivors.requests, survivors.results[resultOK])
+	}
+	if n.Cut != survivors.results[resultCut] {
+		t.Errorf("farm: report has %d cut replies, callers saw %d", n.Cut, survivors.results[resultCut])
+	}
+	for org, r := range map[string]report.Result{"farm": farm, "trails": trails} {
+		if r.Verdict == report.Kept {
+			t.Errorf("%s: got verdict kept although records of the killed entry are missing", org)
+		}
+		found := false
+		for _, g := range r.Gaps {
+			missing := killed.Sub(g.From)
+			found = found || g.EntryID == c.entries[2].id && g.Reason == report.GapNoEnd && missing <= reportInterval+logSlack && missing > -logSlack
+		}
+		if !found {
+			t.Errorf("%s: gaps are %+v, want one of %s from at most one interval before %v", org, r.Gaps, c.entries[2].id, killed)
+		}
+	}
+	if m.Whole > victim.results[resultOK]+victim.results[resultCut]+victim.results[resultUnknown] {
+		t.Errorf("trails: report has %d whole replies, callers saw %v", m.Whole, victim.results)
+	}
+}
+
+// logSlack is the default time-out of an append, up to which the log's time of
+// a record is uncertain.
+const logSlack = 2 * time.Second
