Tell settling contracts from contracts whose limits are used up

Cause: for 8 s after a contract is published no entry has slots for it, and callers were refused with concurrency_limit, as if the organisation used them. Also: the read-only rule of the fold, tests of the administration API, the command and the settings.

--- a/core/config/fold_test.go
+++ b/core/config/fold_test.go
@@ -195,6 +195,7 @@
 		{"path taken", "service/desk", service(``), "already belongs"},
 		{"token hash", "team/ops", `{"name":"ops","token_hash":"12","organisations":[]}`, "SHA-256"},
 		{"token taken", "team/ops", `{"name":"ops","token_hash":"` + hash + `","organisations":[]}`, "already belongs"},
+		{"read-only is no truth value", "team/ops", `{"name":"ops","token_hash":"` + strings.Repeat("cd", 32) + `","organisations":["*"],"read_only":1}`, "read_only"},
 		{"empty set", "entry_set/current", `{"entries":[]}`, "number of entries"},
 		{"entry address", "entry_set/current", `{"entries":[{"id":"e","address":"host:1"}]}`, "IP number"},
 		{"set name", "entry_set/other", `{"entries":[]}`, "only entry set"},
@@ -213,6 +214,10 @@
 			t.Errorf("%s: got %s %q, want rejected with %q", tt.name, o.Result, o.Reason, tt.reason)
 		}
 	}
+	only := config.Change{ChangeID: "only", Object: "team/first", BasedOn: 2, Value: json.RawMessage(`{"name":"first","token_hash":"` + hash + `","organisations":["*"],"read_only":true}`)}
+	if o, _, err := f.Apply(record(t, int64(len(tests)+3), only)); err != nil || o.Result != config.Rejected || !strings.Contains(o.Reason, "read_only needs another team") {
+		t.Errorf("read-only team without another: got %+v, %v, want rejected", o, err)
+	}
 	if got, want := len(f.Objects("")), 2; got != want {
 		t.Errorf("objects: got %d, want %d", got, want)
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -56,6 +56,7 @@
 	CodeKeyExpired       Code = "idempotency_key_expired"
 	CodeRateLimit        Code = "rate_limit"
 	CodeConcurrency      Code = "concurrency_limit"
+	CodeSettling         Code = "contract_settling"
 	CodeReplyMemory      Code = "reply_memory"
 	CodeOverloaded       Code = "overloaded"
 	CodeLeaving          Code = "leaving"
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -348,3 +348,24 @@
 	now = now.Add(share.SlotLease)
 	lend("c", 2, 4, 4, true)
 }
+
+// Guards against refusals of a new contract that blame its organisation.
+func TestSettling(t *testing.T) {
+	now := time.Now()
+	p := share.New("e1", 1, now)
+	set := core.EntrySet{Entries: []core.EntryInfo{{ID: "e1"}}}
+	c := core.Contract{Concurrency: 1}
+	p.Update(map[string]core.Contract{"old": c}, set, now)
+	now = now.Add(time.Minute)
+	p.Update(map[string]core.Contract{"old": c, "new": c}, set, now)
+	for _, tt := range []struct {
+		organisation string
+		after        time.Duration
+		want         bool
+	}{{"old", 0, false}, {"new", 0, true}, {"new", 7 * time.Second, true}, {"new", 8 * time.Second, false}} {
+		wait, got := p.Settling(tt.organisation, now.Add(tt.after))
+		if got != tt.want || got && wait != 8*time.Second-tt.after {
+			t.Errorf("%s after %v: got %v for %v, want %v", tt.organisation, tt.after, got, wait, tt.want)
+		}
+	}
+}
--- a/core/share/slots.go
+++ b/core/share/slots.go
@@ -106,6 +106,21 @@
 	return true
 }
 
+// Settling reports that no entry may admit the organisation yet, and for how
+// long at most: within the time that counts, this entry has known a
+// configuration in which the organisation has no homes. A refusal then says
+// nothing of what the organisation uses.
+func (p *Pool) Settling(organisation string, now time.Time) (time.Duration, bool) {
+	p.prune(now)
+	var wait time.Duration
+	for i, e := range p.epochs[:len(p.epochs)-1] {
+		if len(e.homes(organisation)) == 0 {
+			wait = p.epochs[i+1].since.Add(slotSettle).Sub(now)
+		}
+	}
+	return wait, wait > 0
+}
+
 // FreeSlot gives a slot back.
 func (p *Pool) FreeSlot(organisation string, now time.Time) {
 	if a := p.orgs[organisation]; a != nil && a.running > 0 {
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/report"
 	emulator "nutmegnotch/emulator/platformlog"
 	"nutmegnotch/io/admin"
 	"nutmegnotch/io/configlog"
@@ -37,20 +38,22 @@
 
 // api runs the administration API over a follower and a stand-in of the log.
 type api struct {
-	t     *testing.T
-	log   *emulator.Server
-	state *process
-	http  *admin.Server
+	t      *testing.T
+	log    *emulator.Server
+	logURL string
+	state  *process
+	http   *admin.Server
 }
 
 func start(t *testing.T) *api {
 	a := &api{t: t, log: emulator.New(emulator.Config{}), state: &process{}}
 	srv := httptest.NewServer(a.log)
+	a.logURL = srv.URL
 	log := platformlog.New(srv.URL, 300*time.Millisecond)
 	f := configlog.New(configlog.Config{Self: core.EntryInfo{ID: "entry-1", Address: "127.0.0.1:1"}, Role: core.RoleAgent, Log: log, Wait: 100 * time.Millisecond})
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.Run(ctx, nil)
-	a.http = admin.New(admin.Config{ID: "entry-1", Configuration: f, Log: log, Readiness: a.state, Status: a.state, BootstrapTokenHash: hashOf("first")})
+	a.http = admin.New(admin.Config{ID: "entry-1", Configuration: f, Log: log, Readiness: a.state, Status: a.state, BootstrapTokenHash: hashOf("first"), ReportInterval: time.Second})
 	t.Cleanup(func() {
 		stop, done := context.WithTimeout(context.Background(), time.Second)
 		defer done()
@@ -119,6 +122,55 @@
 	a.want(http.StatusOK, "GET", "/status", "mule", "")
 }
 
+// Guards against a read-only team that changes something or that cannot read,
+// and against reports outside the scope of a team.
+func TestReadOnlyTeamAndReports(t *testing.T) {
+	a := start(t)
+	for i, value := range []string{
+		fmt.Sprintf(`{"name":"ops","token_hash":%q,"organisations":["*"]}`, hashOf("root")),
+		fmt.Sprintf(`{"name":"monitor","token_hash":%q,"organisations":["*"],"read_only":true}`, hashOf("watch")),
+		fmt.Sprintf(`{"name":"acme","token_hash":%q,"organisations":["acme"],"read_only":true}`, hashOf("mule")),
+	} {
+		a.want(http.StatusOK, "PUT", "/objects/team/"+[]string{"ops", "monitor", "acme"}[i], []string{"first", "root", "root"}[i], put(0, fmt.Sprint("team", i), value))
+	}
+	a.want(http.StatusForbidden, "PUT", "/objects/domain/barn", "watch", put(0, "d1", domain("drained")))
+	a.want(http.StatusForbidden, "DELETE", "/objects/team/ops?based_on=1", "watch", "")
+	a.want(http.StatusOK, "GET", "/objects/team/ops", "watch", "")
+	if n := len(a.want(http.StatusOK, "GET", "/audit", "watch", "")["records"].([]any)); n == 0 {
+		t.Error("audit as the read-only team: got no records")
+	}
+	if got := a.want(http.StatusOK, "GET", "/reports", "watch", "")["verdict"]; got != "not_known" {
+		t.Errorf("verdict without records: got %v, want not_known", got)
+	}
+	r := report.Record{EntryID: "entry-1", Incarnation: "i", Sequence: 1, AgeMS: 60_000, LengthMS: 1000, Closed: report.ClosedIdle, Counts: []report.Count{
+		{Organisation: "acme", Requests: 1, Whole: 1, OnTime: 1, ReplyTimeMS: 1}, {Organisation: "other", Requests: 1, Cut: 1, ReplyTimeMS: 1}}}
+	data, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := platformlog.New(a.logURL, time.Second)
+	defer log.Close()
+	if _, err := log.Append(context.Background(), core.StreamReports, data); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		token, query, verdict string
+		organisations         int
+	}{
+		{"watch", "", "broken", 2}, {"watch", "?organisation=acme", "kept", 1}, {"watch", "?organisation=other", "broken", 1}, {"mule", "", "kept", 1},
+	} {
+		got := a.want(http.StatusOK, "GET", "/reports"+tt.query, tt.token, "")
+		if got["verdict"] != tt.verdict || len(got["organisations"].([]any)) != tt.organisations {
+			t.Errorf("report%s as %s: got %v, want %s of %d organisations", tt.query, tt.token, got, tt.verdict, tt.organisations)
+		}
+	}
+	a.want(http.StatusForbidden, "GET", "/reports?organisation=other", "mule", "")
+	a.want(http.StatusBadRequest, "GET", "/reports?from=yesterday", "watch", "")
+	a.want(http.StatusBadRequest, "GET", "/reports?from=2999-01-01T00:00:00Z", "watch", "")
+	a.log.SetFaults(emulator.Faults{Outage: emulator.OutageRefuse})
+	a.want(http.StatusServiceUnavailable, "GET", "/reports", "watch", "")
+}
+
 // Guards against wrong answers to racing, invalid and unconfirmed changes, and
 // against changes without an audit record.
 func TestChangesAndAudit(t *testing.T) {
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -162,3 +162,20 @@
 		t.Errorf("check: got exit code %d (%s), want %d", got, errOut.String(), ExitDone)
 	}
 }
+
+// Guards against a verdict that a script cannot tell from another.
+func TestReportExitCodes(t *testing.T) {
+	for _, tt := range []struct {
+		answer string
+		want   int
+	}{
+		{`200 {"verdict":"kept"}`, ExitDone}, {`200 {"verdict":"broken"}`, ExitFailed}, {`200 {"verdict":"not_known"}`, ExitOutcomeUnknown},
+		{`200 {}`, ExitOutcomeUnknown}, {`503 {"error":{"code":"log_unavailable"}}`, ExitFailed}, {`400 {"error":{"code":"bad_request"}}`, ExitBadInput},
+	} {
+		address, _ := fakeServer(t, tt.answer)
+		var stdout, stderr bytes.Buffer
+		if got := run([]string{"report", "--server", address, "--organisation", "acme", "--since", "30m", "--json"}, &stdout, &stderr); got != tt.want {
+			t.Errorf("report answered with %s: got exit code %d, want %d: %s", tt.answer, got, tt.want, stderr.String())
+		}
+	}
+}
--- a/io/credit/credit.go
+++ b/io/credit/credit.go
@@ -168,14 +168,14 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	if !c.takeSlot(ctx, organisation) {
-		return nil, refuse(core.CodeConcurrency, "all concurrency slots of the contract are in use", slotRetryAfter), false
+		return nil, c.settling(organisation, refuse(core.CodeConcurrency, "all concurrency slots of the contract are in use", slotRetryAfter)), false
 	}
 	if wait, ok := c.spend(ctx, organisation, amount); !ok {
 		c.freeSlot(organisation)
 		if wait == 0 {
 			return nil, refuse(core.CodeRateLimit, "the request costs more than the contract ever permits at once", 0), false
 		}
-		return nil, refuse(core.CodeRateLimit, "the rate of the contract is used up", wait), false
+		return nil, c.settling(organisation, refuse(core.CodeRateLimit, "the rate of the contract is used up", wait)), false
 	}
 	freed := make(chan struct{}, 1)
 	freed <- struct{}{}
@@ -188,6 +188,16 @@
 	}, core.Refusal{}, true
 }
 
+// settling replaces a refusal that the organisation's use has not caused.
+func (c *Credit) settling(organisation string, r core.Refusal) core.Refusal {
+	c.do(func(s *state) {
+		if wait, ok := s.pool.Settling(organisation, time.Now()); ok {
+			r = refuse(core.CodeSettling, "the contract or this entry is new, its limits are not in force everywhere yet", wait)
+		}
+	})
+	return r
+}
+
 func refuse(code core.Code, message string, retryAfter time.Duration) core.Refusal {
 	return core.Refusal{Code: code, Message: message, NotRun: true, RetryAfter: retryAfter}
 }
--- a/io/reportlog/state.go
+++ b/io/reportlog/state.go
@@ -155,7 +155,9 @@
 // sendingDone waits for the append that is on its way.
 func (s *state) sendingDone(results <-chan error) {
 	if s.sending {
-		<-results
+		if err := <-results; err != nil {
+			s.cfg.Logger.Warn("the last report record was not confirmed", zap.Error(err))
+		}
 	}
 }
 
--- a/options/options_test.go
+++ b/options/options_test.go
@@ -52,6 +52,7 @@
 		{"bad duration", string(entry), `drain_delay = "2s"`, `drain_delay = 2`, []string{"entry.drain_delay", "duration"}},
 		{"not TOML", string(entry), `region = "valley"`, `region = `, []string{"f.toml:5"}},
 		{"out of range", string(entry), `partitions = 4`, `partitions = 0`, []string{"f.toml:21", "claims.partitions", "1 to 100"}},
+		{"report interval too short", string(entry), `[claims]`, "[reports]\ninterval = \"10ms\"\n[claims]", []string{"reports.interval", `"10ms"`, "1s to 10m0s"}},
 		{"window above half of retention", string(entry), `"6h"`, `"13h"`, []string{"claims.window", `"13h"`, "12h0m0s"}},
 		{"host name", string(entry), `admin = "127.0.0.1:8081"`, `admin = "localhost:8081"`, []string{"listen.admin", "IP number"}},
 		{"unspecified advertised address", string(entry), `peer = "127.0.0.1:8082"`, `peer = "0.0.0.0:8082"`, []string{"listen.peer_advertised"}},
--- a/systemtest/report_test.go
+++ b/systemtest/report_test.go
@@ -85,12 +85,17 @@
 }
 
 // newReportCluster has an organisation "small" whose limit its load exceeds.
+// Its contract is published first, so that it settles together with the others.
 func newReportCluster(t *testing.T) *cluster {
 	c := newCluster(t, sizes{entries: 3, engines: 3, desks: 1, reports: reportInterval.String()})
-	c.ready()
+	eventually(t, "an entry answers", func() bool { return c.entries[0].ready() })
 	c.mustPublish("contract/small", core.Contract{Organisation: "small", CallerKeyHashes: []string{hash("small-key")},
 		Services: []string{modelService}, RequestsPerSecond: 5, TokensPerSecond: 1e6, Concurrency: 100,
 		ReplyTimeMS: 20000, ReplyMemoryBytes: 64 << 20, MaxPriority: 3, Weight: 1})
+	c.ready()
+	eventually(t, "the contract of small is in force", func() bool {
+		return c.client("small").complete(c.entries[0], "first", 1).result == resultOK
+	})
 	return c
 }
 
@@ -98,9 +103,9 @@
 // the organisation's own limit and without faults.
 func TestReportEqualsCallersHistory(t *testing.T) {
 	c := newReportCluster(t)
-	time.Sleep(reportInterval)
-	from := time.Now()
 	time.Sleep(2 * reportInterval)
+	from := time.Now()
+	time.Sleep(reportInterval)
 	stop := after(5 * time.Second)
 	histories := map[string]*seen{}
 	var mu sync.Mutex
@@ -131,8 +136,8 @@
 			t.Errorf("%s: got verdict %s, gaps %+v, promises %+v, want kept", org, r.Verdict, r.Gaps, r.Organisations[0].Promises)
 		}
 	}
-	if len(histories["small"].refused) == 0 {
-		t.Error("the load of \"small\" met no refusal, so that the test shows nothing")
+	if s := histories["small"]; s.refused[string(core.CodeRateLimit)] == 0 || s.results[resultOK] == 0 {
+		t.Errorf("callers of \"small\" saw %v with refusals %v, want replies and refusals by rate", s.results, s.refused)
 	}
 }
 
