--- a/core/config/fold.go
+++ b/core/config/fold.go
@@ -185,6 +185,9 @@
 	if err := f.checkUnique(v); err != nil {
 		return reject(err.Error())
 	}
+	if err := f.checkReadOnly(v); err != nil {
+		return reject(err.Error())
+	}
 	if v.entrySet != nil {
 		f.addEntrySet(offset, *v.entrySet)
 	}
@@ -227,10 +230,7 @@
 			}
 		}
 	case v.team != nil:
-		if err := taken("token_hash", v.team.TokenHash, f.tokens, v.team.Name); err != nil {
-			return err
-		}
-		return f.checkReadOnly(*v.team)
+		return taken("token_hash", v.team.TokenHash, f.tokens, v.team.Name)
 	case v.service != nil:
 		for _, m := range v.service.Models {
 			if err := taken(fmt.Sprintf("model %q", m), m, f.models, v.service.Name); err != nil {
@@ -246,13 +246,14 @@
 
 // checkReadOnly rejects a read-only team while no other team may change every
 // object: the bootstrap token ends with the first team, so that nobody could
-// change anything any more.
-func (f *Fold) checkReadOnly(t core.Team) error {
-	if !t.ReadOnly {
+// change anything any more. The rule holds for changes only, since a restored
+// state adds its teams one by one.
+func (f *Fold) checkReadOnly(v value) error {
+	if v.team == nil || !v.team.ReadOnly {
 		return nil
 	}
 	for name, other := range f.cfg.Teams {
-		if name != t.Name && other.Administers() {
+		if name != v.team.Name && other.Administers() {
 			return nil
 		}
 	}
--- a/core/config/fold_test.go
+++ b/core/config/fold_test.go
@@ -218,7 +218,18 @@
 	if o, _, err := f.Apply(record(t, int64(len(tests)+3), only)); err != nil || o.Result != config.Rejected || !strings.Contains(o.Reason, "read_only needs another team") {
 		t.Errorf("read-only team without another: got %+v, %v, want rejected", o, err)
 	}
-	if got, want := len(f.Objects("")), 2; got != want {
+	monitor := config.Change{ChangeID: "monitor", Object: "team/a", Value: json.RawMessage(`{"name":"a","token_hash":"` + strings.Repeat("cd", 32) + `","organisations":["*"],"read_only":true}`)}
+	if o, _, err := f.Apply(record(t, int64(len(tests)+4), monitor)); err != nil || o.Result != config.Accepted {
+		t.Errorf("read-only team beside another: got %+v, %v, want accepted", o, err)
+	}
+	data, err := f.EncodeState()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if restored, err := config.DecodeState(f.Configuration().NextOffset, data); err != nil || restored.Hash() != f.Hash() {
+		t.Errorf("restored state with a read-only team: got error %v, want the same hash", err)
+	}
+	if got, want := len(f.Objects("")), 3; got != want {
 		t.Errorf("objects: got %d, want %d", got, want)
 	}
 }
