--- a/core/config/fold.go
+++ b/core/config/fold.go
@@ -185,6 +185,9 @@
 	if err := f.checkUnique(v); err != nil {
 		return reject(err.Error())
 	}
+	if err := f.checkReadOnly(v); err != nil {
+		return reject(err.Error())
+	}
 	if v.entrySet != nil {
 		f.addEntrySet(offset, *v.entrySet)
 	}
@@ -241,6 +244,22 @@
 	return nil
 }
 
+// checkReadOnly rejects a read-only team while no other team may change every
+// object: the bootstrap token ends with the first team, so that nobody could
+// change anything any more. The rule holds for changes only, since a restored
+// state adds its teams one by one.
+func (f *Fold) checkReadOnly(v value) error {
+	if v.team == nil || !v.team.ReadOnly {
+		return nil
+	}
+	for name, other := range f.cfg.Teams {
+		if name != v.team.Name && other.Administers() {
+			return nil
+		}
+	}
+	return fmt.Errorf("read_only needs another team that is not read-only and has \"*\" in organisations: %w", core.ErrInvalid)
+}
+
 // own copies the maps of the configuration if they were handed out.
 func (f *Fold) own() {
 	if !f.shared {
