Let the leader of a group rebalance experts by its engine's load

Settings name the ranks' ids and the engine's address. The leading agent samples the engine's newest window of tokens per expert at an interval and proposes the map that the policy adopts. The stand-in reports windows, loads weights through a rate-limited store and makes a step as long as its load.

--- a/core/expertmap.go
+++ b/core/expertmap.go
@@ -26,6 +26,20 @@
 // ExpertLoad is the tokens that each expert of each layer got in a window.
 type ExpertLoad [][]float64
 
+// ExpertWindow is the load of one closed window of steps, as an engine reports
+// it. EndStep is the first step behind the window, 0 before the first one.
+type ExpertWindow struct {
+	Incarnation string     `json:"incarnation"`
+	EndStep     int64      `json:"end_step"`
+	Tokens      ExpertLoad `json:"tokens"`
+}
+
+// ExpertLoads reports the newest closed window of an engine. Windows are counted
+// by the engine, so that a report that gets lost loses no tokens of a later one.
+type ExpertLoads interface {
+	Experts(ctx context.Context) (ExpertWindow, error)
+}
+
 // Rebalancer decides whether a group adopts a new map.
 type Rebalancer interface {
 	// Plan returns the map to use after seeing one more window of load, and
--- a/emulator/rank/handler.go
+++ b/emulator/rank/handler.go
@@ -29,6 +29,10 @@
 		found, err := r.Map(req.Context(), version)
 		answer(w, found, err)
 	})
+	m.GET("/experts", func(w http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+		found, err := r.Experts(req.Context())
+		answer(w, found, err)
+	})
 	m.GET("/history", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		answer(w, r.History(), nil)
 	})
--- a/emulator/rank/orders.go
+++ b/emulator/rank/orders.go
@@ -61,11 +61,16 @@
 				s.maps[m.Version] = m
 			}
 		}
-		if r.cfg.LoadTime <= 0 {
+		if s.loading == m.Version || slices.Contains(s.LoadedVersions, m.Version) {
+			return nil
+		}
+		s.loading = m.Version
+		delay := r.cfg.LoadTime + r.cfg.Store.take(r.missing(s, m))
+		if delay <= 0 {
 			load(s)
 			return nil
 		}
-		time.AfterFunc(r.cfg.LoadTime, func() { r.do(load) })
+		time.AfterFunc(delay, func() { r.do(load) })
 		return nil
 	})
 }
--- a/emulator/rank/rank.go
+++ b/emulator/rank/rank.go
@@ -18,20 +18,32 @@
 	keptHistory = 1 << 20
 )
 
-// Config describes a stand-in. LoadTime is the time that loading one map takes.
+// Config describes a stand-in. LoadTime is the fixed part of the time that
+// loading one map takes; the bytes that move to the rank come from Store on top.
+// StepTime is the mean time of a step. With a Load, which tells the tokens per
+// expert of the window of steps that a step belongs to, a rank takes as much
+// longer or shorter as its share of the load is above or below the mean.
 type Config struct {
 	Rank     int
+	Ranks    int
 	Barrier  Barrier
 	Fencing  bool
 	StepTime time.Duration
 	LoadTime time.Duration
+	Store    *Store
+	Load     func(step int64) core.ExpertLoad
+	// WindowSteps is the length of a window of load, 0 for 64 steps.
+	WindowSteps int64
 }
 
-// Entry is one step that the engine ran.
+// Entry is one step that the engine ran. BusyUS is the time that the rank
+// itself computed, and EndUnixUS when it had finished.
 type Entry struct {
 	Generation int64 `json:"generation"`
 	Step       int64 `json:"step"`
 	MapVersion int64 `json:"map_version"`
+	BusyUS     int64 `json:"busy_us"`
+	EndUnixUS  int64 `json:"end_unix_us"`
 }
 
 // Faults is the body of POST /faults. A restart loses all state; history stays,
@@ -56,14 +68,17 @@
 	maps    map[int64]core.ExpertMap
 	history []Entry
 	stalled time.Time
+	// loading is the newest map that was ordered.
+	loading int64
 	// epoch grows when a step under way must not be counted.
 	epoch int
 }
 
-// passed tells that all ranks have arrived at a step.
+// passed tells that all ranks have arrived at a step, which took busy.
 type passed struct {
 	epoch int
 	step  int64
+	busy  time.Duration
 }
 
 // New starts a stand-in.
@@ -133,7 +148,7 @@
 func (r *Rank) attempt(s *state, through chan<- passed) *attempt {
 	ctx, cancel := context.WithCancel(r.ctx)
 	a := &attempt{epoch: s.epoch, cancel: cancel, gone: make(chan struct{})}
-	p, generation := passed{s.epoch, s.Step}, s.Generation
+	p, generation := passed{s.epoch, s.Step, r.busyTime(s)}, s.Generation
 	go func() {
 		defer close(a.gone)
 		r.arrive(ctx, p, generation, through)
@@ -154,7 +169,7 @@
 	if r.cfg.Barrier.Arrive(ctx, Arrival{Generation: generation, Step: p.step, Rank: r.cfg.Rank}) != nil {
 		return
 	}
-	if !sleep(ctx, r.cfg.StepTime) {
+	if !sleep(ctx, p.busy) {
 		return
 	}
 	select {
@@ -199,13 +214,14 @@
 	if p.epoch != s.epoch || p.step != s.Step {
 		return
 	}
-	i := slices.IndexFunc(s.Runs, func(run core.Run) bool { return run.From <= s.Step && s.Step < run.To })
-	if i < 0 {
+	v, ok := s.mapOfStep()
+	if !ok {
 		return
 	}
-	s.MapVersion = s.Runs[i].MapVersion
+	s.MapVersion = v
 	if len(s.history) < keptHistory {
-		s.history = append(s.history, Entry{Generation: s.Generation, Step: s.Step, MapVersion: s.MapVersion})
+		s.history = append(s.history, Entry{Generation: s.Generation, Step: s.Step, MapVersion: s.MapVersion,
+			BusyUS: p.busy.Microseconds(), EndUnixUS: time.Now().UnixMicro()})
 	}
 	s.Step++
 }
@@ -236,7 +252,7 @@
 			s.stalled = time.Now().Add(time.Duration(f.StallMS) * time.Millisecond)
 		}
 		if f.Restart {
-			s.RankState, s.maps = r.fresh(), map[int64]core.ExpertMap{}
+			s.RankState, s.maps, s.loading = r.fresh(), map[int64]core.ExpertMap{}, 0
 			s.epoch++
 		}
 	})
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/expertmap"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
 )
@@ -58,8 +59,15 @@
 	InitialMap  core.ExpertMap
 	Log         core.Log
 	Engine      core.RankEngine
-	Peers       Opener
-	Logger      *zap.Logger
+	// Loads reports the load of experts. NewRebalancer returns the policy of
+	// one leadership, which is asked every RebalanceInterval for a map of Shape.
+	// The map stays when one of them is not set.
+	Loads             core.ExpertLoads
+	NewRebalancer     func() core.Rebalancer
+	RebalanceInterval time.Duration
+	Shape             expertmap.Shape
+	Peers             Opener
+	Logger            *zap.Logger
 }
 
 // Status is the state of a group as one agent knows it. Pending is the map
@@ -126,6 +134,9 @@
 	wg.Go(func() { newRankTask(g).run(ctx) })
 	wg.Go(func() { g.follow(ctx) })
 	wg.Go(func() { newLeadTask(g).run(ctx) })
+	if g.cfg.Loads != nil && g.cfg.NewRebalancer != nil && g.cfg.RebalanceInterval > 0 {
+		wg.Go(func() { g.rebalance(ctx) })
+	}
 	wg.Wait()
 }
 
--- a/io/rank/client.go
+++ b/io/rank/client.go
@@ -22,7 +22,10 @@
 	HTTP *http.Client
 }
 
-var _ core.RankEngine = (*Client)(nil)
+var (
+	_ core.RankEngine  = (*Client)(nil)
+	_ core.ExpertLoads = (*Client)(nil)
+)
 
 // FenceOrder is the body of POST /fence.
 type FenceOrder struct {
@@ -73,6 +76,13 @@
 	return m, err
 }
 
+// Experts reads GET /experts.
+func (c *Client) Experts(ctx context.Context) (core.ExpertWindow, error) {
+	var w core.ExpertWindow
+	err := c.call(ctx, http.MethodGet, "/experts", nil, &w)
+	return w, err
+}
+
 // Run sends POST /run.
 func (c *Client) Run(ctx context.Context, r core.Run) error {
 	return c.call(ctx, http.MethodPost, "/run", r, nil)
--- a/options/check.go
+++ b/options/check.go
@@ -21,7 +21,6 @@
 	maxPartitions = 100
 	minReplyBytes = 64 << 10
 	maxReplyBytes = 1 << 40
-	maxRanks      = 4096
 	maxRetryBurst = 100_000
 )
 
@@ -146,7 +145,7 @@
 		c.absent("group", `role is "entry"`)
 	case core.RoleAgent:
 		c.agent(s.Agent)
-		c.group(s.Group, s.Listen.PeerAdvertised)
+		c.group(s.Group, s.ID, s.Listen.PeerAdvertised)
 		c.absent("entry", `role is "agent"`)
 		c.absent("listen.caller", `role is "agent"`)
 	}
@@ -172,24 +171,3 @@
 	c.integer("agent.reply_memory_bytes", a.ReplyMemoryBytes, minReplyBytes, maxReplyBytes)
 	c.duration("agent.drain_timeout", a.DrainTimeout, 0, maxDrain)
 }
-
-func (c *checker) group(g Group, self string) {
-	if g.Name == "" {
-		c.absent("group", "group.name is not set")
-		return
-	}
-	c.name("group.name", g.Name)
-	c.integer("number of group.rank_addresses", int64(len(g.RankAddresses)), 1, maxRanks)
-	seen := map[string]bool{}
-	for _, a := range g.RankAddresses {
-		c.dial("group.rank_addresses", a)
-		if seen[a] {
-			c.fault("group.rank_addresses", a, "no address twice")
-		}
-		seen[a] = true
-	}
-	c.integer("group.rank", int64(g.Rank), 0, int64(len(g.RankAddresses))-1)
-	if g.Rank >= 0 && g.Rank < len(g.RankAddresses) && g.RankAddresses[g.Rank] != self {
-		c.fault("group.rank", g.Rank, "the rank whose address is listen.peer_advertised, "+self)
-	}
-}
--- a/options/options.go
+++ b/options/options.go
@@ -103,11 +103,29 @@
 }
 
 // Group makes an agent a rank of a group. Name is empty without a group.
-// RankAddresses holds the peer address of each rank, in rank order.
+// RankIDs and RankAddresses hold the agent id and the peer address of each
+// rank, in rank order. EngineAddress is where the rank's engine takes orders.
 type Group struct {
-	Name          string   `toml:"name"`
-	Rank          int      `toml:"rank"`
-	RankAddresses []string `toml:"rank_addresses"`
+	Name          string    `toml:"name"`
+	Rank          int       `toml:"rank"`
+	RankIDs       []string  `toml:"rank_ids"`
+	RankAddresses []string  `toml:"rank_addresses"`
+	EngineAddress string    `toml:"engine_address"`
+	Layers        int       `toml:"layers"`
+	Experts       int       `toml:"experts"`
+	Rebalance     Rebalance `toml:"rebalance"`
+}
+
+// Rebalance describes when a group changes its expert map and what a change is
+// expected to cost. An Interval of 0 keeps the map.
+type Rebalance struct {
+	Interval            Duration `toml:"interval"`
+	SlotsPerRank        int      `toml:"slots_per_rank"`
+	ExpertBytes         int64    `toml:"expert_bytes"`
+	StoreBytesPerSecond int64    `toml:"store_bytes_per_second"`
+	LoadSlowdown        float64  `toml:"load_slowdown"`
+	SwitchDelay         Duration `toml:"switch_delay"`
+	MapLife             Duration `toml:"map_life"`
 }
 
 // Default returns the settings that hold when the file says nothing.
@@ -129,6 +147,18 @@
 			ReplyMemoryBytes: 64 << 20,
 			DrainTimeout:     newDuration(10 * time.Minute),
 		},
+		Group: Group{
+			Layers:  1,
+			Experts: 64,
+			Rebalance: Rebalance{
+				Interval:            newDuration(time.Minute),
+				SlotsPerRank:        1,
+				ExpertBytes:         44_000_000,
+				StoreBytesPerSecond: 1_000_000_000,
+				LoadSlowdown:        0.05,
+				MapLife:             newDuration(time.Hour),
+			},
+		},
 	}
 }
 
