Run groups in agent processes; test one map per step with real processes

The agent process keeps sessions to the other ranks, serves group streams, runs the group's task until its own requests have ended, and refuses new work while the group stands still.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -55,6 +55,9 @@
 	Node     Peers
 	Admitter core.Admitter
 	Log      *zap.Logger
+	// Stalled reports that the backend server cannot get on, since its group
+	// stands still; nil means never. It must not block.
+	Stalled func() bool
 	// BufferBytes bounds the reply bytes held for one slow reader.
 	BufferBytes int
 	// StoredBytes and StoredAge bound the stored replies of requests that must
@@ -105,6 +108,9 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.Stalled == nil {
+		c.Stalled = func() bool { return false }
+	}
 	if c.BufferBytes <= 0 {
 		c.BufferBytes = defaultBufferBytes
 	}
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -70,27 +71,6 @@
 	Logger            *zap.Logger
 }
 
-// Status is the state of a group as one agent knows it. Pending is the map
-// being loaded. The sums count what this agent sent and received as leader.
-type Status struct {
-	Leading       bool
-	Running       bool
-	LeaderID      string
-	Fence         int64
-	Generation    int64
-	Step          int64
-	Horizon       int64
-	StateLost     bool
-	MapVersion    int64
-	Current       int64
-	Pending       int64
-	Resets        int
-	Map           core.ExpertMap
-	SentMessages  int64
-	SentBytes     int64
-	ReceivedBytes int64
-}
-
 // Group is the task. It is safe for concurrent use.
 type Group struct {
 	cfg      Config
@@ -101,6 +81,8 @@
 	answers  chan answer
 	ops      chan func(*leadTask)
 	done     chan struct{}
+	// steppedAt is when the engine was last seen to have run a step.
+	steppedAt atomic.Pointer[time.Time]
 }
 
 // New returns a group that works once Run is called.
@@ -112,7 +94,7 @@
 		cfg.Incarnation = uuid.NewString()
 	}
 	cfg.Logger = cfg.Logger.With(zap.String("group", cfg.Group), zap.Int("rank", cfg.Rank))
-	return &Group{
+	g := &Group{
 		cfg:      cfg,
 		requests: make(chan request),
 		infos:    make(chan rankInfo),
@@ -122,8 +104,15 @@
 		ops:      make(chan func(*leadTask)),
 		done:     make(chan struct{}),
 	}
+	now := time.Now()
+	g.steppedAt.Store(&now)
+	return g
 }
 
+// SinceStep returns the time since the agent last saw its engine get on by a
+// step. It does not block.
+func (g *Group) SinceStep() time.Duration { return time.Since(*g.steppedAt.Load()) }
+
 // Done is closed when Run has returned.
 func (g *Group) Done() <-chan struct{} { return g.done }
 
--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -33,6 +34,8 @@
 	sent      int64
 	sentBytes int64
 	received  int64
+	// answeredAt is when each rank last answered this leader.
+	answeredAt []time.Time
 }
 
 func newLeadTask(g *Group) *leadTask {
@@ -52,10 +55,7 @@
 		case f := <-t.g.folds:
 			t.folded(ctx, f)
 		case i := <-t.g.infos:
-			t.info = i
-			if i.heard.After(t.heard) {
-				t.heard = i.heard
-			}
+			t.observe(i)
 		case a := <-t.g.answers:
 			t.wake(ctx)
 			t.answered(a)
@@ -96,6 +96,7 @@
 	t.senders = t.g.startSenders(ctx, fence)
 	t.lastTurn = time.Now()
 	t.tookAt = t.lastTurn
+	t.answeredAt = slices.Repeat([]time.Time{t.tookAt}, len(t.g.cfg.RankIDs))
 }
 
 func (t *leadTask) resign(why string) {
@@ -117,6 +118,7 @@
 	if t.leader == nil || a.fence != t.leader.Fence() {
 		return
 	}
+	t.answeredAt[a.rank] = time.Now()
 	t.received += int64(a.receivedBytes)
 	t.sent++
 	t.sentBytes += int64(a.sentBytes)
@@ -227,22 +229,9 @@
 	return version, nil
 }
 
-func (t *leadTask) status() Status {
-	s := Status{Step: t.info.step, Horizon: t.info.horizon, Generation: t.info.generation, Fence: t.info.fence,
-		StateLost: t.info.stateLost, MapVersion: t.info.mapVersion, Map: t.info.maps[t.info.mapVersion],
-		SentMessages: t.sent, SentBytes: t.sentBytes, ReceivedBytes: t.received}
-	if l, ok := t.fold.leaders.Of(t.g.cfg.Group); ok {
-		s.LeaderID = l.AgentID
-	}
-	if t.leader != nil {
-		s.Leading, s.Running = true, t.leader.Running()
-		s.Current, s.Pending, s.Resets = t.leader.Current(), t.leader.Pending(), t.leader.Resets()
-	}
-	return s
-}
-
 // answer is the reply of one rank to one message of the leader.
 type answer struct {
+	rank          int
 	fence         int64
 	frame         *peerpb.Frame
 	sentBytes     int
--- a/io/group/send.go
+++ b/io/group/send.go
@@ -61,7 +61,7 @@
 			if reply == nil {
 				continue
 			}
-			a := answer{fence: x.fence, frame: reply, sentBytes: frameBytes(f), receivedBytes: frameBytes(reply)}
+			a := answer{rank: x.rank, fence: x.fence, frame: reply, sentBytes: frameBytes(f), receivedBytes: frameBytes(reply)}
 			select {
 			case x.g.answers <- a:
 			case <-ctx.Done():
--- a/process/agent.go
+++ b/process/agent.go
@@ -10,6 +10,7 @@
 	"nutmegnotch/agent"
 	"nutmegnotch/io/claimlog"
 	"nutmegnotch/io/configlog"
+	"nutmegnotch/io/group"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
 	"nutmegnotch/options"
@@ -21,6 +22,7 @@
 	node    *peer.Node
 	role    *agent.Agent
 	claimer *claimlog.Claimer
+	group   *groupTask
 }
 
 // RunAgent runs an agent until ctx ends and then stops it gracefully.
@@ -30,6 +32,9 @@
 		peerpb.StreamKind_STREAM_KIND_REQUEST: func(ctx context.Context, s *peer.Stream) { p.role.ServeRequest(ctx, s) },
 		peerpb.StreamKind_STREAM_KIND_LOOKUP:  func(ctx context.Context, s *peer.Stream) { p.role.ServeLookup(ctx, s) },
 	}
+	if cfg.Group.Name != "" {
+		handlers[peerpb.StreamKind_STREAM_KIND_GROUP] = func(ctx context.Context, s *peer.Stream) { p.group.serve(ctx, s) }
+	}
 	p.node = peer.New(peer.Config{
 		Self:     p.self,
 		Handlers: handlers,
@@ -37,6 +42,7 @@
 		Up:       func(s *peer.Session) { p.role.Up(s) },
 		Log:      p.logger,
 	})
+	p.group = newGroupTask(cfg, p.self.Incarnation, p.log, p.node, p.logger)
 	p.claimer = claimlog.NewClaimer(claimlog.ClaimerConfig{
 		Self:       p.self,
 		Peers:      p.node,
@@ -54,6 +60,7 @@
 		Hosts:       p.hosts,
 		Node:        p.node,
 		Log:         p.logger,
+		Stalled:     p.group.stalled,
 		StoredBytes: cfg.Agent.ReplyMemoryBytes,
 		StoredAge:   cfg.Claims.Window.Std(),
 	})
@@ -61,13 +68,21 @@
 	if err := p.start(p.node, p, p); err != nil {
 		return err
 	}
+	if p.group != nil {
+		p.group.start(p.node)
+	}
 	if err := p.role.Run(ctx); err != nil {
 		return fmt.Errorf("run agent: %w", err)
 	}
 	return nil
 }
 
+// stopAll ends the group after the agent's own requests, which need its steps,
+// and before the sessions.
 func (p *agentProcess) stopAll() {
+	if p.group != nil {
+		p.group.stop()
+	}
 	p.claimer.Stop()
 	p.stop(p.node)
 }
@@ -84,18 +99,28 @@
 	if !p.role.Ready() {
 		return errors.New("agent is leaving, its configuration is not confirmed or its backend server is down")
 	}
+	if p.group.stalled() {
+		return errors.New("group of the agent's rank stands still")
+	}
 	return nil
 }
 
-// agentStatus is the status of an agent for operators.
+// agentStatus is the status of an agent for operators. Group is absent for an
+// agent without a group.
 type agentStatus struct {
 	Agent         agent.Status     `json:"agent"`
 	Configuration configlog.Status `json:"configuration"`
+	Group         *group.Status    `json:"group,omitempty"`
 }
 
 // ReportStatus implements core.StatusReporter.
 func (p *agentProcess) ReportStatus(ctx context.Context) any {
-	return agentStatus{Agent: p.role.Status(), Configuration: p.follower.Status(ctx)}
+	st := agentStatus{Agent: p.role.Status(), Configuration: p.follower.Status(ctx)}
+	if p.group != nil {
+		g := p.group.group.Status()
+		st.Group = &g
+	}
+	return st
 }
 
 // claimer fits a claimlog.Claimer to the agent.
--- /dev/null
+++ b/systemtest/group_check_test.go
@@ -0,0 +1,129 @@
+package systemtest
+
+import (
+	"fmt"
+	"testing"
+
+	emurank "nutmegnotch/emulator/rank"
+)
+
+// stepUse is what a step was run with.
+type stepUse struct{ generation, mapVersion int64 }
+
+// checkGroup checks the histories of all ranks of a group: in every step all
+// ranks use one map, each rank runs its steps in order and without a gap inside
+// a generation, and all ranks run the same steps of a generation that has ended,
+// except for a last step that some had not finished.
+func checkGroup(histories [][]emurank.Entry) []string {
+	var faults []string
+	used, by := map[int64]stepUse{}, map[int64]int{}
+	for rank, h := range histories {
+		faults = append(faults, checkOrder(rank, h)...)
+		for _, e := range h {
+			use := stepUse{e.Generation, e.MapVersion}
+			if other, ok := used[e.Step]; ok && other != use {
+				faults = append(faults, fmt.Sprintf("step %d: rank %d ran generation %d with map %d, rank %d generation %d with map %d",
+					e.Step, rank, e.Generation, e.MapVersion, by[e.Step], other.generation, other.mapVersion))
+				continue
+			}
+			used[e.Step], by[e.Step] = use, rank
+		}
+	}
+	return append(faults, checkRanges(histories)...)
+}
+
+func checkOrder(rank int, h []emurank.Entry) []string {
+	var faults []string
+	for i := 1; i < len(h); i++ {
+		last, e := h[i-1], h[i]
+		inOrder := e.Step == last.Step+1 && e.Generation == last.Generation || e.Step > last.Step && e.Generation > last.Generation
+		if !inOrder {
+			faults = append(faults, fmt.Sprintf("rank %d ran step %d of generation %d after step %d of generation %d",
+				rank, e.Step, e.Generation, last.Step, last.Generation))
+		}
+	}
+	return faults
+}
+
+// span is the first and last step of a generation.
+type span struct{ first, last int64 }
+
+func checkRanges(histories [][]emurank.Entry) []string {
+	var faults []string
+	newest := int64(0)
+	spans := make([]map[int64]span, len(histories))
+	for rank, h := range histories {
+		spans[rank] = map[int64]span{}
+		for _, e := range h {
+			s, ok := spans[rank][e.Generation]
+			if !ok {
+				s.first = e.Step
+			}
+			s.last = e.Step
+			spans[rank][e.Generation] = s
+			newest = max(newest, e.Generation)
+		}
+	}
+	for rank := range spans {
+		for g, s := range spans[0] {
+			o, ok := spans[rank][g]
+			short := s.last-s.first <= 1
+			switch {
+			case !ok && short && g != newest, g == newest && !ok:
+			case !ok || o.first != s.first:
+				faults = append(faults, fmt.Sprintf("generation %d: rank %d began at step %d, rank 0 at %d", g, rank, o.first, s.first))
+			case g != newest && (o.last > s.last+1 || o.last < s.last-1):
+				faults = append(faults, fmt.Sprintf("generation %d: rank %d ended with step %d, rank 0 with %d", g, rank, o.last, s.last))
+			}
+		}
+	}
+	return faults
+}
+
+// Guards against a checker that accepts two maps in one step, a step run twice,
+// a gap or a rank that fell behind.
+func TestGroupCheckerRejectsPlantedViolations(t *testing.T) {
+	good := func() [][]emurank.Entry {
+		var all [][]emurank.Entry
+		for range 3 {
+			var h []emurank.Entry
+			for s := range int64(20) {
+				h = append(h, emurank.Entry{Generation: 1, Step: s, MapVersion: 1 + s/10})
+			}
+			for s := range int64(20) {
+				h = append(h, emurank.Entry{Generation: 2, Step: 200 + s, MapVersion: 3})
+			}
+			all = append(all, h)
+		}
+		return all
+	}
+	if got := checkGroup(good()); len(got) != 0 {
+		t.Fatalf("correct history: got %v, want no fault", got)
+	}
+	tests := []struct {
+		name  string
+		plant func(h [][]emurank.Entry)
+	}{
+		{"two maps in one step", func(h [][]emurank.Entry) { h[1][10].MapVersion = 1 }},
+		{"two maps in the last step", func(h [][]emurank.Entry) { h[2][39].MapVersion = 4 }},
+		{"two generations in one step", func(h [][]emurank.Entry) { h[1][39].Generation = 3 }},
+		{"step run twice", func(h [][]emurank.Entry) { h[0][5] = h[0][4] }},
+		{"step left out", func(h [][]emurank.Entry) { h[1] = append(h[1][:7], h[1][8:]...) }},
+		{"steps of a new generation below old ones", func(h [][]emurank.Entry) {
+			for r := range h {
+				for i := 20; i < 40; i++ {
+					h[r][i].Step -= 195
+				}
+			}
+		}},
+		{"rank that ended a generation early", func(h [][]emurank.Entry) { h[2] = append(h[2][:15], h[2][20:]...) }},
+		{"rank that left out a generation", func(h [][]emurank.Entry) { h[2] = h[2][20:] }},
+	}
+	for _, tt := range tests {
+		h := good()
+		tt.plant(h)
+		if len(checkGroup(h)) == 0 {
+			t.Errorf("%s: got no fault, want one", tt.name)
+		}
+	}
+}
--- /dev/null
+++ b/systemtest/group_faults_test.go
@@ -0,0 +1,148 @@
+package systemtest
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+
+	"nutmegnotch/emulator/platformlog"
+	emurank "nutmegnotch/emulator/rank"
+)
+
+const (
+	// pastTimeouts is longer than every timeout of a group.
+	pastTimeouts = 8 * time.Second
+	// groupSteps is the progress that is waited for after a fault.
+	groupSteps = 150
+)
+
+// groupFaults are the failures that a group must survive, one at a time.
+var groupFaults = []struct {
+	name string
+	run  func(g *rankGroup)
+}{
+	{"leader paused longer than every timeout", func(g *rankGroup) {
+		p := g.agents[g.changing()]
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(pastTimeouts)
+		g.progress("the pause of the leader", groupSteps)
+		p.signal(syscall.SIGCONT)
+	}},
+	{"paused leader that cannot read the log", func(g *rankGroup) {
+		p := g.agents[g.changing()]
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(pastTimeouts)
+		g.link(p.id, "log", g.logAddr).cut()
+		p.signal(syscall.SIGCONT)
+		g.progress("the old leader without a log", groupSteps)
+		g.link(p.id, "log", g.logAddr).heal()
+	}},
+	{"leader killed and restarted", func(g *rankGroup) {
+		p := g.agents[g.changing()]
+		p.kill()
+		time.Sleep(time.Second)
+		p.start()
+	}},
+	{"leader killed twice", func(g *rankGroup) {
+		for range 2 {
+			p := g.agents[g.changing()]
+			p.kill()
+			p.start()
+		}
+	}},
+	{"grants lost, doubled and late", func(g *rankGroup) {
+		for range 4 {
+			l := g.agents[g.changing()].id
+			for _, link := range g.linksOf(l) {
+				link.dropAnswers(2)
+				link.slow(toServer, 40*time.Millisecond)
+				link.slow(toClient, 60*time.Millisecond)
+				link.splitWrites()
+			}
+			time.Sleep(time.Second)
+			for _, link := range g.linksOf(l) {
+				link.heal()
+			}
+		}
+	}},
+	{"one rank's agent cut off and frozen", func(g *rankGroup) {
+		links := g.linksOf(g.agents[(g.changing()+1)%len(g.agents)].id)
+		for _, link := range links {
+			link.freeze(toClient)
+		}
+		time.Sleep(2 * time.Second)
+		for _, link := range links {
+			link.heal()
+			link.cut()
+		}
+		time.Sleep(2 * time.Second)
+		for _, link := range links {
+			link.heal()
+		}
+	}},
+	{"rank's agent restarted in the middle of a change", func(g *rankGroup) {
+		p := g.agents[(g.changing()+1)%len(g.agents)]
+		p.kill()
+		p.start()
+	}},
+	{"rank's agent stopped as planned in the middle of a change", func(g *rankGroup) {
+		p := g.agents[(g.changing()+1)%len(g.agents)]
+		p.stopGracefully()
+		p.start()
+	}},
+	{"rank's engine restarted in the middle of a change", func(g *rankGroup) {
+		g.ranks[(g.changing()+1)%len(g.ranks)].Fault(emurank.Faults{Restart: true})
+	}},
+	{"leader's engine and agent restarted", func(g *rankGroup) {
+		l := g.changing()
+		g.agents[l].kill()
+		g.ranks[l].Fault(emurank.Faults{Restart: true})
+		g.agents[l].start()
+	}},
+	{"log down during a change and a change of leader", func(g *rankGroup) {
+		p := g.agents[g.changing()]
+		g.log.SetFaults(platformlog.Faults{Outage: platformlog.OutageHang})
+		g.progress("the log outage", groupSteps)
+		p.kill()
+		time.Sleep(5 * time.Second)
+		g.log.SetFaults(platformlog.Faults{})
+		p.start()
+	}},
+}
+
+// Guards against two maps in one step, and against a group that does not get on
+// after a fault, with engines that check fences and engines that do not.
+func TestGroupOneMapPerStep(t *testing.T) {
+	for i, f := range groupFaults {
+		t.Run(f.name, func(t *testing.T) {
+			fencing := [](func(int) bool){noFencing, halfFencing, allFencing}[i%3]
+			g := newGroup(t, groupSizes{ranks: 4, stepTime: 5 * time.Millisecond, interval: 300 * time.Millisecond, fencing: fencing, seed: uint64(i + 1)})
+			g.progress("the start", groupSteps)
+			f.run(g)
+			g.progress(f.name, groupSteps)
+			g.check()
+		})
+	}
+}
+
+// Guards against two maps in one step under random combinations of faults.
+func TestGroupRandomFaults(t *testing.T) {
+	eachSeed(t, func(t *testing.T, r *rand.Rand) {
+		fencing := [](func(int) bool){noFencing, halfFencing, allFencing}[r.IntN(3)]
+		g := newGroup(t, groupSizes{ranks: 4, stepTime: 5 * time.Millisecond, interval: 300 * time.Millisecond, fencing: fencing, seed: r.Uint64()})
+		g.progress("the start", groupSteps)
+		faults := append(commonFaults(),
+			fault{"restart an engine", func(_ *cluster, r *rand.Rand) {
+				g.ranks[r.IntN(len(g.ranks))].Fault(emurank.Faults{Restart: true})
+			}},
+			fault{"stall an engine", func(_ *cluster, r *rand.Rand) {
+				g.ranks[r.IntN(len(g.ranks))].Fault(emurank.Faults{StallMS: 100 + r.Int64N(3000)})
+			}})
+		stop := make(chan struct{})
+		time.AfterFunc(10*time.Second, func() { close(stop) })
+		injectFaults(t, g.cluster, r, faults, stop)
+		g.progress("random faults", groupSteps)
+		g.check()
+	})
+}
--- /dev/null
+++ b/systemtest/group_test.go
@@ -0,0 +1,217 @@
+package systemtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+	emurank "nutmegnotch/emulator/rank"
+	"nutmegnotch/io/group"
+)
+
+// groupSizes tells what a group holds. Half of the engines ignore fencing when
+// mixed is set.
+type groupSizes struct {
+	ranks    int
+	stepTime time.Duration
+	interval time.Duration
+	fencing  func(rank int) bool
+	seed     uint64
+}
+
+// Shape and costs of the groups under test. A map changes about once a second.
+const (
+	groupLayers      = 2
+	groupExperts     = 16
+	groupExpertBytes = 1e6
+	groupStoreRate   = 50e6
+	groupLoadTime    = 100 * time.Millisecond
+	groupWindow      = 16
+	groupPeriod      = 600
+)
+
+// rankGroup is a group of stand-in ranks in the test process, each with its
+// agent as a process. Every link between agents, to the engines and to the log
+// goes through a proxy.
+type rankGroup struct {
+	*cluster
+	agents []*proc
+	ranks  []*emurank.Rank
+}
+
+func allFencing(int) bool    { return true }
+func noFencing(int) bool     { return false }
+func halfFencing(r int) bool { return r%2 == 0 }
+
+func newGroup(t *testing.T, s groupSizes) *rankGroup {
+	t.Helper()
+	g := &rankGroup{cluster: newCluster(t, sizes{})}
+	barrier := emurank.NewBarrier(s.ranks)
+	t.Cleanup(barrier.Close)
+	store := emurank.NewStore(groupStoreRate, groupExpertBytes)
+	var ids, peers, engines []string
+	for i := range s.ranks {
+		p := g.newProc(core.RoleAgent, fmt.Sprintf("rank-%d", i), domainOf(i))
+		e := emurank.New(emurank.Config{Rank: i, Ranks: s.ranks, Barrier: barrier, Fencing: s.fencing(i), StepTime: s.stepTime,
+			LoadTime: groupLoadTime, Store: store, Load: drift(s.seed), WindowSteps: groupWindow})
+		t.Cleanup(e.Close)
+		g.agents, g.ranks = append(g.agents, p), append(g.ranks, e)
+		g.models = append(g.models, &backend{agent: p})
+		ids, peers = append(ids, p.id), append(peers, p.peer)
+		engines = append(engines, g.link(p.id, p.id+"-engine", g.serve(e.Handler())).address())
+	}
+	for i, p := range g.agents {
+		addresses := append([]string(nil), peers...)
+		for j := range i {
+			addresses[j] = g.link(p.id, ids[j], peers[j]).address()
+		}
+		p.settings = writeFile(t, g.dir, p.id+".toml", settingsText(p, groupText(s, p, i, ids, addresses, engines[i])))
+		p.start()
+		t.Cleanup(p.kill)
+	}
+	return g
+}
+
+func groupText(s groupSizes, p *proc, rank int, ids, addresses []string, engine string) string {
+	quoted := func(list []string) string {
+		b, _ := json.Marshal(list)
+		return string(b)
+	}
+	return fmt.Sprintf(`[agent]
+service = %q
+backend_address = %q
+[listen]
+admin = %q
+peer = %q
+[group]
+name = "g"
+rank = %d
+rank_ids = %s
+rank_addresses = %s
+engine_address = %q
+layers = %d
+experts = %d
+[group.rebalance]
+interval = %q
+slots_per_rank = %d
+expert_bytes = %d
+store_bytes_per_second = %d
+map_life = "10s"
+`, modelService, engine, p.admin, p.peer, rank, quoted(ids), quoted(addresses), engine, groupLayers, groupExperts,
+		s.interval, max(3, 2*groupExperts/s.ranks), int(groupExpertBytes), int(groupStoreRate))
+}
+
+// drift returns the tokens per expert of each window of steps: the popularity
+// of every expert rises and falls, each at its own time.
+func drift(seed uint64) func(step int64) core.ExpertLoad {
+	r := rand.New(rand.NewPCG(seed, 11))
+	var base, phase [groupLayers][groupExperts]float64
+	for l := range groupLayers {
+		for e := range groupExperts {
+			base[l][e], phase[l][e] = r.NormFloat64()*0.5, r.Float64()*2*math.Pi
+		}
+	}
+	return func(step int64) core.ExpertLoad {
+		load := make(core.ExpertLoad, groupLayers)
+		for l := range load {
+			for e := range groupExperts {
+				load[l] = append(load[l], math.Round(1000*math.Exp(base[l][e]+1.2*math.Sin(2*math.Pi*float64(step)/groupPeriod+phase[l][e]))))
+			}
+		}
+		return load
+	}
+}
+
+// status returns what an agent says of its group, and whether it answered.
+func groupStatus(p *proc) (group.Status, bool) {
+	var v struct {
+		Group group.Status `json:"group"`
+	}
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + p.admin + "/debug/vars")
+	if err != nil {
+		return v.Group, false
+	}
+	defer resp.Body.Close()
+	return v.Group, json.NewDecoder(resp.Body).Decode(&v) == nil
+}
+
+// leader returns the rank that leads the running group, or -1.
+func (g *rankGroup) leader() int {
+	found, fence := -1, int64(-1)
+	for i, p := range g.agents {
+		if s, ok := groupStatus(p); ok && s.Leading && s.Running && s.Fence > fence {
+			found, fence = i, s.Fence
+		}
+	}
+	return found
+}
+
+// lead waits for a leader.
+func (g *rankGroup) lead() int {
+	g.t.Helper()
+	l := -1
+	eventually(g.t, "an agent leads the running group", func() bool { l = g.leader(); return l >= 0 })
+	return l
+}
+
+// changing waits until the leader has a map change under way.
+func (g *rankGroup) changing() int {
+	g.t.Helper()
+	l := -1
+	eventually(g.t, "a map is being loaded", func() bool {
+		l = g.lead()
+		s, ok := groupStatus(g.agents[l])
+		return ok && s.Pending != 0
+	})
+	return l
+}
+
+// histories returns the steps of all ranks.
+func (g *rankGroup) histories() [][]emurank.Entry {
+	var all [][]emurank.Entry
+	for _, e := range g.ranks {
+		all = append(all, e.History())
+	}
+	return all
+}
+
+// ran returns the fewest steps that a rank has run.
+func (g *rankGroup) ran() int {
+	low := math.MaxInt
+	for _, h := range g.histories() {
+		low = min(low, len(h))
+	}
+	return low
+}
+
+// progress waits until every rank has run so many steps more.
+func (g *rankGroup) progress(what string, steps int) {
+	g.t.Helper()
+	from, start := g.ran(), time.Now()
+	eventually(g.t, "progress after "+what, func() bool { return g.ran() >= from+steps })
+	g.t.Logf("%s: %d steps after %v", what, steps, time.Since(start).Round(time.Millisecond))
+}
+
+// check fails when a rule is broken, or when the run changed no map.
+func (g *rankGroup) check() {
+	g.t.Helper()
+	h := g.histories()
+	faults := checkGroup(h)
+	for _, f := range faults[:min(5, len(faults))] {
+		g.t.Error(f)
+	}
+	maps, generations := map[int64]bool{}, map[int64]bool{}
+	for _, e := range h[0] {
+		maps[e.MapVersion], generations[e.Generation] = true, true
+	}
+	g.t.Logf("checked: %d steps of %d ranks, %d maps, %d generations", len(h[0]), len(h), len(maps), len(generations))
+	if len(maps) < 2 {
+		g.t.Errorf("maps used: got %d, want at least 2", len(maps))
+	}
+}
