io/group: learn maps that the engine loaded although the order failed

Cause: when the answer to an order to load got lost, the engine held the map but the agent did not know its content. A leader there compared nothing and never changed the map again. Found by TestGroupOneMapPerStep/grants_lost,_ doubled_and_late: no change within 30 s, log line 'current map does not have the configured shape'. Ruled out: a lost proposal (map 2097155 was in use). Change: each poll reads the content of the newest maps that are not known.

Two checks of the new test were wrong and are replaced: progress while the leader's agent is paused (its rank cannot be granted then, so progress is waited for after it resumes), and 'at least 2 maps' (now: a change of map must follow each fault).

--- a/io/group/rank.go
+++ b/io/group/rank.go
@@ -100,6 +100,7 @@
 		t.rank.EngineLost()
 	}
 	t.rank.SetLoaded(s.LoadedVersions)
+	t.learn(ctx, s.LoadedVersions)
 	t.push(ctx)
 }
 
@@ -116,7 +117,19 @@
 		}
 		fence = t.floor
 	}
-	for _, v := range s.LoadedVersions[max(0, len(s.LoadedVersions)-keptMaps):] {
+	t.learn(ctx, s.LoadedVersions)
+	t.rank.Recover(s, fence)
+	t.log.Info("rank recovered", zap.Int64("generation", s.Generation), zap.Int64("horizon", s.Horizon), zap.Int64("fence", t.rank.Fence()))
+}
+
+// learn reads the content of the newest maps of the engine that are not known
+// here: those loaded before a start, and those whose order was answered with an
+// error although the engine took it.
+func (t *rankTask) learn(ctx context.Context, loaded []int64) {
+	for _, v := range loaded[max(0, len(loaded)-keptMaps):] {
+		if _, known := t.maps[v]; known {
+			continue
+		}
 		m, err := t.engine.Map(ctx, v)
 		if err != nil {
 			t.log.Warn("read map of engine failed", zap.Int64("map", v), zap.Error(err))
@@ -124,8 +137,6 @@
 		}
 		t.remember(m)
 	}
-	t.rank.Recover(s, fence)
-	t.log.Info("rank recovered", zap.Int64("generation", s.Generation), zap.Int64("horizon", s.Horizon), zap.Int64("fence", t.rank.Fence()))
 }
 
 // remember keeps the content of the newest maps. The map is replaced, since
--- a/systemtest/group_faults_test.go
+++ b/systemtest/group_faults_test.go
@@ -26,7 +26,6 @@
 		p := g.agents[g.changing()]
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(pastTimeouts)
-		g.progress("the pause of the leader", groupSteps)
 		p.signal(syscall.SIGCONT)
 	}},
 	{"paused leader that cannot read the log", func(g *rankGroup) {
@@ -121,6 +120,7 @@
 			g.progress("the start", groupSteps)
 			f.run(g)
 			g.progress(f.name, groupSteps)
+			g.changed()
 			g.check()
 		})
 	}
@@ -143,6 +143,7 @@
 		time.AfterFunc(10*time.Second, func() { close(stop) })
 		injectFaults(t, g.cluster, r, faults, stop)
 		g.progress("random faults", groupSteps)
+		g.changed()
 		g.check()
 	})
 }
--- a/systemtest/group_test.go
+++ b/systemtest/group_test.go
@@ -198,7 +198,25 @@
 	g.t.Logf("%s: %d steps after %v", what, steps, time.Since(start).Round(time.Millisecond))
 }
 
-// check fails when a rule is broken, or when the run changed no map.
+// changed waits until all ranks run a map that no rank runs now.
+func (g *rankGroup) changed() {
+	g.t.Helper()
+	newest := func(h []emurank.Entry) int64 { return h[len(h)-1].MapVersion }
+	used := map[int64]bool{}
+	for _, h := range g.histories() {
+		used[newest(h)] = true
+	}
+	eventually(g.t, "a change of map", func() bool {
+		for _, h := range g.histories() {
+			if used[newest(h)] {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// check fails when a rule is broken.
 func (g *rankGroup) check() {
 	g.t.Helper()
 	h := g.histories()
@@ -211,7 +229,4 @@
 		maps[e.MapVersion], generations[e.Generation] = true, true
 	}
 	g.t.Logf("checked: %d steps of %d ranks, %d maps, %d generations", len(h[0]), len(h), len(maps), len(generations))
-	if len(maps) < 2 {
-		g.t.Errorf("maps used: got %d, want at least 2", len(maps))
-	}
 }
