Refuse a leader with another list of ranks; measure group processes

Cause: nothing compared the lists of different agents; a leader whose list is shorter would have collected from its own list only. Collect now carries a hash of the ids, which a rank compares with its own. Checked by TestLeaderWithOtherRanksIsNotAnswered.

--- a/core/expertmap/rebalance.go
+++ b/core/expertmap/rebalance.go
@@ -42,6 +42,8 @@
 	// JumpDistance is the share of load that has to shift between experts in
 	// one window for the smoothed load to be dropped; 0 means never.
 	JumpDistance float64
+	// MinGain is the share of step time that a change has to save at least.
+	MinGain float64
 
 	smooth  core.ExpertLoad
 	busy    time.Time
@@ -85,7 +87,7 @@
 	}
 	moves := Moves(current, next)
 	before, after := Skew(current, p.smooth, p.Shape.Ranks), Skew(next, p.smooth, p.Shape.Ranks)
-	if before <= after || p.net(life, (before-after)/before, moves) <= 0 {
+	if before <= after || (before-after)/before < p.MinGain || p.net(life, (before-after)/before, moves) <= 0 {
 		return current, false
 	}
 	p.busy = now.Add(p.Cost.LoadTime(moves))
@@ -154,10 +156,13 @@
 }
 
 // Always places all experts anew at every interval, from the newest window
-// alone and without regard to the current map.
+// alone. With KeepCurrent an expert stays on a rank that holds it as long as
+// that rank does not become slower than the bound; else the current map does
+// not count.
 type Always struct {
-	Shape    Shape
-	Interval time.Duration
+	Shape       Shape
+	Interval    time.Duration
+	KeepCurrent bool
 
 	last time.Time
 }
@@ -168,6 +173,9 @@
 		return current, false
 	}
 	a.last = now
+	if a.KeepCurrent {
+		return Place(a.Shape, current, load, 0), true
+	}
 	none := core.ExpertMap{Replicas: make([][][]int, a.Shape.Layers)}
 	for l := range none.Replicas {
 		none.Replicas[l] = make([][]int, a.Shape.Experts)
--- a/core/expertmap/rebalance_test.go
+++ b/core/expertmap/rebalance_test.go
@@ -173,17 +173,40 @@
 	}
 }
 
+// asked asks a policy at an interval only, with the newest window.
+type asked struct {
+	core.Rebalancer
+	interval time.Duration
+	last     time.Time
+}
+
+func (a *asked) Plan(current core.ExpertMap, load core.ExpertLoad, now time.Time) (core.ExpertMap, bool) {
+	if !a.last.IsZero() && now.Sub(a.last) < a.interval {
+		return current, false
+	}
+	a.last = now
+	return a.Rebalancer.Plan(current, load, now)
+}
+
 func benchmarkPolicies(b *testing.B, s Shape) {
 	c := Cost{ExpertBytes: 44e6, StoreBytesPerSecond: 1e9, LoadSlowdown: 0.05, SwitchDelay: 0}
+	newPolicy := func(minGain float64) core.Rebalancer {
+		return &Policy{Shape: s, Cost: c, Life: time.Hour, Smoothing: 0.3, JumpDistance: 0.15, MinGain: minGain}
+	}
 	policies := []struct {
 		name string
 		make func() core.Rebalancer
 	}{
 		{"fixed", func() core.Rebalancer { return Fixed{} }},
 		{"every_10_min", func() core.Rebalancer { return &Always{Shape: s, Interval: 10 * time.Minute} }},
-		{"policy", func() core.Rebalancer {
-			return &Policy{Shape: s, Cost: c, Life: time.Hour, Smoothing: 0.3, JumpDistance: 0.15}
+		{"every_10_min_from_current", func() core.Rebalancer {
+			return &Always{Shape: s, Interval: 10 * time.Minute, KeepCurrent: true}
 		}},
+		{"policy_1_min", func() core.Rebalancer { return newPolicy(0) }},
+		{"policy_10_min", func() core.Rebalancer { return &asked{Rebalancer: newPolicy(0), interval: 10 * time.Minute} }},
+		{"policy_1_min_gain_1", func() core.Rebalancer { return newPolicy(0.01) }},
+		{"policy_1_min_gain_3", func() core.Rebalancer { return newPolicy(0.03) }},
+		{"policy_10_min_gain_1", func() core.Rebalancer { return &asked{Rebalancer: newPolicy(0.01), interval: 10 * time.Minute} }},
 	}
 	for _, p := range policies {
 		b.Run(p.name, func(b *testing.B) {
--- a/io/group/bench_test.go
+++ b/io/group/bench_test.go
@@ -128,7 +128,7 @@
 
 func exchange(b *testing.B, l *expertmap.Leader, followers []*expertmap.Rank, now time.Time) {
 	for _, m := range l.Messages(now) {
-		if _, err := proto.Marshal(toFrame("g", "leader", m, nil)); err != nil {
+		if _, err := proto.Marshal(toFrame("g", "leader", 0, m, nil)); err != nil {
 			b.Fatal(err)
 		}
 		r, reply := followers[m.Rank], (*peerpb.Frame)(nil)
--- a/io/group/convert.go
+++ b/io/group/convert.go
@@ -21,11 +21,11 @@
 
 // toFrame encodes a message of a leader. placement is the JSON of the map that
 // a LoadMap names.
-func toFrame(group, leaderID string, m expertmap.Message, placement []byte) *peerpb.Frame {
+func toFrame(group, leaderID string, ranks uint64, m expertmap.Message, placement []byte) *peerpb.Frame {
 	switch {
 	case m.Collect != nil:
 		return &peerpb.Frame{Body: &peerpb.Frame_Collect{Collect: &peerpb.Collect{
-			Group: group, Fence: m.Collect.Fence, LeaderId: leaderID}}}
+			Group: group, Fence: m.Collect.Fence, LeaderId: leaderID, RanksHash: ranks}}}
 	case m.Grant != nil:
 		return &peerpb.Frame{Body: &peerpb.Frame_Grant{Grant: grantToPB(*m.Grant)}}
 	case m.Load != nil:
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -83,6 +85,7 @@
 	done     chan struct{}
 	// steppedAt is when the engine was last seen to have run a step.
 	steppedAt atomic.Pointer[time.Time]
+	ranksHash uint64
 }
 
 // New returns a group that works once Run is called.
@@ -103,6 +106,8 @@
 		answers:  make(chan answer),
 		ops:      make(chan func(*leadTask)),
 		done:     make(chan struct{}),
+		// A line break is in no id.
+		ranksHash: xxhash.Sum64String(strings.Join(cfg.RankIDs, "\n")),
 	}
 	now := time.Now()
 	g.steppedAt.Store(&now)
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -7,7 +7,9 @@
 
 	"go.uber.org/goleak"
 
+	"nutmegnotch/core"
 	emurank "nutmegnotch/emulator/rank"
+	"nutmegnotch/io/peer/peerpb"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -148,3 +150,25 @@
 	c.waitProgress("steps", 100)
 	c.check()
 }
+
+// Guards against a leader that leaves out a rank since its list of ranks
+// differs.
+func TestLeaderWithOtherRanksIsNotAnswered(t *testing.T) {
+	b := emurank.NewBarrier(1)
+	defer b.Close()
+	e := emurank.New(emurank.Config{Barrier: b, Fencing: true})
+	defer e.Close()
+	ids := []string{"a", "b"}
+	task := newRankTask(New(Config{Group: "g", RankIDs: ids, Engine: e}))
+	task.rank.Recover(core.RankState{}, -1)
+	for _, tt := range []struct {
+		ids  []string
+		want bool
+	}{{[]string{"a"}, false}, {[]string{"b", "a"}, false}, {ids, true}} {
+		hash := New(Config{RankIDs: tt.ids}).ranksHash
+		got := task.collect(context.Background(), &peerpb.Collect{Group: "g", Fence: 1, RanksHash: hash}) != nil
+		if got != tt.want {
+			t.Errorf("leader with ranks %v is answered: got %v, want %v", tt.ids, got, tt.want)
+		}
+	}
+}
--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -181,7 +181,7 @@
 				continue
 			}
 		}
-		t.senders.send(m.Rank, toFrame(t.g.cfg.Group, t.id(), m, placement))
+		t.senders.send(m.Rank, toFrame(t.g.cfg.Group, t.id(), t.g.ranksHash, m, placement))
 	}
 }
 
--- a/io/group/rank.go
+++ b/io/group/rank.go
@@ -205,6 +205,11 @@
 	if !t.ours(c.GetGroup(), c.GetFence(), false) {
 		return nil
 	}
+	// A leader with another list would leave out a rank.
+	if c.GetRanksHash() != t.g.ranksHash {
+		t.log.Error("leader has another list of rank ids", zap.String("leader", c.GetLeaderId()))
+		return nil
+	}
 	a := t.rank.Collect(expertmap.Collect{Fence: c.GetFence()})
 	if a.HighestFence == c.GetFence() {
 		if err := t.engine.Fence(ctx, c.GetFence()); err != nil {
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -49,7 +49,7 @@
 // and entries and agents as processes. Every link goes through a proxy of its
 // own: each entry has a host list that names the proxies of its own links.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	net     string
 	hosts   int
@@ -64,7 +64,7 @@
 	history *history
 }
 
-func newCluster(t *testing.T, s sizes) *cluster {
+func newCluster(t testing.TB, s sizes) *cluster {
 	t.Helper()
 	c := &cluster{
 		t:       t,
--- /dev/null
+++ b/systemtest/group_measure_test.go
@@ -0,0 +1,155 @@
+package systemtest
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	emurank "nutmegnotch/emulator/rank"
+)
+
+const (
+	measureStep   = 25 * time.Millisecond
+	measureWindow = 12 * time.Second
+	// clockTicks is the unit of CPU times in /proc on Linux.
+	clockTicks = 100
+)
+
+// BenchmarkGroupProcesses measures groups of agent processes: the skew of the
+// steps, the longest time without a step in quiet operation, at a change of map
+// and at a change of leader, and CPU, memory, messages and bytes of the leader
+// and of the other ranks' agents. Messages and bytes are those of grants, loads
+// and their answers without sessions' own frames.
+func BenchmarkGroupProcesses(b *testing.B) {
+	for _, ranks := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("ranks=%d", ranks), func(b *testing.B) {
+			for range b.N {
+				measureGroup(b, ranks)
+			}
+		})
+	}
+}
+
+func measureGroup(b *testing.B, ranks int) {
+	g := newGroup(b, groupSizes{ranks: ranks, stepTime: measureStep, interval: 3 * time.Second, fencing: allFencing, seed: 1})
+	g.progress("the start", 100)
+	l := g.lead()
+	before, _ := groupStatus(g.agents[l])
+	cpu, at := g.cpu(), time.Now()
+	time.Sleep(measureWindow)
+	after, _ := groupStatus(g.agents[l])
+	used, seconds := g.cpu(), time.Since(at).Seconds()
+	messages := 2 * float64(after.SentMessages-before.SentMessages) / seconds
+	bytes := float64(after.SentBytes-before.SentBytes+after.ReceivedBytes-before.ReceivedBytes) / seconds
+	b.ReportMetric(messages, "leader_messages/s")
+	b.ReportMetric(bytes, "leader_bytes/s")
+	b.ReportMetric(messages/float64(ranks), "rank_messages/s")
+	b.ReportMetric(bytes/float64(ranks), "rank_bytes/s")
+	var others []float64
+	for i := range g.agents {
+		share := 100 * (used[i] - cpu[i]) / seconds
+		if i == l {
+			b.ReportMetric(share, "leader_%core")
+			b.ReportMetric(residentMB(b, g.agents[i]), "leader_MB")
+			continue
+		}
+		others = append(others, share)
+	}
+	slices.Sort(others)
+	b.ReportMetric(others[len(others)/2], "rank_%core")
+	b.ReportMetric(others[len(others)-1], "rank_%core_max")
+	b.ReportMetric(residentMB(b, g.agents[(l+1)%ranks]), "rank_MB")
+	h := g.histories()
+	reportSteps(b, h, at.UnixMicro())
+	kill := time.Now()
+	g.agents[l].kill()
+	g.agents[l].start()
+	g.progress("a change of leader", 100)
+	b.ReportMetric(longestGap(g.histories()[0], kill.UnixMicro(), false), "leader_change_gap_ms")
+	g.check()
+}
+
+// reportSteps reports the skew of the steps since a time and the longest gap
+// between two steps, with and without a change of map.
+func reportSteps(b *testing.B, h [][]emurank.Entry, since int64) {
+	busy := map[int64][]float64{}
+	for _, rank := range h {
+		for _, e := range rank {
+			if e.EndUnixUS >= since {
+				busy[e.Step] = append(busy[e.Step], float64(e.BusyUS))
+			}
+		}
+	}
+	var skews []float64
+	for _, times := range busy {
+		if len(times) < len(h) {
+			continue
+		}
+		sum := 0.0
+		for _, t := range times {
+			sum += t
+		}
+		skews = append(skews, slices.Max(times)*float64(len(times))/sum)
+	}
+	slices.Sort(skews)
+	b.ReportMetric(skews[len(skews)/2], "skew_median")
+	b.ReportMetric(skews[len(skews)*95/100], "skew_p95")
+	b.ReportMetric(float64(len(skews)), "steps")
+	b.ReportMetric(longestGap(h[0], since, false), "longest_gap_ms")
+	b.ReportMetric(longestGap(h[0], since, true), "map_change_gap_ms")
+	changes := 0
+	for i := 1; i < len(h[0]); i++ {
+		if h[0][i].EndUnixUS >= since && h[0][i].MapVersion != h[0][i-1].MapVersion {
+			changes++
+		}
+	}
+	b.ReportMetric(float64(changes), "map_changes")
+}
+
+// longestGap returns the longest time between the ends of two steps, in
+// milliseconds; with changes only at steps that began to use another map.
+func longestGap(h []emurank.Entry, since int64, changes bool) float64 {
+	longest := int64(0)
+	for i := 1; i < len(h); i++ {
+		if h[i].EndUnixUS >= since && (!changes || h[i].MapVersion != h[i-1].MapVersion) {
+			longest = max(longest, h[i].EndUnixUS-h[i-1].EndUnixUS)
+		}
+	}
+	return float64(longest) / 1000
+}
+
+// cpu returns the seconds of CPU time that each agent process has used.
+func (g *rankGroup) cpu() []float64 {
+	var out []float64
+	for _, p := range g.agents {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		// The fields behind the name in parentheses start with the state, field
+		// 3; user and system time are fields 14 and 15.
+		fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+		user, _ := strconv.ParseFloat(fields[11], 64)
+		system, _ := strconv.ParseFloat(fields[12], 64)
+		out = append(out, (user+system)/clockTicks)
+	}
+	return out
+}
+
+func residentMB(b *testing.B, p *proc) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
--- a/systemtest/group_test.go
+++ b/systemtest/group_test.go
@@ -48,7 +48,7 @@
 func noFencing(int) bool     { return false }
 func halfFencing(r int) bool { return r%2 == 0 }
 
-func newGroup(t *testing.T, s groupSizes) *rankGroup {
+func newGroup(t testing.TB, s groupSizes) *rankGroup {
 	t.Helper()
 	g := &rankGroup{cluster: newCluster(t, sizes{})}
 	barrier := emurank.NewBarrier(s.ranks)
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -20,7 +20,7 @@
 
 // proc is one process of the program under test.
 type proc struct {
-	t        *testing.T
+	t        testing.TB
 	id       string
 	domain   string
 	role     string
@@ -104,7 +104,7 @@
 }
 
 // eventually waits until ok holds.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(waitLimit)
 	for !ok() {
@@ -116,7 +116,7 @@
 }
 
 // writeFile writes a file of the test's directory and returns its path.
-func writeFile(t *testing.T, dir, name, text string) string {
+func writeFile(t testing.TB, dir, name, text string) string {
 	t.Helper()
 	path := filepath.Join(dir, name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -35,7 +35,7 @@
 }
 
 // newProxy starts a proxy that ends with the test.
-func newProxy(t *testing.T, target string) *proxy {
+func newProxy(t testing.TB, target string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
