--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -28,6 +28,7 @@
 type source struct {
 	service     core.Service
 	drained     atomic.Bool
+	stalled     atomic.Bool
 	unconfirmed atomic.Bool
 }
 
--- a/agent/model_test.go
+++ b/agent/model_test.go
@@ -45,6 +45,7 @@
 	}{
 		{"drained", func(r *rig, _ *peerpb.RequestHead) { r.source.drained.Store(true) }, core.CodeDrained},
 		{"unconfirmed", func(r *rig, _ *peerpb.RequestHead) { r.source.unconfirmed.Store(true) }, core.CodeStaleConfig},
+		{"group stands still", func(r *rig, _ *peerpb.RequestHead) { r.source.stalled.Store(true) }, core.CodeNoServer},
 		{"deadline", func(_ *rig, h *peerpb.RequestHead) { h.DeadlineInMs = 1 }, core.CodeDeadline},
 		{"over limit", func(_ *rig, h *peerpb.RequestHead) { h.OutputTokens = 5000 }, core.CodeOverloaded},
 		{"over memory", func(_ *rig, h *peerpb.RequestHead) { h.OutputTokens = 50000 }, core.CodeTooLarge},
@@ -54,9 +55,10 @@
 		{"wrong id", func(_ *rig, h *peerpb.RequestHead) { h.RequestId = "q2" }, core.CodeBadRequest},
 	}
 	e := newEngine(t, nil)
-	r := startRig(t, modelService, e, nil)
+	r := startRig(t, modelService, e, func(c *agent.Config) { c.Stalled = c.Source.(*source).stalled.Load })
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			r.source.stalled.Store(false)
 			r.source.drained.Store(false)
 			r.source.unconfirmed.Store(false)
 			head := modelHead("q1", 10)
