Let a planned stop of one rank's agent wait for the requests of the others

Cause: a group does not step without every rank, so an agent that left after its own last request stopped the requests that other ranks' agents held. Change: it announces that it leaves, the others refuse new work and report what they hold, and it serves its rank until they hold nothing, at most agent.drain_timeout and not while the group stands still. Checked by TestLeavingWaitsForOtherRanks (tasks of three ranks without processes); not yet by a test with requests through real processes.

--- a/process/agent.go
+++ b/process/agent.go
@@ -42,7 +42,7 @@
 		Up:       func(s *peer.Session) { p.role.Up(s) },
 		Log:      p.logger,
 	})
-	p.group = newGroupTask(cfg, p.self.Incarnation, p.log, p.node, p.logger)
+	p.group = newGroupTask(cfg, p.self.Incarnation, p.log, p.node, func() agent.Status { return p.role.Status() }, p.logger)
 	p.claimer = claimlog.NewClaimer(claimlog.ClaimerConfig{
 		Self:       p.self,
 		Peers:      p.node,
@@ -89,8 +89,12 @@
 
 // control hands a control frame to the task that it concerns.
 func (p *agentProcess) control(from *peer.Session, f *peerpb.Frame) {
-	if !p.follower.Control(from, f) {
-		p.role.Control(from, f)
+	if p.follower.Control(from, f) {
+		return
+	}
+	p.role.Control(from, f)
+	if p.group != nil {
+		p.group.control(from, f)
 	}
 }
 
--- a/process/group.go
+++ b/process/group.go
@@ -10,10 +10,12 @@
 
 	"go.uber.org/zap"
 
+	"nutmegnotch/agent"
 	"nutmegnotch/core"
 	"nutmegnotch/core/expertmap"
 	"nutmegnotch/io/group"
 	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
 	"nutmegnotch/io/rank"
 	"nutmegnotch/options"
 )
@@ -35,16 +37,19 @@
 	log    *zap.Logger
 	group  *group.Group
 	web    *http.Client
+	leave  *leaveTask
 	cancel context.CancelFunc
+	drain  time.Duration
 }
 
 // newGroupTask returns nil for an agent without a group.
-func newGroupTask(cfg options.Settings, incarnation string, log core.Log, peers group.Opener, logger *zap.Logger) *groupTask {
+func newGroupTask(cfg options.Settings, incarnation string, log core.Log, node *peer.Node, status func() agent.Status, logger *zap.Logger) *groupTask {
 	g := cfg.Group
 	if g.Name == "" {
 		return nil
 	}
-	t := &groupTask{cfg: g, log: logger, web: &http.Client{Transport: &http.Transport{}, Timeout: engineTimeout}}
+	t := &groupTask{cfg: g, log: logger, web: &http.Client{Transport: &http.Transport{}, Timeout: engineTimeout},
+		drain: cfg.Agent.DrainTimeout.Std(), leave: newLeaveTask(cfg.ID, g.RankIDs, nodePeers{node}, status)}
 	engine := &rank.Client{URL: baseURL(g.EngineAddress), HTTP: t.web}
 	shape := expertmap.Shape{Ranks: len(g.RankIDs), Layers: g.Layers, Experts: g.Experts, SlotsPerRank: g.Rebalance.SlotsPerRank}
 	t.group = group.New(group.Config{
@@ -59,7 +64,7 @@
 		NewRebalancer:     func() core.Rebalancer { return policy(g.Rebalance, shape) },
 		RebalanceInterval: g.Rebalance.Interval.Std(),
 		Shape:             shape,
-		Peers:             peers,
+		Peers:             node,
 		Logger:            logger,
 	})
 	expvar.Publish("group", expvar.Func(func() any { return t.group.Status() }))
@@ -97,6 +102,7 @@
 		node.Keep(address)
 	}
 	go t.group.Run(ctx)
+	go t.leave.run(ctx)
 }
 
 // stop ends the group's task before the sessions that it uses.
@@ -104,11 +110,14 @@
 	if t.cancel == nil {
 		return
 	}
+	empty := t.leave.wait(t.drain, t.standsStill)
 	s := t.group.Status()
 	t.log.Warn("agent leaves its group, which stands still at the horizon until this rank has an agent again",
-		zap.String("group", t.cfg.Name), zap.Int("rank", t.cfg.Rank), zap.Int64("step", s.Step), zap.Int64("horizon", s.Horizon))
+		zap.String("group", t.cfg.Name), zap.Int("rank", t.cfg.Rank), zap.Int64("step", s.Step), zap.Int64("horizon", s.Horizon),
+		zap.Bool("other_ranks_empty", empty))
 	t.cancel()
 	<-t.group.Done()
+	<-t.leave.done
 	t.web.CloseIdleConnections()
 }
 
@@ -121,5 +130,22 @@
 	t.group.ServeStream(ctx, s)
 }
 
-// stalled reports that the engine has run no step for long.
-func (t *groupTask) stalled() bool { return t != nil && t.group.SinceStep() > stallLimit }
+// standsStill reports that the engine has run no step for long.
+func (t *groupTask) standsStill() bool { return t.group.SinceStep() > stallLimit }
+
+// stalled reports that new work would not end, since the group stands still or
+// will when another rank's agent has left.
+func (t *groupTask) stalled() bool { return t != nil && (t.standsStill() || t.leave.othersLeave()) }
+
+// control takes a control frame of another rank's agent.
+func (t *groupTask) control(from *peer.Session, f *peerpb.Frame) {
+	if from.Hello.GetRole() == core.RoleAgent && slices.Contains(t.cfg.RankIDs, from.Hello.GetId()) {
+		t.leave.control(from.Hello.GetId(), f)
+	}
+}
+
+// nodePeers fits a peer.Node to the leave task.
+type nodePeers struct{ *peer.Node }
+
+// Reached implements groupPeers.
+func (n nodePeers) Reached(id string) bool { return n.Session(id) != nil }
