process: count a rank as leaving until the group counts as standing still

With 2 s, the other agents took requests between the end of the announcements and the 5 s after which a group counts as standing still; these would have waited. 8 s cover 96 steps at 25 ms (2.4 s) and 5 s.

--- a/process/leave.go
+++ b/process/leave.go
@@ -13,9 +13,10 @@
 // Times of a planned stop of one rank's agent.
 const (
 	leaveInterval = 200 * time.Millisecond
-	// leaveMemory is how long a rank counts as leaving after it last said so,
-	// so that a rank that was killed meanwhile does not keep the others from work.
-	leaveMemory = 2 * time.Second
+	// leaveMemory is how long a rank counts as leaving after it last said so. It
+	// covers the 96 steps that ranks may still run at 25 ms and stallLimit, after
+	// which a group without the rank counts as standing still.
+	leaveMemory = 8 * time.Second
 	// reportAge is the age up to which a report of held requests counts.
 	reportAge    = time.Second
 	leaveBacklog = 1024
