--- a/io/group/group.go
+++ b/io/group/group.go
@@ -5,13 +5,17 @@
 
 import (
 	"context"
+	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/expertmap"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
 )
@@ -58,29 +62,15 @@
 	InitialMap  core.ExpertMap
 	Log         core.Log
 	Engine      core.RankEngine
-	Peers       Opener
-	Logger      *zap.Logger
-}
-
-// Status is the state of a group as one agent knows it. Pending is the map
-// being loaded. The sums count what this agent sent and received as leader.
-type Status struct {
-	Leading       bool
-	Running       bool
-	LeaderID      string
-	Fence         int64
-	Generation    int64
-	Step          int64
-	Horizon       int64
-	StateLost     bool
-	MapVersion    int64
-	Current       int64
-	Pending       int64
-	Resets        int
-	Map           core.ExpertMap
-	SentMessages  int64
-	SentBytes     int64
-	ReceivedBytes int64
+	// Loads reports the load of experts. NewRebalancer returns the policy of
+	// one leadership, which is asked every RebalanceInterval for a map of Shape.
+	// The map stays when one of them is not set.
+	Loads             core.ExpertLoads
+	NewRebalancer     func() core.Rebalancer
+	RebalanceInterval time.Duration
+	Shape             expertmap.Shape
+	Peers             Opener
+	Logger            *zap.Logger
 }
 
 // Group is the task. It is safe for concurrent use.
@@ -93,6 +83,9 @@
 	answers  chan answer
 	ops      chan func(*leadTask)
 	done     chan struct{}
+	// steppedAt is when the engine was last seen to have run a step.
+	steppedAt atomic.Pointer[time.Time]
+	ranksHash uint64
 }
 
 // New returns a group that works once Run is called.
@@ -104,7 +97,7 @@
 		cfg.Incarnation = uuid.NewString()
 	}
 	cfg.Logger = cfg.Logger.With(zap.String("group", cfg.Group), zap.Int("rank", cfg.Rank))
-	return &Group{
+	g := &Group{
 		cfg:      cfg,
 		requests: make(chan request),
 		infos:    make(chan rankInfo),
@@ -113,9 +106,18 @@
 		answers:  make(chan answer),
 		ops:      make(chan func(*leadTask)),
 		done:     make(chan struct{}),
+		// A line break is in no id.
+		ranksHash: xxhash.Sum64String(strings.Join(cfg.RankIDs, "\n")),
 	}
+	now := time.Now()
+	g.steppedAt.Store(&now)
+	return g
 }
 
+// SinceStep returns the time since the agent last saw its engine get on by a
+// step. It does not block.
+func (g *Group) SinceStep() time.Duration { return time.Since(*g.steppedAt.Load()) }
+
 // Done is closed when Run has returned.
 func (g *Group) Done() <-chan struct{} { return g.done }
 
@@ -126,6 +128,9 @@
 	wg.Go(func() { newRankTask(g).run(ctx) })
 	wg.Go(func() { g.follow(ctx) })
 	wg.Go(func() { newLeadTask(g).run(ctx) })
+	if g.cfg.Loads != nil && g.cfg.NewRebalancer != nil && g.cfg.RebalanceInterval > 0 {
+		wg.Go(func() { g.rebalance(ctx) })
+	}
 	wg.Wait()
 }
 
--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -35,7 +35,7 @@
 }
 
 // newProxy starts a proxy on an IP number that ends with the test.
-func newProxy(t *testing.T, ip, target string) *proxy {
+func newProxy(t testing.TB, ip, target string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
