--- /dev/null
+++ b/systemtest/leaving_test.go
@@ -0,0 +1,129 @@
+package systemtest
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/emulator/hostlist"
+)
+
+// leavingBound is the brief's bound for a backend server that starts to leave.
+const leavingBound = 3 * time.Second
+
+// Guards against new work at a backend server that leaves, when an entry does
+// not hear of it, when host lists are late, and when the host list of the
+// leaving agent fails.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	marked := func(c *cluster) { c.mark("model-1", core.HostLeaving); c.mark("desk-1", core.HostLeaving) }
+	tests := []struct {
+		name  string
+		fault func(c *cluster)
+		leave func(c *cluster)
+		exits bool
+	}{
+		{"told to stop, an entry does not hear of it", deafEntry, func(c *cluster) {
+			c.models[0].agent.signal(syscall.SIGTERM)
+			c.desks[0].agent.signal(syscall.SIGTERM)
+		}, true},
+		{"marked as leaving, the lists of the entries are late", func(c *cluster) {
+			deafEntry(c)
+			for _, e := range c.entries {
+				c.lists[e.id].SetFaults(hostlist.Faults{LagMS: 60000})
+			}
+		}, marked, true},
+		{"marked as leaving, the lists of the agents fail", func(c *cluster) {
+			c.lists["model-1"].SetFaults(hostlist.Faults{Outage: true})
+			c.lists["desk-1"].SetFaults(hostlist.Faults{Outage: true})
+		}, marked, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, sizes{entries: 3, engines: 2, desks: 2})
+			c.ready()
+			// A host that is listed as live and does not answer.
+			c.rows = append(c.rows, core.Host{ID: "model-9", Role: core.RoleAgent, Address: c.address() + ":8082", Domain: "d1",
+				Region: "r1", Service: modelService, State: core.HostLive})
+			c.putHosts()
+			var stop atomic.Bool
+			long := c.longReplies(t)
+			wg := c.load(6, &stop)
+			time.Sleep(500 * time.Millisecond)
+			tt.fault(c)
+			c.history.add(event{kind: eventLeaving, server: "model-1"})
+			c.history.add(event{kind: eventLeaving, server: "desk-1"})
+			tt.leave(c)
+			time.Sleep(2 * leavingBound)
+			for _, l := range c.links {
+				l.heal()
+			}
+			if tt.exits {
+				<-c.models[0].agent.exited
+				<-c.desks[0].agent.exited
+			}
+			stop.Store(true)
+			wg.Wait()
+			<-long
+			events := c.collect()
+			checkAll(t, events)
+			for _, err := range []error{checkWhole(events), checkNotLeaving(events, leavingBound)} {
+				if err != nil {
+					t.Error(err)
+				}
+			}
+			runs := map[string]int{}
+			for _, e := range events {
+				runs[e.server]++
+			}
+			for _, id := range []string{"model-1", "model-2", "desk-1", "desk-2"} {
+				if runs[id] == 0 {
+					t.Errorf("runs at %s: got 0, want some", id)
+				}
+			}
+			t.Logf("runs: %v", runs)
+		})
+	}
+}
+
+// deafEntry keeps all that the leaving agents say from one entry, which can
+// still send to them.
+func deafEntry(c *cluster) {
+	c.links["entry-2>model-1"].freeze(toClient)
+	c.links["entry-2>desk-1"].freeze(toClient)
+}
+
+// mark changes the state of a host in all host lists.
+func (c *cluster) mark(id string, state core.HostState) {
+	for i := range c.rows {
+		if c.rows[i].ID == id {
+			c.rows[i].State = state
+		}
+	}
+	c.putHosts()
+}
+
+// longReplies starts replies that keep the engines busy for about 5 s, so that
+// an agent that leaves still runs after the bound. The channel is closed when
+// all have ended whole or were refused.
+func (c *cluster) longReplies(t *testing.T) <-chan struct{} {
+	done := make(chan struct{})
+	ended := make(chan answer)
+	const n = 4
+	for i := range n {
+		go func() {
+			ended <- c.client("trails").complete(c.entries[2*(i%2)], fmt.Sprintf("long %d", i), 1000)
+		}()
+	}
+	go func() {
+		defer close(done)
+		for range n {
+			if a := <-ended; a.result == resultCut || a.result == resultUnknown {
+				t.Errorf("long reply: got %+v, want a whole reply or a refusal as not run", a)
+			}
+		}
+	}()
+	return done
+}
--- /dev/null
+++ b/systemtest/whole_test.go
@@ -0,0 +1,180 @@
+package systemtest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/emulator/engine"
+)
+
+// narrowOrg is an organisation whose replies get windows of 16 KiB.
+const narrowOrg = "narrow"
+
+// publishNarrow creates a contract with little reply memory.
+func (c *cluster) publishNarrow() {
+	c.t.Helper()
+	c.mustPublish("contract/"+narrowOrg, core.Contract{Organisation: narrowOrg, CallerKeyHashes: []string{hash(narrowOrg + "-key")},
+		Services: []string{modelService}, RequestsPerSecond: 1000, TokensPerSecond: 1e6, Concurrency: 100, ReplyTimeMS: 30000,
+		ReplyMemoryBytes: 64 << 10, Weight: 1})
+	eventually(c.t, "every process has the contract", func() bool {
+		for _, p := range c.procs() {
+			if c.version(p, "contract/"+narrowOrg) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against replies of other requests, mixed or cut replies that look
+// whole, while messages are late, split and lost, processes die in the middle
+// of replies, and readers are slow.
+func TestRepliesAreWhole(t *testing.T) {
+	eachSeed(t, func(t *testing.T, r *rand.Rand) {
+		o := engine.Options{TokensPerSecond: 400, Slowdown: 0.01, MemoryTokens: 100000, ColdTokens: 4000, Models: []string{modelName}}
+		c := newCluster(t, sizes{entries: 3, engines: 3, engine: o})
+		c.ready()
+		c.publishNarrow()
+		stop, injected := make(chan struct{}), make(chan struct{})
+		go func() { defer close(injected); injectFaults(t, c, r, commonFaults(), stop) }()
+		var ended atomic.Bool
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Add(1)
+			lr := rand.New(rand.NewPCG(r.Uint64(), uint64(n)))
+			go func() { defer wg.Done(); c.readReplies(n, lr, &ended) }()
+		}
+		time.Sleep(8 * time.Second)
+		close(stop)
+		<-injected
+		whole := c.answered(resultOK)
+		eventually(t, "replies are whole again", func() bool { return c.answered(resultOK) > whole+20 })
+		ended.Store(true)
+		wg.Wait()
+		events := c.collect()
+		checkAll(t, events)
+		if err := checkWhole(events); err != nil {
+			t.Error(err)
+		}
+		t.Logf("%d whole replies, %d cut, %d not run, %d unknown", c.answered(resultOK), c.answered(resultCut),
+			c.answered(resultNotRun), c.answered(resultUnknown))
+	})
+}
+
+// readReplies asks for replies of any size and reads some of them slowly.
+func (c *cluster) readReplies(n int, r *rand.Rand, ended *atomic.Bool) {
+	l := c.client([]string{"trails", "farm", narrowOrg}[n%3])
+	for i := 0; !ended.Load(); i++ {
+		pause := time.Duration(0)
+		if n < 4 {
+			pause = between(r, time.Millisecond, 20*time.Millisecond)
+		}
+		a := l.completeSlowly(c.entries[r.IntN(len(c.entries))], fmt.Sprintf("whole %d %d", n, i), 5+r.IntN(200), pause)
+		if a.result != resultOK {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// answered counts the answers of one kind.
+func (c *cluster) answered(want result) int {
+	n := 0
+	for _, e := range c.history.snapshot() {
+		if e.kind == eventAnswer && e.result == want {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a reply of which a part is lost that looks whole, in each form
+// of reply, when the agent, the entry or the backend server ends in its middle.
+func TestCutReplyIsVisible(t *testing.T) {
+	c := newCluster(t, sizes{entries: 2, engines: 1})
+	c.ready()
+	tests := []struct {
+		name string
+		end  func()
+	}{
+		{"agent killed", func() { c.models[0].agent.kill(); c.models[0].agent.start() }},
+		{"entry killed", func() { c.entries[1].kill(); c.entries[1].start() }},
+		{"session broken", func() { c.links["entry-2>model-1"].breakAll() }},
+		{"backend server crashed", func() { c.models[0].engine.Inject(engine.Faults{Crash: true}) }},
+		{"agent paused for longer than every time-out", func() {
+			c.models[0].agent.signal(syscall.SIGSTOP)
+			time.AfterFunc(6*time.Second, func() { c.models[0].agent.signal(syscall.SIGCONT) })
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			eventually(t, "a reply is whole", func() bool {
+				return c.client("trails").complete(c.entries[1], "warm "+tt.name, 2).result == resultOK
+			})
+			l := c.client("trails")
+			resp, err := l.send(c.entries[1], http.MethodPost, "/v1/completions", "",
+				engine.Completion{Model: modelName, Prompt: "cut " + tt.name, MaxTokens: 1000, Stream: true})
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("completion: got %v and error %v, want status 200", resp, err)
+			}
+			defer resp.Body.Close()
+			lines := bufio.NewReader(resp.Body)
+			if _, err := lines.ReadString('\n'); err != nil {
+				t.Fatalf("read first event: %v", err)
+			}
+			tt.end()
+			rest, err := io.ReadAll(lines)
+			if whole := strings.Contains(string(rest), "data: [DONE]"); err == nil || whole {
+				t.Errorf("reply cut in its middle: got error %v and last event %v, want an error and no last event", err, whole)
+			}
+		})
+	}
+}
+
+// Guards against a reply that is cut or altered because it is far larger than
+// the memory reserved for it and its reader takes a few bytes a second.
+func TestVerySlowReaderGetsTheWholeReply(t *testing.T) {
+	const tokens = 1500
+	o := engine.Options{TokensPerSecond: 2000, MemoryTokens: 100000, ColdTokens: 4000, Models: []string{modelName}}
+	c := newCluster(t, sizes{entries: 2, engines: 1, engine: o})
+	c.ready()
+	c.publishNarrow()
+	l := c.client(narrowOrg)
+	resp, err := l.send(c.entries[0], http.MethodPost, "/v1/completions", "",
+		engine.Completion{Model: modelName, Prompt: "slow", MaxTokens: tokens, Stream: true})
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("completion: got %v and error %v, want status 200", resp, err)
+	}
+	defer resp.Body.Close()
+	var got strings.Builder
+	for range 40 {
+		if _, err := io.CopyN(&got, resp.Body, 2); err != nil {
+			t.Fatalf("read slowly: %v", err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if runs := c.models[0].engine.Runs(); runs[len(runs)-1].Tokens == tokens {
+		t.Error("the engine has generated everything: the reply is not larger than what the path holds")
+	}
+	if _, err := io.Copy(&got, resp.Body); err != nil {
+		t.Fatalf("read the rest: %v", err)
+	}
+	id := resp.Header.Get("X-Request-Id")
+	for i := range tokens {
+		if want := fmt.Sprintf(`data: {"id":%q,"index":%d,"prompt_hash":%q`, id, i, engine.PromptHash("slow")); !strings.Contains(got.String(), want) {
+			t.Fatalf("event %d is missing in a reply of %d bytes", i, got.Len())
+		}
+	}
+	if n := strings.Count(got.String(), "data: "); n != tokens+1 || !strings.HasSuffix(got.String(), "data: [DONE]\n\n") {
+		t.Errorf("events: got %d, want %d with the last event at the end", n, tokens+1)
+	}
+}
