--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -261,9 +261,11 @@
 	return hex.EncodeToString(h[:])
 }
 
-// publishDefaults creates two services and two contracts.
+// publishDefaults creates a team of operators, whose token agents accept too,
+// two services and two contracts.
 func (c *cluster) publishDefaults() {
 	c.t.Helper()
+	c.mustPublish("team/operators", core.Team{Name: "operators", TokenHash: hash(operatorToken), Organisations: []string{"*"}})
 	c.mustPublish("service/"+modelService, core.Service{Name: modelService, Kind: core.ServiceModel, Models: []string{modelName},
 		Repeatable: true, ColdConcurrency: 4, ColdTokens: 3000, MaxConcurrency: 64, MemoryTokens: 50000, MaxOutputTokens: 2000,
 		BytesPerToken: 256, MaxBodyBytes: 1 << 20, MaxReplyBytes: 4 << 20, RequestTimeoutMS: 30000})
