--- a/systemtest/faults_test.go
+++ b/systemtest/faults_test.go
@@ -28,6 +28,20 @@
 	}
 }
 
+// faultTime is how long faults go on in one phase.
+const faultTime = 6 * time.Second
+
+// eachPhase runs one phase of faults after the other on the cluster of a test,
+// each under a fixed seed. A start of a cluster takes longer than a phase.
+func eachPhase(t *testing.T, run func(seed uint64, r *rand.Rand)) {
+	t.Helper()
+	for n := 0; n < *seeds && !t.Failed(); n++ {
+		seed := uint64(n + 1)
+		t.Logf("seed %d", seed)
+		run(seed, rand.New(rand.NewPCG(seed, seed)))
+	}
+}
+
 // fault is one kind of failure with a name for the log.
 type fault struct {
 	name string
