--- a/systemtest/whole_test.go
+++ b/systemtest/whole_test.go
@@ -26,9 +26,10 @@
 	c.mustPublish("contract/"+narrowOrg, core.Contract{Organisation: narrowOrg, CallerKeyHashes: []string{hash(narrowOrg + "-key")},
 		Services: []string{modelService}, RequestsPerSecond: 1000, TokensPerSecond: 1e6, Concurrency: 100, ReplyTimeMS: 30000,
 		ReplyMemoryBytes: 64 << 10, Weight: 1})
-	eventually(c.t, "every process has the contract", func() bool {
-		for _, p := range c.procs() {
-			if c.version(p, "contract/"+narrowOrg) == 0 {
+	// Homes of a new contract spend nothing for 5 s.
+	eventually(c.t, "every entry admits the organisation", func() bool {
+		for _, e := range c.entries {
+			if c.client(narrowOrg).complete(e, "admits", 1).result != resultOK {
 				return false
 			}
 		}
@@ -45,8 +46,6 @@
 	c.ready()
 	c.publishNarrow()
 	eachPhase(t, func(seed uint64, r *rand.Rand) {
-		stop, injected := make(chan struct{}), make(chan struct{})
-		go func() { defer close(injected); injectFaults(t, c, r, commonFaults(), stop) }()
 		var ended atomic.Bool
 		var wg sync.WaitGroup
 		for n := range 12 {
@@ -54,6 +53,8 @@
 			lr := rand.New(rand.NewPCG(r.Uint64(), uint64(n)))
 			go func() { defer wg.Done(); c.readReplies(seed, n, lr, &ended) }()
 		}
+		stop, injected := make(chan struct{}), make(chan struct{})
+		go func() { defer close(injected); injectFaults(t, c, r, commonFaults(), stop) }()
 		time.Sleep(faultTime)
 		close(stop)
 		<-injected
@@ -104,15 +105,15 @@
 	c.ready()
 	tests := []struct {
 		name string
-		end  func()
+		end  func(t *testing.T)
 	}{
-		{"agent killed", func() { c.models[0].agent.kill(); c.models[0].agent.start() }},
-		{"entry killed", func() { c.entries[1].kill(); c.entries[1].start() }},
-		{"session broken", func() { c.links["entry-2>model-1"].breakAll() }},
-		{"backend server crashed", func() { c.models[0].engine.Inject(engine.Faults{Crash: true}) }},
-		{"agent paused for longer than every time-out", func() {
+		{"agent killed", func(*testing.T) { c.models[0].agent.kill(); c.models[0].agent.start() }},
+		{"entry killed", func(*testing.T) { c.entries[1].kill(); c.entries[1].start() }},
+		{"session broken", func(*testing.T) { c.links["entry-2>model-1"].breakAll() }},
+		{"backend server crashed", func(*testing.T) { c.models[0].engine.Inject(engine.Faults{Crash: true}) }},
+		{"agent paused for longer than every time-out", func(t *testing.T) {
 			c.models[0].agent.signal(syscall.SIGSTOP)
-			time.AfterFunc(6*time.Second, func() { c.models[0].agent.signal(syscall.SIGCONT) })
+			t.Cleanup(func() { c.models[0].agent.signal(syscall.SIGCONT) })
 		}},
 	}
 	for _, tt := range tests {
@@ -131,7 +132,7 @@
 			if _, err := lines.ReadString('\n'); err != nil {
 				t.Fatalf("read first event: %v", err)
 			}
-			tt.end()
+			tt.end(t)
 			rest, err := io.ReadAll(lines)
 			if whole := strings.Contains(string(rest), "data: [DONE]"); err == nil || whole {
 				t.Errorf("reply cut in its middle: got error %v and last event %v, want an error and no last event", err, whole)
