--- a/systemtest/whole_test.go
+++ b/systemtest/whole_test.go
@@ -158,7 +158,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("dial entry: %w", err)
 		}
-		return conn, conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		return conn, conn.(*net.TCPConn).SetReadBuffer(16 << 10)
 	}
 	resp, err := l.send(c.entries[0], http.MethodPost, "/v1/completions", "",
 		engine.Completion{Model: modelName, Prompt: "slow", MaxTokens: tokens, Stream: true})
