--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -47,6 +48,9 @@
 	engine                  engine.Options
 	// reports is the interval of the reports, 1m when it is empty.
 	reports string
+	// retention is what the processes think that the log keeps; the default is
+	// an hour.
+	retention time.Duration
 }
 
 // cluster is a log, host lists, stand-in backend servers in the test process,
@@ -61,6 +65,7 @@
 	// that another test left behind may reach a proxy by a port used again, and
 	// its configuration would be taken for that of a peer.
 	proxyIP string
+	retain  time.Duration
 	log     *platformlog.Server
 	logAddr string
 	reports string
@@ -78,13 +83,13 @@
 	c := &cluster{
 		t:       t,
 		dir:     t.TempDir(),
+		retain:  cmp.Or(s.retention, time.Hour),
 		net:     fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, subnet.Add(1)),
 		log:     platformlog.New(platformlog.Config{}),
 		lists:   map[string]*hostlist.Server{},
 		links:   map[string]*proxy{},
 		history: &history{},
 	}
-	t.Cleanup(c.dumpLogs)
 	t.Cleanup(c.log.Close)
 	c.proxyIP = c.address()
 	c.logAddr = c.serve(c.log)
@@ -103,17 +108,26 @@
 		p.start()
 		t.Cleanup(p.kill)
 	}
+	// Before the processes are killed, so that the logs tell which had ended.
+	t.Cleanup(c.dumpLogs)
 	return c
 }
 
-// ready waits until all processes take work, with the default objects.
-func (c *cluster) ready() {
+// configured waits until all processes have a confirmed configuration with the
+// default objects.
+func (c *cluster) configured() {
 	c.t.Helper()
 	eventually(c.t, "an entry answers", func() bool { return c.entries[0].ready() })
 	c.publishDefaults()
 	for _, p := range c.procs() {
 		eventually(c.t, p.id+" is ready", p.ready)
 	}
+}
+
+// ready waits until all processes take work, with the default objects.
+func (c *cluster) ready() {
+	c.t.Helper()
+	c.configured()
 	eventually(c.t, "every entry sees every agent", func() bool {
 		for _, e := range c.entries {
 			if c.agentsReady(e) != len(c.models)+len(c.desks) {
@@ -125,7 +139,7 @@
 	// Homes of a new entry set spend nothing for 5 s.
 	eventually(c.t, "every entry admits", func() bool {
 		for _, e := range c.entries {
-			if c.client("trails").lookup(e).result != resultOK {
+			if !c.admits(e) {
 				return false
 			}
 		}
@@ -133,6 +147,15 @@
 	})
 }
 
+// admits reports whether an entry answers a request of a service that the
+// cluster has.
+func (c *cluster) admits(e *proc) bool {
+	if len(c.desks) > 0 {
+		return c.client("trails").lookup(e).result == resultOK
+	}
+	return c.client("trails").complete(e, "admits", 1).result == resultOK
+}
+
 func (c *cluster) agentsReady(e *proc) int {
 	var s struct {
 		Entry struct {
@@ -241,7 +264,7 @@
 	p := c.newProc(core.RoleEntry, fmt.Sprintf("entry-%d", i+1), domainOf(i))
 	extra := fmt.Sprintf("[entry]\ndrain_delay = \"300ms\"\nbootstrap_token_hash = %q\n[listen]\ncaller = %q\nadmin = %q\npeer = %q\n",
 		hash(operatorToken), p.caller, p.admin, p.peer)
-	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, extra))
+	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, c.retain, extra))
 	c.entries = append(c.entries, p)
 	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: p.peer, Domain: p.domain, Region: "r1", State: core.HostLive})
 }
@@ -251,7 +274,7 @@
 	b := &backend{agent: p, link: newProxy(c.t, c.proxyIP, c.serve(h))}
 	extra := fmt.Sprintf("[agent]\nservice = %q\nbackend_address = %q\nbackend_kind = %q\n[listen]\nadmin = %q\npeer = %q\n",
 		service, b.link.address(), kind, p.admin, p.peer)
-	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, extra))
+	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, c.retain, extra))
 	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: p.peer, Domain: domain, Region: "r1", Service: service, State: core.HostLive})
 	return b
 }
@@ -281,9 +304,11 @@
 	return hex.EncodeToString(h[:])
 }
 
-// publishDefaults creates two services and two contracts.
+// publishDefaults creates a team of operators, whose token agents accept too,
+// two services and two contracts.
 func (c *cluster) publishDefaults() {
 	c.t.Helper()
+	c.mustPublish("team/operators", core.Team{Name: "operators", TokenHash: hash(operatorToken), Organisations: []string{"*"}})
 	c.mustPublish("service/"+modelService, core.Service{Name: modelService, Kind: core.ServiceModel, Models: []string{modelName},
 		Repeatable: true, ColdConcurrency: 4, ColdTokens: 3000, MaxConcurrency: 64, MemoryTokens: 50000, MaxOutputTokens: 2000,
 		BytesPerToken: 256, MaxBodyBytes: 1 << 20, MaxReplyBytes: 4 << 20, RequestTimeoutMS: 30000})
@@ -361,12 +386,25 @@
 	return resp.StatusCode
 }
 
+// getJSON reads one JSON document of a stand-in.
+func getJSON(url string, v any) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return fmt.Errorf("get %s: %w", url, err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		return fmt.Errorf("decode answer of %s: %w", url, err)
+	}
+	return nil
+}
+
 // dumpLogs prints the last log lines of all processes of a failed test.
 func (c *cluster) dumpLogs() {
 	if !c.t.Failed() {
 		return
 	}
 	for _, p := range c.procs() {
-		c.t.Logf("--- %s\n%s", p.id, p.logTail(15))
+		c.t.Logf("--- %s (%s)\n%s", p.id, p.state(), p.logTail(15))
 	}
 }
--- a/systemtest/group_test.go
+++ b/systemtest/group_test.go
@@ -70,7 +70,7 @@
 		for j := range i {
 			addresses[j] = g.link(p.id, ids[j], peers[j]).address()
 		}
-		p.settings = writeFile(t, g.dir, p.id+".toml", settingsText(p, groupText(s, p, i, ids, addresses, engines[i])))
+		p.settings = writeFile(t, g.dir, p.id+".toml", settingsText(p, time.Hour, groupText(s, p, i, ids, addresses, engines[i])))
 		p.start()
 		t.Cleanup(p.kill)
 	}
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,6 +35,10 @@
 	reports  string
 	cmd      *exec.Cmd
 	exited   chan struct{}
+	// ended is how the process ended; it may be read when exited is closed.
+	ended error
+	// starts counts the starts, so that an observer can tell incarnations apart.
+	starts atomic.Int64
 	// fault is held by the one fault that acts on the process.
 	fault sync.Mutex
 }
@@ -46,6 +51,7 @@
 		p.t.Fatalf("open log of %s: %v", p.id, err)
 	}
 	defer out.Close()
+	p.starts.Add(1)
 	p.cmd = exec.Command(program, p.role, "--settings", p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
@@ -54,7 +60,7 @@
 	exited := make(chan struct{})
 	p.exited = exited
 	cmd := p.cmd
-	go func() { _ = cmd.Wait(); close(exited) }()
+	go func() { p.ended = cmd.Wait(); close(exited) }()
 }
 
 // kill ends the process at once, as a host failure does.
@@ -104,6 +110,16 @@
 	return strings.Join(lines[max(0, len(lines)-n):], "\n")
 }
 
+// state tells how the process ended, if it has.
+func (p *proc) state() string {
+	select {
+	case <-p.exited:
+		return fmt.Sprintf("ended: %v", p.ended)
+	default:
+		return "running"
+	}
+}
+
 // eventually waits until ok holds.
 func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
@@ -126,7 +142,9 @@
 	return path
 }
 
-func settingsText(p *proc, extra string) string {
+// settingsText returns the settings of a process. The window of claims is half
+// of the retention, its largest value, and at most 10 minutes.
+func settingsText(p *proc, retention time.Duration, extra string) string {
 	if p.reports != "" {
 		extra = fmt.Sprintf("[reports]\ninterval = %q\n%s", p.reports, extra)
 	}
@@ -137,13 +155,13 @@
 log_level = "debug"
 [log]
 address = %q
-retention = "1h"
+retention = %q
 timeout = "1s"
 [host_list]
 address = %q
 timeout = "1s"
 [claims]
-window = "10m"
+window = %q
 partitions = 4
-%s`, p.id, p.role, p.domain, p.logAddr, p.listAddr, extra)
+%s`, p.id, p.role, p.domain, p.logAddr, retention.String(), p.listAddr, min(retention/2, 10*time.Minute).String(), extra)
 }
