Give test proxies an IP number of their own cluster

Cause: 3 of 8 runs of TestReportOfKilledEntryAndAgent or its copy failed or logged "peer holds another state at the same offset". The full log of one shows entry-set records at offsets 6 to 9 that no process of the cluster had proposed, taken from a session 0.4 s after the start, other ones at entry-1 than at entry-3. Entries of an aborted test run (parent process 1) were running on the machine; their proxies had listened on ports of 127.0.0.1 that any later proxy can get. Ruled out: the fold, which gave equal results for equal records. That the foreign records came from those very processes was not shown. Change: proxies listen on the cluster's own number.

--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -168,7 +168,7 @@
 func (c *cluster) link(from, to, target string) *proxy {
 	key := from + ">" + to
 	if c.links[key] == nil {
-		c.links[key] = newProxy(c.t, target)
+		c.links[key] = newProxy(c.t, c.net+".250", target)
 	}
 	return c.links[key]
 }
--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -34,10 +34,13 @@
 	done  chan struct{}
 }
 
-// newProxy starts a proxy that ends with the test.
-func newProxy(t *testing.T, target string) *proxy {
+// newProxy starts a proxy at an IP number, which ends with the test. The number
+// must be the cluster's own: processes that an aborted test run has left behind
+// dial the ports of their dead proxies, and hand their records to the cluster
+// that gets such a port again.
+func newProxy(t *testing.T, ip, target string) *proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatalf("listen for proxy: %v", err)
 	}
