--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -187,7 +187,9 @@
 		l.heal()
 	}
 	for _, b := range c.backends() {
-		b.link.heal()
+		if b.link != nil {
+			b.link.heal()
+		}
 	}
 }
 
--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -34,7 +34,10 @@
 	done  chan struct{}
 }
 
-// newProxy starts a proxy on an IP number that ends with the test.
+// newProxy starts a proxy at an IP number, which ends with the test. The number
+// must be the cluster's own: processes that an aborted test run has left behind
+// dial the ports of their dead proxies, and hand their records to the cluster
+// that gets such a port again.
 func newProxy(t testing.TB, ip, target string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", ip+":0")
