Keep deployments apart; end test processes with their test

Change: Hello carries the deployment, a setting; a session between different ones is refused. Test processes die with the test process. The default of reports.interval is at most the log's retention.

--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -279,6 +279,11 @@
 		return nil, fmt.Errorf("first control frame is not a hello: %w", core.ErrInvalid)
 	}
 	s.peer = f.GetHello()
+	// An address may be given to a host of another deployment, whose records
+	// must not be taken for the own ones.
+	if got, want := s.peer.GetDeployment(), n.cfg.Self.GetDeployment(); got != want {
+		return nil, fmt.Errorf("peer %q is of deployment %q, not %q: %w", s.peer.GetId(), got, want, core.ErrInvalid)
+	}
 	return s, s.SetDeadline(time.Time{})
 }
 
--- a/io/peer/node_test.go
+++ b/io/peer/node_test.go
@@ -93,3 +93,35 @@
 		t.Fatal("control frame did not arrive")
 	}
 }
+
+// Guards against records of another deployment whose host got the address of
+// one of ours.
+func TestOtherDeploymentIsRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := make(chan struct{}, 8)
+	start := func(id, deployment string) *peer.Node {
+		return peer.New(peer.Config{
+			Self: &peerpb.Hello{Id: id, Role: "entry", Deployment: deployment},
+			Up:   func(*peer.Session) { up <- struct{}{} },
+		})
+	}
+	srv, own, other := start("server", "a"), start("own", "a"), start("other", "b")
+	served := make(chan struct{})
+	go func() { defer close(served); _ = srv.Serve(l) }()
+	defer func() { own.Stop(); other.Stop(); srv.Stop(); <-served }()
+	other.Keep(l.Addr().String())
+	own.Keep(l.Addr().String())
+	for range 2 {
+		select {
+		case <-up:
+		case <-time.After(5 * time.Second):
+			t.Fatal("no session within the deployment after 5 s")
+		}
+	}
+	if got := srv.Session("other"); got != nil {
+		t.Errorf("session with another deployment: got %v, want none", got.Hello)
+	}
+}
--- a/options/check.go
+++ b/options/check.go
@@ -126,6 +126,7 @@
 
 func (c *checker) check(s Settings) {
 	c.name("id", s.ID)
+	c.name("deployment", s.Deployment)
 	c.oneOf("role", s.Role, core.RoleEntry, core.RoleAgent)
 	c.name("failure_domain", s.FailureDomain)
 	c.name("region", s.Region)
--- a/options/load.go
+++ b/options/load.go
@@ -40,7 +40,11 @@
 	if s.Listen.PeerAdvertised == "" {
 		s.Listen.PeerAdvertised = s.Listen.Peer
 	}
-	c := &checker{file: name, at: keyPositions(data)}
+	at := keyPositions(data)
+	if _, given := at["reports.interval"]; !given {
+		s.Reports.Interval = newDuration(min(s.Reports.Interval.Std(), s.Log.Retention.Std()))
+	}
+	c := &checker{file: name, at: at}
 	c.check(s)
 	if len(c.faults) > 0 {
 		return Settings{}, fmt.Errorf("%w: %w", errors.Join(c.faults...), core.ErrInvalid)
--- a/options/options.go
+++ b/options/options.go
@@ -40,7 +40,9 @@
 
 // Settings are the settings of one process.
 type Settings struct {
-	ID            string `toml:"id"`
+	ID string `toml:"id"`
+	// Deployment separates systems that may get each other's addresses.
+	Deployment    string `toml:"deployment"`
 	Role          string `toml:"role"`
 	FailureDomain string `toml:"failure_domain"`
 	Region        string `toml:"region"`
@@ -137,11 +139,12 @@
 // Default returns the settings that hold when the file says nothing.
 func Default() Settings {
 	return Settings{
-		LogLevel: "info",
-		Log:      Log{Retention: newDuration(24 * time.Hour), Timeout: newDuration(2 * time.Second)},
-		HostList: HostList{Timeout: newDuration(2 * time.Second)},
-		Claims:   Claims{Window: newDuration(6 * time.Hour), Partitions: 4},
-		Reports:  Reports{Interval: newDuration(time.Minute)},
+		Deployment: "default",
+		LogLevel:   "info",
+		Log:        Log{Retention: newDuration(24 * time.Hour), Timeout: newDuration(2 * time.Second)},
+		HostList:   HostList{Timeout: newDuration(2 * time.Second)},
+		Claims:     Claims{Window: newDuration(6 * time.Hour), Partitions: 4},
+		Reports:    Reports{Interval: newDuration(time.Minute)},
 		Entry: Entry{
 			ReplyMemoryBytes: 256 << 20,
 			UploadTimeout:    newDuration(30 * time.Second),
--- a/process/process.go
+++ b/process/process.go
@@ -56,6 +56,7 @@
 			FailureDomain: cfg.FailureDomain,
 			Region:        cfg.Region,
 			Service:       cfg.Agent.Service,
+			Deployment:    cfg.Deployment,
 		},
 		log:   platformlog.New(cfg.Log.Address, cfg.Log.Timeout.Std()),
 		hosts: hostlist.New(cfg.HostList.Address, cfg.HostList.Timeout.Std()),
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,10 +32,13 @@
 	admin    string
 	peer     string
 	logAddr  string
-	listAddr string
-	reports  string
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	// deployment is the cluster's own, so that processes that another test run
+	// left behind cannot join it.
+	deployment string
+	listAddr   string
+	reports    string
+	cmd        *exec.Cmd
+	exited     chan struct{}
 	// ended is how the process ended; it may be read when exited is closed.
 	ended error
 	// starts counts the starts, so that an observer can tell incarnations apart.
@@ -52,15 +56,27 @@
 	}
 	defer out.Close()
 	p.starts.Add(1)
-	p.cmd = exec.Command(program, p.role, "--settings", p.settings)
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	if err := p.cmd.Start(); err != nil {
+	cmd := exec.Command(program, p.role, "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The kernel ends the process when the test process dies.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started, exited := make(chan error), make(chan struct{})
+	go func() {
+		// Pdeathsig is sent when the starting thread ends, so it must live as
+		// long as the process.
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := cmd.Start()
+		started <- err
+		if err == nil {
+			p.ended = cmd.Wait()
+		}
+		close(exited)
+	}()
+	if err := <-started; err != nil {
 		p.t.Fatalf("start %s: %v", p.id, err)
 	}
-	exited := make(chan struct{})
-	p.exited = exited
-	cmd := p.cmd
-	go func() { p.ended = cmd.Wait(); close(exited) }()
+	p.cmd, p.exited = cmd, exited
 }
 
 // kill ends the process at once, as a host failure does.
@@ -149,6 +165,7 @@
 		extra = fmt.Sprintf("[reports]\ninterval = %q\n%s", p.reports, extra)
 	}
 	return fmt.Sprintf(`id = %q
+deployment = %q
 role = %q
 failure_domain = %q
 region = "r1"
@@ -163,5 +180,5 @@
 [claims]
 window = %q
 partitions = 4
-%s`, p.id, p.role, p.domain, p.logAddr, retention.String(), p.listAddr, min(retention/2, 10*time.Minute).String(), extra)
+%s`, p.id, p.deployment, p.role, p.domain, p.logAddr, retention.String(), p.listAddr, min(retention/2, 10*time.Minute).String(), extra)
 }
