Give each process under test a process group of its own

The process had ended with "signal: hangup": the shell that had started the tests had ended while entry-3 was paused, and the kernel hangs up orphaned process groups with stopped members. The program was not at fault. Change: each process gets its own group, whose parent is the test process.

--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -53,6 +53,10 @@
 	p.starts.Add(1)
 	p.cmd = exec.Command(program, p.role, "--settings", p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	// A group of its own: when the shell that started the tests ends, the kernel
+	// sends SIGHUP to its orphaned group if a process of it is stopped, which
+	// ended the paused processes.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatalf("start %s: %v", p.id, err)
 	}
