--- a/systemtest/warmup_test.go
+++ b/systemtest/warmup_test.go
@@ -129,11 +129,15 @@
 				b.engine.Inject(engine.Faults{Crash: true})
 			}
 			injected := before + len(c.models)
-			wg := c.burst(90, 900)
-			time.Sleep(1200 * time.Millisecond)
+			// Callers try again until after the restart: what is sent before it
+			// fails at once and loads nothing.
+			var stop atomic.Bool
+			wg := c.ask(90, 900, &stop)
+			time.Sleep(4 * time.Second)
 			for _, l := range c.links {
 				l.heal()
 			}
+			stop.Store(true)
 			wg.Wait()
 			if before != 0 || c.crashes() != injected {
 				t.Errorf("crashes: got %d before and %d after the restart of %d engines, want none but the restarts",
