--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -58,8 +58,11 @@
 	p.starts.Add(1)
 	cmd := exec.Command(program, p.role, "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
-	// The kernel ends the process when the test process dies.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The kernel ends the process when the test process dies. It has a group of
+	// its own: when the shell that started the tests ends, the kernel sends
+	// SIGHUP to its orphaned group if a process of it is stopped, which ended the
+	// paused processes.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	started, exited := make(chan error), make(chan struct{})
 	go func() {
 		// Pdeathsig is sent when the starting thread ends, so it must live as
