Give the proxies of a test process addresses of their own

Cause: TestDrainedDomainGetsNoNewWork failed once while other test processes ran: 'peer holds another state at the same offset' and dials to another process's network. Proxies listened on 127.0.0.1:0, so a port that one test process freed went to another's proxy, and entries joined the other cluster. Change: proxies listen in the network that each test process has by its id.

--- a/systemtest/capacity_test.go
+++ b/systemtest/capacity_test.go
@@ -112,7 +112,7 @@
 func (c *cluster) simulate(h core.Host, hosts core.HostList) *simulated {
 	s := &simulated{host: h}
 	var role *agent.Agent
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback()+".0.1:0")
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -32,6 +32,11 @@
 // a loopback address of its own, so that ports never collide.
 var subnet atomic.Int32
 
+// loopback begins the addresses of this test process. A port of 127.0.0.1 that
+// one test process frees may go to a proxy of another one; entries that still
+// dialled it then joined the other's cluster.
+func loopback() string { return fmt.Sprintf("127.%d", 10+os.Getpid()%200) }
+
 // backend is one stand-in backend server with its agent.
 type backend struct {
 	agent  *proc
@@ -69,7 +74,7 @@
 	c := &cluster{
 		t:       t,
 		dir:     t.TempDir(),
-		net:     fmt.Sprintf("127.%d.%d", 10+os.Getpid()%200, subnet.Add(1)),
+		net:     fmt.Sprintf("%s.%d", loopback(), subnet.Add(1)),
 		log:     platformlog.New(platformlog.Config{}),
 		lists:   map[string]*hostlist.Server{},
 		links:   map[string]*proxy{},
--- a/systemtest/proxy_test.go
+++ b/systemtest/proxy_test.go
@@ -37,7 +37,7 @@
 // newProxy starts a proxy that ends with the test.
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback()+".0.1:0")
 	if err != nil {
 		t.Fatalf("listen for proxy: %v", err)
 	}
