Write each message between processes in one system call

Cause: protodelim writes length and message apart, so each message became two yamux frames, and yamux writes header and body apart: four writes, and as many packets and reads. Ruled out: encoding, a few microseconds of the 270. Change: a message is one yamux frame, whose header and body go out in one writev. The bytes on the wire are those of the protocol as before.

--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -214,7 +214,7 @@
 	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil, fmt.Errorf("set handshake deadline: %w", err)
 	}
-	mux, err := newMux(conn, dialed)
+	mux, err := newMux(&joinedConn{Conn: conn}, dialed)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/node_test.go
+++ b/io/peer/node_test.go
@@ -15,7 +15,7 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // startPair connects two nodes and waits for the session.
-func startPair(t *testing.T, server peer.Config) (client, srv *peer.Node) {
+func startPair(t testing.TB, server peer.Config) (client, srv *peer.Node) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"nutmegnotch/io/peer/peerpb"
 )
@@ -14,6 +16,9 @@
 // MaxFrameBytes bounds one frame. A larger one ends its stream.
 const MaxFrameBytes = 1 << 20
 
+// maxKeptBytes bounds the buffer that an idle stream keeps.
+const maxKeptBytes = 1 << 10
+
 // Stream carries frames of one conversation. Send may be called by one
 // goroutine and Receive by another.
 type Stream struct {
@@ -21,6 +26,8 @@
 	r    *bufio.Reader
 	peer *peerpb.Hello
 	open *peerpb.Open
+	// out is the buffer of Send, kept while it is small.
+	out []byte
 }
 
 func newStream(conn net.Conn, hello *peerpb.Hello) *Stream {
@@ -35,7 +42,17 @@
 
 // Send writes one frame.
 func (s *Stream) Send(f *peerpb.Frame) error {
-	if _, err := protodelim.MarshalTo(s.conn, f); err != nil {
+	out := protowire.AppendVarint(s.out[:0], uint64(proto.Size(f)))
+	out, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(out, f)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	s.out = out
+	if cap(out) > maxKeptBytes {
+		s.out = nil
+	}
+	// One write makes one yamux frame; protodelim makes two of length and message.
+	if _, err := s.conn.Write(out); err != nil {
 		return fmt.Errorf("send frame: %w", err)
 	}
 	return nil
