--- a/options/options.go
+++ b/options/options.go
@@ -158,6 +158,7 @@
 				StoreBytesPerSecond: 1_000_000_000,
 				LoadSlowdown:        0.05,
 				MapLife:             newDuration(time.Hour),
+				MinGain:             0.005,
 			},
 		},
 	}
