--- a/options/options.go
+++ b/options/options.go
@@ -134,6 +134,7 @@
 	LoadSlowdown        float64  `toml:"load_slowdown"`
 	SwitchDelay         Duration `toml:"switch_delay"`
 	MapLife             Duration `toml:"map_life"`
+	MinGain             float64  `toml:"min_gain"`
 }
 
 // Default returns the settings that hold when the file says nothing.
@@ -167,6 +168,7 @@
 				StoreBytesPerSecond: 1_000_000_000,
 				LoadSlowdown:        0.05,
 				MapLife:             newDuration(time.Hour),
+				MinGain:             0.005,
 			},
 		},
 	}
