--- a/systemtest/config_test.go
+++ b/systemtest/config_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"nutmegnotch/core"
 	"nutmegnotch/core/config"
 	"nutmegnotch/emulator/platformlog"
 )
@@ -139,12 +138,6 @@
 	return nil
 }
 
-// contractOf returns a contract that callers do not use and that differs by n.
-func contractOf(name string, n int) core.Contract {
-	return core.Contract{Organisation: name, CallerKeyHashes: []string{hash(name + "-key")}, Services: []string{deskService},
-		RequestsPerSecond: float64(n + 1), TokensPerSecond: 1000, Concurrency: 10, ReplyTimeMS: 1000, ReplyMemoryBytes: 1 << 20, Weight: 1}
-}
-
 // racer is one operator with what became of its changes.
 type racer struct {
 	c      *cluster
--- a/systemtest/model_test.go
+++ b/systemtest/model_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+
+	"nutmegnotch/core"
 )
 
 // submission is the input of one attempt with an idempotency key.
@@ -60,6 +62,12 @@
 	value    string
 }
 
+// contractOf returns a contract that callers do not use and that differs by n.
+func contractOf(name string, n int) core.Contract {
+	return core.Contract{Organisation: name, CallerKeyHashes: []string{hash(name + "-key")}, Services: []string{deskService},
+		RequestsPerSecond: float64(n + 1), TokensPerSecond: 1000, Concurrency: 10, ReplyTimeMS: 1000, ReplyMemoryBytes: 1 << 20, Weight: 1}
+}
+
 // register is the state of one configuration object.
 type register struct {
 	version int64
