--- a/systemtest/group_test.go
+++ b/systemtest/group_test.go
@@ -14,8 +14,7 @@
 	"nutmegnotch/io/group"
 )
 
-// groupSizes tells what a group holds. Half of the engines ignore fencing when
-// mixed is set.
+// groupSizes tells what a group holds. fencing tells which engines check fences.
 type groupSizes struct {
 	ranks    int
 	stepTime time.Duration
