Run the seeds of a soak side by side

Cause: make soak SEEDS=20 took about 40 minutes, one cluster after the other. Conclusion: no check or bound is changed.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	demo/run.sh
 
 soak:
-	go test -count=1 -timeout 0 -v -run '^($(SEEDED_TESTS))$$' ./systemtest -args -seeds $(SEEDS)
+	go test -count=1 -timeout 0 -parallel 4 -v -run '^($(SEEDED_TESTS))$$' ./systemtest -args -seeds $(SEEDS)
 
 # The tables of docs/measurements.md, in about 5 minutes.
 measure:
--- a/systemtest/faults_test.go
+++ b/systemtest/faults_test.go
@@ -17,12 +17,16 @@
 // the fixed first ones.
 var seeds = flag.Int("seeds", 1, "number of seeds of random fault schedules")
 
-// eachSeed runs a test under fixed seeds.
+// eachSeed runs a test under fixed seeds. Several seeds run side by side, as
+// many as the flag -parallel permits.
 func eachSeed(t *testing.T, run func(t *testing.T, r *rand.Rand)) {
 	t.Helper()
 	for n := range *seeds {
 		seed := uint64(n + 1)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			if *seeds > 1 {
+				t.Parallel()
+			}
 			t.Logf("seed %d", seed)
 			run(t, rand.New(rand.NewPCG(seed, seed)))
 		})
