--- a/Makefile
+++ b/Makefile
@@ -32,17 +32,18 @@
 	go test ./core/routing -run XXX -bench 'DomainLeaves|ClusterOverload|Hog|ReportInterval' -benchtime 1x
 	go test ./core/share -run XXX -bench 'ContractCourse|Admitted' -benchtime 1x
 	go test ./core/reply -run XXX -bench SlowReaders -benchtime 1x
-	NUTMEGNOTCH_MEASURE=1 go test ./entry -run TestMeasureSlowReaders -v
+	go test -tags measure ./entry -run TestMeasureSlowReaders -v
 
 # The slopes of docs/CAPACITY.md, in about 7 minutes.
 bench:
 	go test -run XXX -bench . -benchtime 0.3s ./core/config ./core/claim ./core/reply ./core/rendezvous ./core/admission ./io/configlog ./io/claimlog
 	go test -run XXX -bench 'Memory|Choose|Subset' -benchtime 0.3s ./core/share ./core/routing
-	NUTMEGNOTCH_MEASURE=1 go test ./systemtest -run TestMeasure -v -timeout 20m
+	go test -tags measure ./systemtest -run TestMeasure -v -timeout 20m
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "run gofmt"; exit 1; }
 	go vet ./...
+	go vet -tags measure ./entry ./systemtest
 	$(GOBIN)/golangci-lint run ./...
 
 format:
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -1,3 +1,5 @@
+//go:build measure
+
 package entry_test
 
 import (
@@ -8,7 +10,6 @@
 	"math"
 	"net"
 	"net/http"
-	"os"
 	"runtime"
 	"slices"
 	"strings"
@@ -174,9 +175,6 @@
 // TestMeasureSlowReaders prints, for the policy and two baselines, what a real
 // entry holds for slow callers over loopback and how the fast ones fare.
 func TestMeasureSlowReaders(t *testing.T) {
-	if os.Getenv("NUTMEGNOTCH_MEASURE") == "" {
-		t.Skip("NUTMEGNOTCH_MEASURE is not set")
-	}
 	budgets := []struct {
 		name string
 		make func() core.ReplyBudget
--- a/systemtest/capacity_test.go
+++ b/systemtest/capacity_test.go
@@ -1,3 +1,5 @@
+//go:build measure
+
 package systemtest
 
 import (
@@ -8,8 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,47 +26,6 @@
 	"nutmegnotch/io/platformlog"
 )
 
-// measureVariable selects the measurements, which check nothing and take
-// minutes.
-const measureVariable = "NUTMEGNOTCH_MEASURE"
-
-// clockTicks is USER_HZ, the unit of times in /proc/PID/stat.
-const clockTicks = 100
-
-// usage is what a process has used so far.
-type usage struct {
-	cpu            float64 // seconds
-	read, written  float64 // bytes by read and write calls, sockets included
-	calls          float64
-	resident, peak float64 // bytes of memory
-	at             time.Time
-}
-
-func (p *proc) usage() usage {
-	u := usage{at: time.Now()}
-	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
-	stat, _ := os.ReadFile(dir + "stat")
-	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
-	for _, i := range []int{11, 12} {
-		n, _ := strconv.ParseFloat(fields[i], 64)
-		u.cpu += n / clockTicks
-	}
-	values := func(file string) map[string]float64 {
-		m := map[string]float64{}
-		data, _ := os.ReadFile(dir + file)
-		for _, line := range strings.Split(string(data), "\n") {
-			if f := strings.Fields(line); len(f) > 1 {
-				m[f[0]], _ = strconv.ParseFloat(f[1], 64)
-			}
-		}
-		return m
-	}
-	io, status := values("io"), values("status")
-	u.read, u.written, u.calls = io["rchar:"], io["wchar:"], io["syscr:"]+io["syscw:"]
-	u.resident, u.peak = status["VmRSS:"]*1024, status["VmHWM:"]*1024
-	return u
-}
-
 // rate measures a process for a time and prints what it uses per second.
 func (p *proc) rate(t *testing.T, what string, d time.Duration) {
 	t.Helper()
@@ -78,12 +37,6 @@
 		100*(b.cpu-a.cpu)/s, (b.read-a.read)/s/1000, (b.written-a.written)/s/1000, (b.calls-a.calls)/s, b.resident/1e6, b.peak/1e6)
 }
 
-func measuring(t *testing.T) {
-	if os.Getenv(measureVariable) == "" {
-		t.Skip(measureVariable + " is not set")
-	}
-}
-
 // simulated is a process that takes part in the exchange of positions, with
 // the real session and follower, inside the test process.
 type simulated struct {
@@ -158,7 +111,6 @@
 // TestMeasureEntry prints what an entry process uses at rest by its number of
 // sessions with agents and by the length of the host list.
 func TestMeasureEntry(t *testing.T) {
-	measuring(t)
 	for _, s := range []struct {
 		agents, entries, rows int
 		// mesh connects all entries to each other and to all agents.
@@ -201,7 +153,6 @@
 // TestMeasureAgent prints what an agent process uses at rest by its number of
 // sessions with entries.
 func TestMeasureAgent(t *testing.T) {
-	measuring(t)
 	for _, n := range []int{3, 12, 38, 64} {
 		t.Run(fmt.Sprintf("entries=%d", n), func(t *testing.T) {
 			c := newCluster(t, sizes{entries: 1, engines: 1, desks: 1})
@@ -227,7 +178,6 @@
 // TestMeasureRequests prints the processor time of entry and agent for each
 // request and each token.
 func TestMeasureRequests(t *testing.T) {
-	measuring(t)
 	for _, tokens := range []int{16, 128, 512} {
 		t.Run(fmt.Sprintf("tokens=%d", tokens), func(t *testing.T) {
 			c := newCluster(t, sizes{entries: 1, engines: 1, desks: 1, engine: engine.Options{TokensPerSecond: 400, Slowdown: 0.001, MemoryTokens: 1e6,
