Own state with one kind of task in agent and entry

Cause: the agent had two copies of a loop that runs operations on its state, the entry a third. Change: package task holds it; admission, runs, views, reply memory and suspects use it. Conclusion: behaviour is unchanged.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"fmt"
 	"math"
 	"time"
@@ -9,6 +8,7 @@
 	"nutmegnotch/core"
 	"nutmegnotch/core/admission"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // Times of refusals whose end is not known.
@@ -23,11 +23,9 @@
 
 // admissionTask owns what the backend server holds.
 type admissionTask struct {
-	cfg     Config
-	ops     chan func(*admissionState)
-	started chan struct{}
-	done    chan struct{}
-	init    *admissionState
+	*task.Task
+	cfg   Config
+	state *admissionState
 }
 
 type admissionState struct {
@@ -69,44 +67,12 @@
 	if s.admitter == nil {
 		s.admitter = admission.New(admission.Limits{}, now)
 	}
-	return &admissionTask{
-		cfg:     cfg,
-		ops:     make(chan func(*admissionState)),
-		started: make(chan struct{}),
-		done:    make(chan struct{}),
-		init:    s,
-	}
-}
-
-func (t *admissionTask) run(ctx context.Context) {
-	defer close(t.done)
-	s := t.init
-	for {
-		select {
-		case op := <-t.ops:
-			op(s)
-		case <-ctx.Done():
-			return
-		}
-	}
+	return &admissionTask{Task: task.New(), cfg: cfg, state: s}
 }
 
-// do runs op in the task. It reports false when the task has not been started
-// or has ended.
+// do runs op in the task. It reports false when the task does not run.
 func (t *admissionTask) do(op func(*admissionState)) bool {
-	select {
-	case <-t.started:
-	default:
-		return false
-	}
-	ran := make(chan struct{})
-	select {
-	case t.ops <- func(s *admissionState) { op(s); close(ran) }:
-		<-ran
-		return true
-	case <-t.done:
-		return false
-	}
+	return t.Do(func() { op(t.state) })
 }
 
 // admit reserves the cost of a request or refuses it as not run.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -177,10 +177,8 @@
 	defer close(a.done)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
-	close(a.admission.started)
-	close(a.runs.started)
-	wg.Go(func() { a.admission.run(work) })
-	wg.Go(func() { a.runs.run(work) })
+	a.admission.Start(work)
+	a.runs.Start(work)
 	wg.Go(func() { a.releases.run(work) })
 	wg.Go(func() { a.watcher.run(work) })
 	wg.Go(func() { a.report(work) })
@@ -194,6 +192,8 @@
 	a.finish()
 	cancel()
 	wg.Wait()
+	<-a.admission.Done()
+	<-a.runs.Done()
 	a.engine.Close()
 	a.desk.Close()
 	return nil
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -1,10 +1,10 @@
 package agent
 
 import (
-	"context"
 	"time"
 
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // maxStoredReply bounds one stored reply, which must fit into one frame with
@@ -53,11 +53,10 @@
 
 // runTask owns the claims of this incarnation and their stored replies.
 type runTask struct {
+	*task.Task
 	maxBytes int64
 	maxAge   time.Duration
-	ops      chan func(*runTable)
-	started  chan struct{}
-	done     chan struct{}
+	table    *runTable
 }
 
 // runTable holds the entries, and the ids of finished ones by age. A forgotten
@@ -69,44 +68,12 @@
 }
 
 func newRunTask(maxBytes int64, maxAge time.Duration) *runTask {
-	return &runTask{
-		maxBytes: maxBytes,
-		maxAge:   maxAge,
-		ops:      make(chan func(*runTable)),
-		started:  make(chan struct{}),
-		done:     make(chan struct{}),
-	}
-}
-
-func (t *runTask) run(ctx context.Context) {
-	defer close(t.done)
-	table := &runTable{entries: map[string]*runEntry{}}
-	for {
-		select {
-		case op := <-t.ops:
-			op(table)
-		case <-ctx.Done():
-			return
-		}
-	}
+	return &runTask{Task: task.New(), maxBytes: maxBytes, maxAge: maxAge, table: &runTable{entries: map[string]*runEntry{}}}
 }
 
-// do runs op in the task. It reports false when the task has not been started
-// or has ended.
+// do runs op in the task. It reports false when the task does not run.
 func (t *runTask) do(op func(*runTable)) bool {
-	select {
-	case <-t.started:
-	default:
-		return false
-	}
-	ran := make(chan struct{})
-	select {
-	case t.ops <- func(r *runTable) { op(r); close(ran) }:
-		<-ran
-		return true
-	case <-t.done:
-		return false
-	}
+	return t.Do(func() { op(t.table) })
 }
 
 // won remembers a claim that may be run.
--- a/agent/runs_test.go
+++ b/agent/runs_test.go
@@ -11,8 +11,7 @@
 // can be used twice, and against a finished claim that changes its outcome.
 func TestRunTable(t *testing.T) {
 	tasks := newRunTask(1000, time.Hour)
-	close(tasks.started)
-	go tasks.run(t.Context())
+	tasks.Start(t.Context())
 	now := time.Unix(1000, 0)
 	reply := storedReply{status: 201, body: make([]byte, 400)}
 	for _, id := range []string{"a", "b", "c"} {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -271,9 +271,9 @@
 
 func (e *Entry) stopTasks() {
 	e.cancel()
-	<-e.views.done
-	<-e.memory.done
-	<-e.suspects.done
+	<-e.views.Done()
+	<-e.memory.Done()
+	<-e.suspects.Done()
 }
 
 // gate refuses new requests at the end of a stop.
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -40,7 +40,7 @@
 func (e *Entry) followConfig(ctx context.Context) {
 	for {
 		changed := e.cfg.Source.Changed()
-		e.views.do(e.views.reconnect)
+		e.views.Do(e.views.reconnect)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -50,7 +50,7 @@
 }
 
 func (v *views) setHosts(hosts []core.Host) {
-	v.do(func() {
+	v.Do(func() {
 		unchanged := len(hosts) > 0 && len(hosts) == len(v.hosts) && &hosts[0] == &v.hosts[0]
 		v.hosts = hosts
 		v.markLeaving()
@@ -140,7 +140,7 @@
 
 // reach keeps a session with the holder of a claim for a while.
 func (v *views) reach(address string) {
-	v.do(func() {
+	v.Do(func() {
 		v.lookups[address] = time.Now().Add(lookupKeep)
 		v.reconnect()
 	})
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -5,6 +5,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/reply"
+	"nutmegnotch/task"
 )
 
 // minReplyBytes is the smallest reservation for a reply, so that headers and
@@ -13,20 +14,20 @@
 
 // memory is the task that owns the reply budget.
 type memory struct {
-	task
+	*task.Task
 	budget  core.ReplyBudget
 	metrics *metrics
 }
 
 func startMemory(ctx context.Context, b core.ReplyBudget, m *metrics) *memory {
-	return &memory{task: startTask(ctx), budget: b, metrics: m}
+	return &memory{Task: startTask(ctx), budget: b, metrics: m}
 }
 
 // reserve sets memory aside for a reply.
 func (m *memory) reserve(organisation string, want, limit int64) (core.Reservation, bool) {
 	var r core.Reservation
 	var ok bool
-	m.do(func() {
+	m.Do(func() {
 		r, ok = m.budget.Reserve(organisation, max(want, minReplyBytes), limit)
 		if ok && r.Window {
 			m.metrics.windows.Add(1)
@@ -37,7 +38,7 @@
 }
 
 func (m *memory) release(r core.Reservation) {
-	m.do(func() {
+	m.Do(func() {
 		m.budget.Release(r)
 		m.publish()
 	})
@@ -48,7 +49,7 @@
 func (m *memory) reserveUpload(_ context.Context, organisation string, bytes, limit int64) (func(), bool) {
 	var taken []core.Reservation
 	whole := false
-	m.do(func() {
+	m.Do(func() {
 		for bytes > 0 {
 			piece := min(bytes, reply.WindowBytes)
 			r, ok := m.budget.Reserve(organisation, piece, limit)
@@ -67,7 +68,7 @@
 	if !whole {
 		return nil, false
 	}
-	return func() { m.do(func() { m.releaseAll(taken); m.publish() }) }, true
+	return func() { m.Do(func() { m.releaseAll(taken); m.publish() }) }, true
 }
 
 func (m *memory) releaseAll(taken []core.Reservation) {
@@ -102,3 +103,10 @@
 	}
 	return want
 }
+
+// startTask starts a task that runs until ctx ends.
+func startTask(ctx context.Context) *task.Task {
+	t := task.New()
+	t.Start(ctx)
+	return t
+}
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -7,6 +7,7 @@
 	"nutmegnotch/core"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // maxReported bounds the fingerprints taken from one report of a peer.
@@ -14,7 +15,7 @@
 
 // suspects is the task that owns the retry budget and the crash quarantine.
 type suspects struct {
-	task
+	*task.Task
 	retrier    core.Retrier
 	quarantine core.Quarantine
 	// active holds the suspects that run at present, each at most once.
@@ -26,11 +27,11 @@
 }
 
 func startSuspects(ctx context.Context, r core.Retrier, q core.Quarantine, m *metrics) *suspects {
-	return &suspects{task: startTask(ctx), retrier: r, quarantine: q,
+	return &suspects{Task: startTask(ctx), retrier: r, quarantine: q,
 		active: map[uint64]bool{}, seen: map[string]bool{}, metrics: m}
 }
 
-func (s *suspects) attach(n *peer.Node) { s.do(func() { s.node = n }) }
+func (s *suspects) attach(n *peer.Node) { s.Do(func() { s.node = n }) }
 
 // permit is the leave of the quarantine for one attempt.
 type permit struct {
@@ -44,14 +45,14 @@
 // status returns how the quarantine treats a request.
 func (s *suspects) status(fp uint64) core.QuarantineStatus {
 	st := core.QuarantineClear
-	s.do(func() { st = s.quarantine.Status(fp, time.Now()) })
+	s.Do(func() { st = s.quarantine.Status(fp, time.Now()) })
 	return st
 }
 
 // enter asks for an attempt. A suspect runs once at a time; leave ends it.
 func (s *suspects) enter(fp uint64) permit {
 	var p permit
-	s.do(func() {
+	s.Do(func() {
 		p.status = s.quarantine.Status(fp, time.Now())
 		if p.status != core.QuarantineSuspect {
 			return
@@ -64,19 +65,19 @@
 
 func (s *suspects) leave(fp uint64, p permit) {
 	if p.exclusive() && !p.busy {
-		s.do(func() { delete(s.active, fp) })
+		s.Do(func() { delete(s.active, fp) })
 	}
 }
 
 // request counts a first attempt for the retry budget.
 func (s *suspects) request(service string) {
-	s.do(func() { s.retrier.Request(service, time.Now()) })
+	s.Do(func() { s.retrier.Request(service, time.Now()) })
 }
 
 // retry asks for another attempt.
 func (s *suspects) retry(r core.Request, a core.Attempt) bool {
 	ok := false
-	s.do(func() { ok = s.retrier.Retry(r, a, time.Now()) })
+	s.Do(func() { ok = s.retrier.Retry(r, a, time.Now()) })
 	return ok
 }
 
@@ -86,12 +87,12 @@
 	if c.GetCrashId() == "" || len(c.GetFingerprints()) == 0 {
 		return
 	}
-	s.do(func() { s.count(c, from.GetRole() == core.RoleAgent) })
+	s.Do(func() { s.count(c, from.GetRole() == core.RoleAgent) })
 }
 
 // observed counts a crash that this entry saw itself on an exclusive run.
 func (s *suspects) observed(crashID string, fp uint64) {
-	s.do(func() { s.count(&peerpb.CrashReport{CrashId: crashID, Fingerprints: []uint64{fp}}, true) })
+	s.Do(func() { s.count(&peerpb.CrashReport{CrashId: crashID, Fingerprints: []uint64{fp}}, true) })
 }
 
 func (s *suspects) count(c *peerpb.CrashReport, tell bool) {
@@ -122,7 +123,7 @@
 
 // completed clears a suspect that ran to its end and tells the other entries.
 func (s *suspects) completed(fp uint64) {
-	s.do(func() {
+	s.Do(func() {
 		if s.quarantine.Status(fp, time.Now()) != core.QuarantineSuspect {
 			return
 		}
@@ -139,7 +140,7 @@
 	if from.GetRole() != core.RoleEntry {
 		return
 	}
-	s.do(func() {
+	s.Do(func() {
 		for i, fp := range c.GetFingerprints() {
 			if i == maxReported {
 				return
--- a/entry/views.go
+++ b/entry/views.go
@@ -8,6 +8,7 @@
 	"nutmegnotch/core/routing"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // agent is what this entry knows of one agent with a live session.
@@ -23,7 +24,7 @@
 // views is the task that owns the views of the agents and decides which
 // processes this entry keeps sessions with.
 type views struct {
-	task
+	*task.Task
 	cfg     Config
 	node    *peer.Node
 	agents  map[string]*agent
@@ -35,17 +36,17 @@
 }
 
 func startViews(ctx context.Context, cfg Config, m *metrics) *views {
-	return &views{task: startTask(ctx), cfg: cfg, agents: map[string]*agent{}, kept: map[string]bool{},
+	return &views{Task: startTask(ctx), cfg: cfg, agents: map[string]*agent{}, kept: map[string]bool{},
 		lookups: map[string]time.Time{}, metrics: m}
 }
 
-func (v *views) attach(n *peer.Node) { v.do(func() { v.node = n }) }
+func (v *views) attach(n *peer.Node) { v.Do(func() { v.node = n }) }
 
 func (v *views) up(s *peer.Session) {
 	if s.Hello.GetRole() != core.RoleAgent {
 		return
 	}
-	v.do(func() {
+	v.Do(func() {
 		a := v.agents[s.Hello.GetId()]
 		if a == nil || a.view.Load.Incarnation != s.Hello.GetIncarnation() {
 			a = v.newAgent(s.Hello, a)
@@ -73,7 +74,7 @@
 }
 
 func (v *views) down(s *peer.Session) {
-	v.do(func() {
+	v.Do(func() {
 		a := v.agents[s.Hello.GetId()]
 		if a == nil {
 			return
@@ -99,7 +100,7 @@
 	if l == nil {
 		return
 	}
-	v.do(func() {
+	v.Do(func() {
 		if !l.GetBrief() {
 			v.apply(from.GetId(), l)
 		} else if a := v.agents[from.GetId()]; a != nil && a.whole && a.view.Load.Incarnation == from.GetIncarnation() {
@@ -137,7 +138,7 @@
 
 // leaving takes an agent's word that it stops. It holds for the incarnation.
 func (v *views) leaving(from *peerpb.Hello, l *peerpb.Leaving) {
-	v.do(func() {
+	v.Do(func() {
 		a := v.agents[from.GetId()]
 		if a != nil && l.GetId() == from.GetId() && l.GetIncarnation() == a.view.Load.Incarnation {
 			a.leaving = true
@@ -157,7 +158,7 @@
 // least.
 func (v *views) choose(r core.Request, tried map[string]bool, exclusive bool) choice {
 	var c choice
-	v.do(func() {
+	v.Do(func() {
 		now := time.Now()
 		code := v.collect(r, tried, now)
 		router := v.cfg.Router
@@ -209,7 +210,7 @@
 // or its connection is lost. Without a load report in the verdict, an admitted
 // request counts as held until the next report.
 func (v *views) settle(r core.Request, c core.AgentView, admitted bool, l *peerpb.Load) {
-	v.do(func() {
+	v.Do(func() {
 		a := v.agents[c.Load.AgentID]
 		if a == nil || a.view.Load.Incarnation != c.Load.Incarnation {
 			return
@@ -228,7 +229,7 @@
 
 // count returns the agents with a session, and those that are ready.
 func (v *views) count() (all, ready int) {
-	v.do(func() {
+	v.Do(func() {
 		for _, a := range v.agents {
 			all++
 			if a.view.Load.State == core.AgentReady && !a.leaving && !a.hostLeaving {
