Move the experiments in simulated time into emulator/experiment

Cause: the comparisons of policies with their baselines stood in test files as benchmarks, though they check nothing; two of them held copies of the same simulated server, and three printed tables in ways of their own.

Change: the package emulator/experiment holds one file per experiment, one simulated server (server.go), one source of arrivals and percentiles (arrivals.go), one lending entry (credit.go) and one table (table.go). `nutmegnotch-emulator experiment [NAME...] [--seeds N] [--json]` prints them; seeds run side by side. Arrivals are drawn as the simulated time advances, in the same order as before, so that the event queue of the overload simulation is gone. Tests with checks stay in their packages and use the moved simulations. `make measure` calls the command.

Commands before: go test ./core/routing -run XXX -bench 'DomainLeaves|ClusterOverload|Hog|ReportInterval' -benchtime 1x; ./core/share -bench 'ContractCourse|Admitted' -benchtime 1x; ./core/reply -bench SlowReaders -benchtime 1x; ./core/admission -bench BenchmarkOverload -benchtime 5x; ./core/expertmap -bench RebalanceDay -benchtime 1x. The standard deviations that the routing and contract tables showed give way to least and most.

--- a/Makefile
+++ b/Makefile
@@ -27,11 +27,9 @@
 soak:
 	go test -count=1 -timeout 0 -parallel 4 -v -run '^($(SEEDED_TESTS))$$' ./systemtest -args -seeds $(SEEDS)
 
-# The tables of docs/measurements.md, in about 5 minutes.
-measure:
-	go test ./core/routing -run XXX -bench 'DomainLeaves|ClusterOverload|Hog|ReportInterval' -benchtime 1x
-	go test ./core/share -run XXX -bench 'ContractCourse|Admitted' -benchtime 1x
-	go test ./core/reply -run XXX -bench SlowReaders -benchtime 1x
+# The tables of docs/measurements.md and docs/measurements-groups.md.
+measure: build
+	bin/nutmegnotch-emulator experiment all
 	go test -tags measure ./entry -run TestMeasureSlowReaders -v
 
 # The slopes of docs/CAPACITY.md, in about 7 minutes.
--- a/emulator/cli/cli.go
+++ b/emulator/cli/cli.go
@@ -21,6 +21,8 @@
 	Request RequestCommand `cmd:"" help:"Send one request and print the reply."`
 
 	Load LoadCommand `cmd:"" help:"Send requests and report what became of them."`
+
+	Experiment ExperimentCommand `cmd:"" help:"Compare policies with their baselines in simulated time."`
 }
 
 // Main runs the command line and returns the exit code: 1 for a failure and 2
--- /dev/null
+++ b/emulator/cli/experiment.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"nutmegnotch/emulator/experiment"
+)
+
+// maxSeeds bounds the seeds of one experiment.
+const maxSeeds = 1000
+
+// ExperimentCommand runs experiments in simulated time and prints their tables.
+type ExperimentCommand struct {
+	Name  []string `arg:"" optional:"" help:"Experiments to run, or all; without a name they are listed."`
+	Seeds int      `default:"5" help:"Number of seeds; the first is 1."`
+	JSON  bool     `name:"json" help:"Print JSON."`
+}
+
+// Validate rejects unknown names and numbers of seeds.
+func (c *ExperimentCommand) Validate() error {
+	if c.Seeds < 1 || c.Seeds > maxSeeds {
+		return fmt.Errorf("--seeds %d is not between 1 and %d", c.Seeds, maxSeeds)
+	}
+	_, err := c.chosen()
+	return err
+}
+
+// Run runs the experiments one after the other.
+func (c *ExperimentCommand) Run() error {
+	if len(c.Name) == 0 {
+		return c.list()
+	}
+	chosen, err := c.chosen()
+	if err != nil {
+		return err
+	}
+	tables := []experiment.Table{}
+	for _, e := range chosen {
+		t := experiment.Measure(e, c.Seeds)
+		tables = append(tables, t)
+		if c.JSON {
+			continue
+		}
+		if err := t.Write(os.Stdout); err != nil {
+			return fmt.Errorf("print %s: %w", e.Name, err)
+		}
+	}
+	if c.JSON {
+		return printJSON(tables)
+	}
+	return nil
+}
+
+// chosen returns the named experiments.
+func (c *ExperimentCommand) chosen() ([]experiment.Experiment, error) {
+	var out []experiment.Experiment
+	for _, name := range c.Name {
+		if name == "all" {
+			return experiment.All(), nil
+		}
+		e, ok := experiment.Find(name)
+		if !ok {
+			return nil, fmt.Errorf("no experiment %q; there are %s", name, strings.Join(names(), ", "))
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func names() []string {
+	var out []string
+	for _, e := range experiment.All() {
+		out = append(out, e.Name)
+	}
+	return out
+}
+
+func (c *ExperimentCommand) list() error {
+	if c.JSON {
+		return printJSON(names())
+	}
+	for _, e := range experiment.All() {
+		if _, err := fmt.Printf("%-16s %s\n", e.Name, e.About); err != nil {
+			return fmt.Errorf("list experiments: %w", err)
+		}
+	}
+	return nil
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/emulator/experiment/admitted.go
@@ -0,0 +1,124 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"nutmegnotch/core/share"
+)
+
+const (
+	admittedLength = time.Minute
+	// admittedWarm is the time before counting starts.
+	admittedWarm  = 10 * time.Second
+	admittedSlots = 10
+)
+
+// AdmittedResult holds the admitted part of what the contract and the offer
+// permit, and the credit messages per second.
+type AdmittedResult struct {
+	Admitted, Messages float64
+}
+
+// admittedRun is n entries that share one contract.
+type admittedRun struct {
+	entries []lendingEntry
+	statics []*share.Static
+	// weights are cumulative: the i-th entry gets a part in proportion to 1/i.
+	weights             []float64
+	offered, got, asked float64
+}
+
+func newAdmittedRun(n int, split Split) *admittedRun {
+	r := &admittedRun{}
+	contracts := creditContract(admittedSlots)
+	ids := make([]int, n)
+	for i := range ids {
+		ids[i] = i
+	}
+	pools, sum := map[string]*share.Pool{}, 0.0
+	send := func(p *share.Pool, q share.Ask, now time.Time) {
+		r.asked += 2
+		lend(p, pools[q.Home], q, now)
+	}
+	for i := range n {
+		if split == Lending {
+			p := share.New(fmt.Sprint(i), 0, Epoch)
+			p.Update(contracts, creditEntries(ids...), Epoch)
+			pools[fmt.Sprint(i)] = p
+			r.entries = append(r.entries, lendingEntry{p, send})
+		} else {
+			r.statics = append(r.statics, share.NewStatic(contracts, n))
+		}
+		sum += 1 / float64(i+1)
+		r.weights = append(r.weights, sum)
+	}
+	return r
+}
+
+// Admitted offers load times the contract to n entries for a minute. Requests
+// that are refused don't come again.
+func Admitted(n int, load float64, split Split, seed uint64) AdmittedResult {
+	r := newAdmittedRun(n, split)
+	rng := rand.New(rand.NewPCG(seed, 2))
+	tick := time.Duration(0)
+	for now := time.Duration(0); now < admittedWarm+admittedLength; {
+		now += gap(rng, creditRate*load)
+		for ; tick < now; tick += creditTick {
+			for _, e := range r.entries {
+				e.tick(Epoch.Add(tick))
+			}
+		}
+		if now < admittedWarm {
+			r.asked = 0
+		}
+		ok := r.spend(r.receiver(rng), Epoch.Add(now))
+		if now > admittedWarm {
+			r.offered++
+			if ok {
+				r.got++
+			}
+		}
+	}
+	s := admittedLength.Seconds()
+	return AdmittedResult{r.got / math.Min(r.offered, creditRate*s), r.asked / s}
+}
+
+// receiver draws the entry that a request comes to.
+func (r *admittedRun) receiver(rng *rand.Rand) int {
+	at, i := rng.Float64()*r.weights[len(r.weights)-1], 0
+	for r.weights[i] < at {
+		i++
+	}
+	return i
+}
+
+func (r *admittedRun) spend(i int, now time.Time) bool {
+	if r.statics == nil {
+		return r.entries[i].spend(now)
+	}
+	_, ok := r.statics[i].Spend(creditOrg, creditAmount, now)
+	return ok
+}
+
+func admitted() Experiment {
+	return Experiment{
+		Name:    "admitted",
+		About:   "Admitted part of a contract of 200 requests/s over entries of unequal load, for 60 s.",
+		Columns: []string{"admitted, %", "messages/s"},
+		Run: func(seed uint64) []Row {
+			var rows []Row
+			for _, n := range []int{3, 16, 64} {
+				for _, load := range []float64{0.5, 0.9, 1.5} {
+					for _, split := range []Split{Static, Lending} {
+						r := Admitted(n, load, split, seed)
+						rows = append(rows, Row{fmt.Sprintf("entries=%d/load=%v/%s", n, load, split), []float64{100 * r.Admitted, r.Messages}})
+					}
+				}
+			}
+			return rows
+		},
+	}
+}
--- /dev/null
+++ b/emulator/experiment/cluster_policies.go
@@ -0,0 +1,54 @@
+package experiment
+
+import (
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/admission"
+	"nutmegnotch/core/routing"
+)
+
+// reportEvery is the time between load reports where a plan says nothing else.
+const reportEvery = 200 * time.Millisecond
+
+// Product is the routing and the admission of the load balancer.
+var Product = ClusterPolicy{"policy", routePolicy, memoryAware}
+
+var clusterColumns = []string{"good/s", "late/s", "refused, %", "others refused, %", "retries/request",
+	"first token p95, ms", "broken/s", "collapses", "spread of load"}
+
+func memoryAware() core.Admitter { return admission.New(ServerLimits, Epoch.Add(-2*time.Minute)) }
+func noWarmUp() core.Admitter    { return admission.NewNoWarmUp(ServerLimits) }
+func fixedCount() core.Admitter  { return admission.NewFixedCount(ServerLimits.MaxConcurrency) }
+
+func routePolicy(domain string, seed uint64) core.Router { return routing.New(domain, seed) }
+func rotation(string, uint64) core.Router                { return &routing.RoundRobin{} }
+func leastConnections(string, uint64) core.Router        { return routing.LeastConnections{} }
+func twoChoices(_ string, seed uint64) core.Router       { return routing.NewTwoChoices(seed) }
+
+// minutePlan is a run of one phase of a minute.
+func minutePlan(load float64) ClusterPlan {
+	return ClusterPlan{Load: load, Length: time.Minute, Report: reportEvery, Phases: []time.Duration{time.Minute}}
+}
+
+// minuteRow runs a plan of one phase and returns its row.
+func minuteRow(name string, p ClusterPolicy, plan ClusterPlan, seed uint64) Row {
+	phases := Cluster(p, plan, seed)
+	return Row{name, phases[0].values(plan.Length)}
+}
+
+// values returns the columns of a phase of the given length.
+func (p *ClusterPhase) values(length time.Duration) []float64 {
+	s := length.Seconds()
+	return []float64{
+		float64(p.Good) / s,
+		float64(p.Late) / s,
+		100 * float64(p.Refused) / float64(p.Offered),
+		100 * float64(p.SmallRefused) / max(float64(p.Small), 1),
+		float64(p.Retries) / float64(p.Offered),
+		1000 * percentile(p.FirstTokens, 0.95),
+		float64(p.Broken) / s,
+		float64(p.Collapses),
+		p.Spread / float64(p.Ticks),
+	}
+}
--- /dev/null
+++ b/emulator/experiment/overload.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/admission"
+)
+
+const (
+	overloadLength = 120 * time.Second
+	// overloadTurn is when the server loses what warmed it.
+	overloadTurn = 60 * time.Second
+)
+
+// overloadPhases are the ends of the phases in which good replies are counted:
+// the start of a cold server, the warm server, and after its turn to cold.
+var overloadPhases = []time.Duration{30 * time.Second, overloadTurn, overloadLength}
+
+// Scenario is the state of the server at the start, and when it loses what
+// warmed it; zero means never.
+type Scenario struct {
+	Name      string
+	Warm      bool
+	TurnsCold time.Duration
+}
+
+// The scenarios of the overload experiment.
+var (
+	ColdStartAndTurn = Scenario{Name: "cold_start_and_turn", TurnsCold: overloadTurn}
+	AlwaysWarm       = Scenario{Name: "warm", Warm: true}
+)
+
+// OverloadResult counts requests. Good holds one count for each phase.
+type OverloadResult struct {
+	Good                             [3]int
+	Late, Refused, Broken, Collapses int
+}
+
+// Overload offers a load, as a multiple of the capacity, to one server behind
+// an admitter. Refused requests are not offered again.
+func Overload(a core.Admitter, sc Scenario, load float64, seed uint64) OverloadResult {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var out OverloadResult
+	s := &server{admitter: a}
+	if sc.Warm {
+		s.served = warmTokens
+	}
+	at, n := gap(rng, load*capacity()), 0
+	r := draw(rng, n)
+	for now := time.Duration(0); now < overloadLength; now += step {
+		if sc.TurnsCold > 0 && now == sc.TurnsCold {
+			s.served = 0
+		}
+		for at <= now {
+			out.count(s.offer(r, at, now))
+			n++
+			at += gap(rng, load*capacity())
+			r = draw(rng, n)
+		}
+		out.add(s.advance(now), now)
+	}
+	return out
+}
+
+func (r *OverloadResult) count(o offered) {
+	switch o {
+	case refused:
+		r.Refused++
+	case broken:
+		r.Broken++
+	}
+}
+
+func (r *OverloadResult) add(a advanced, now time.Duration) {
+	for _, x := range a.ended {
+		if now-x.at <= deadline {
+			r.Good[phaseOf(overloadPhases, now)]++
+		} else {
+			r.Late++
+		}
+	}
+	r.Broken += len(a.broken)
+	if a.collapsed {
+		r.Collapses++
+	}
+}
+
+func (r *OverloadResult) values() []float64 {
+	var out []float64
+	from := time.Duration(0)
+	for i, end := range overloadPhases {
+		out = append(out, float64(r.Good[i])/(end-from).Seconds())
+		from = end
+	}
+	return append(out, float64(r.Late), float64(r.Refused), float64(r.Broken), float64(r.Collapses))
+}
+
+func overload() Experiment {
+	policies := []struct {
+		name string
+		make func() core.Admitter
+	}{
+		{"policy", func() core.Admitter { return admission.New(ServerLimits, Epoch) }},
+		{"no_limit", func() core.Admitter { return admission.NewUnlimited() }},
+		{"fixed_count", func() core.Admitter { return admission.NewFixedCount(ServerLimits.MaxConcurrency) }},
+		{"no_warm_up", func() core.Admitter { return admission.NewNoWarmUp(ServerLimits) }},
+	}
+	return Experiment{
+		Name:    "overload",
+		About:   "Admission of one server under loads below and above its capacity, for 120 s.",
+		Columns: []string{"good/s, 0 to 30 s", "good/s, 30 to 60 s", "good/s, 60 to 120 s", "late", "refused", "broken", "collapses"},
+		Run: func(seed uint64) []Row {
+			var rows []Row
+			for _, sc := range []Scenario{ColdStartAndTurn, AlwaysWarm} {
+				for _, p := range policies {
+					for _, load := range []float64{0.5, 1, 1.5, 2, 3} {
+						r := Overload(p.make(), sc, load, seed)
+						rows = append(rows, Row{fmt.Sprintf("%s/%s/load=%v", sc.Name, p.name, load), r.values()})
+					}
+				}
+			}
+			return rows
+		},
+	}
+}
