--- a/emulator/experiment/admitted.go
+++ b/emulator/experiment/admitted.go
@@ -27,8 +27,8 @@
 	entries []lendingEntry
 	statics []*share.Static
 	// weights are cumulative: the i-th entry gets a part in proportion to 1/i.
-	weights             []float64
-	offered, got, asked float64
+	weights                []float64
+	offered, got, messages float64
 }
 
 func newAdmittedRun(n int, split Split) *admittedRun {
@@ -40,7 +40,7 @@
 	}
 	pools, sum := map[string]*share.Pool{}, 0.0
 	send := func(p *share.Pool, q share.Ask, now time.Time) {
-		r.asked += 2
+		r.messages += 2
 		lend(p, pools[q.Home], q, now)
 	}
 	for i := range n {
@@ -72,7 +72,7 @@
 			}
 		}
 		if now < admittedWarm {
-			r.asked = 0
+			r.messages = 0
 		}
 		ok := r.spend(r.receiver(rng), Epoch.Add(now))
 		if now > admittedWarm {
@@ -83,7 +83,7 @@
 		}
 	}
 	s := admittedLength.Seconds()
-	return AdmittedResult{r.got / math.Min(r.offered, creditRate*s), r.asked / s}
+	return AdmittedResult{r.got / math.Min(r.offered, creditRate*s), r.messages / s}
 }
 
 // receiver draws the entry that a request comes to.
--- a/emulator/experiment/experiment_test.go
+++ b/emulator/experiment/experiment_test.go
@@ -37,6 +37,7 @@
 		{"rebalance-day", func() any { return RebalanceDay(3, shape, dayCost, dayPolicies(shape)[5].make()) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			if got, want := c.run(), c.run(); !reflect.DeepEqual(got, want) {
 				t.Errorf("second run: got %+v, want %+v", got, want)
 			}
--- a/emulator/experiment/slow_readers.go
+++ b/emulator/experiment/slow_readers.go
@@ -66,7 +66,7 @@
 // the agent has sent its last byte.
 func SlowReaders(b core.ReplyBudget, seed uint64) ReadersResult {
 	r := &readers{budget: b, rng: rand.New(rand.NewPCG(seed, seed))}
-	for step := 0; step < readersSeconds/readersStep; step++ {
+	for n := 0; n < readersSeconds/readersStep; n++ {
 		for _, c := range readerClasses {
 			if r.rng.Float64() < c.arrivals*readersStep {
 				r.arrive(c)
