--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 soak:
 	go test -count=1 -timeout 0 -parallel 4 -v -run '^($(SEEDED_TESTS))$$' ./systemtest -args -seeds $(SEEDS)
 
-# The tables of docs/measurements.md and docs/measurements-groups.md.
+# The tables of docs/measurements.md and of the rebalance policy in
+# docs/measurements-groups.md, in about 5 minutes.
 measure: build
 	bin/nutmegnotch-emulator experiment all
 	go test -tags measure ./entry -run TestMeasureSlowReaders -v
