Test the bootstrap token with a token that no team has

The product was right: the token belonged to a team. Change: clusters use a bootstrap token of its own to publish their first team. Conclusion: the check is as strict as before.

--- a/systemtest/access_test.go
+++ b/systemtest/access_test.go
@@ -62,7 +62,7 @@
 				"value": core.Team{Name: "own", TokenHash: hash("own"), Organisations: []string{"*"}}}), ""
 		}, 403},
 		{"bootstrap token after the first team", func() (int, result) {
-			return c.callAs(e, operatorToken, "/objects/domain/d1", domain), ""
+			return c.callAs(e, bootstrapToken, "/objects/domain/d1", domain), ""
 		}, 401},
 		{"no operator token", func() (int, result) { return c.callAs(e, "", "/objects/domain/d1", domain), "" }, 401},
 		{"caller key as an operator token", func() (int, result) {
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -24,9 +24,11 @@
 
 const (
 	operatorToken = "operator-token"
-	modelService  = "runners"
-	deskService   = "bookings"
-	modelName     = "m1"
+	// bootstrapToken holds until the first team is published.
+	bootstrapToken = "bootstrap-token"
+	modelService   = "runners"
+	deskService    = "bookings"
+	modelName      = "m1"
 )
 
 // subnet numbers the clusters of one test process. Each host of a cluster has
@@ -270,7 +272,7 @@
 func (c *cluster) addEntry(i int) {
 	p := c.newProc(core.RoleEntry, fmt.Sprintf("entry-%d", i+1), domainOf(i))
 	extra := fmt.Sprintf("[entry]\ndrain_delay = \"300ms\"\nbootstrap_token_hash = %q\n[listen]\ncaller = %q\nadmin = %q\npeer = %q\n",
-		hash(operatorToken), p.caller, p.admin, p.peer)
+		hash(bootstrapToken), p.caller, p.admin, p.peer)
 	p.settings = writeFile(c.t, c.dir, p.id+".toml", settingsText(p, c.retain, extra))
 	c.entries = append(c.entries, p)
 	c.rows = append(c.rows, core.Host{ID: p.id, Role: p.role, Address: p.peer, Domain: p.domain, Region: "r1", State: core.HostLive})
@@ -315,7 +317,10 @@
 // two services and two contracts.
 func (c *cluster) publishDefaults() {
 	c.t.Helper()
-	c.mustPublish("team/operators", core.Team{Name: "operators", TokenHash: hash(operatorToken), Organisations: []string{"*"}})
+	team := map[string]any{"based_on": 0, "value": core.Team{Name: "operators", TokenHash: hash(operatorToken), Organisations: []string{"*"}}}
+	if got := c.callAs(c.entries[0], bootstrapToken, "/objects/team/operators", team); got != http.StatusOK {
+		c.t.Fatalf("publish the first team: got status %d, want 200", got)
+	}
 	c.mustPublish("service/"+modelService, core.Service{Name: modelService, Kind: core.ServiceModel, Models: []string{modelName},
 		Repeatable: true, ColdConcurrency: 4, ColdTokens: 3000, MaxConcurrency: 64, MemoryTokens: 50000, MaxOutputTokens: 2000,
 		BytesPerToken: 256, MaxBodyBytes: 1 << 20, MaxReplyBytes: 4 << 20, RequestTimeoutMS: 30000})
