Measure groups of processes without debug logs

Cause: the agents of the measurement logged at debug level, which no production agent does, so the figures held the cost of the logs.

Change: groupSizes.quiet sets the level info; the measurement uses it.

--- a/systemtest/group_measure_test.go
+++ b/systemtest/group_measure_test.go
@@ -30,7 +30,7 @@
 }
 
 func measureGroup(b *testing.B, ranks int) {
-	g := newGroup(b, groupSizes{ranks: ranks, stepTime: measureStep, interval: 3 * time.Second, fencing: allFencing, seed: 1})
+	g := newGroup(b, groupSizes{ranks: ranks, stepTime: measureStep, interval: 3 * time.Second, fencing: allFencing, seed: 1, quiet: true})
 	g.progress("the start", 100)
 	l := g.lead()
 	before, _ := groupStatus(g.agents[l])
--- a/systemtest/group_test.go
+++ b/systemtest/group_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,12 +16,14 @@
 )
 
 // groupSizes tells what a group holds. fencing tells which engines check fences.
+// quiet agents log as in production.
 type groupSizes struct {
 	ranks    int
 	stepTime time.Duration
 	interval time.Duration
 	fencing  func(rank int) bool
 	seed     uint64
+	quiet    bool
 }
 
 // Shape and costs of the groups under test. A map changes about once a second.
@@ -69,7 +72,11 @@
 		for j := range i {
 			addresses[j] = g.link(p.id, ids[j], peers[j]).address()
 		}
-		p.settings = writeFile(t, g.dir, p.id+".toml", settingsText(p, time.Hour, groupText(s, p, i, ids, addresses, engines[i])))
+		text := settingsText(p, time.Hour, groupText(s, p, i, ids, addresses, engines[i]))
+		if s.quiet {
+			text = strings.Replace(text, `"debug"`, `"info"`, 1)
+		}
+		p.settings = writeFile(t, g.dir, p.id+".toml", text)
 		p.start()
 		t.Cleanup(p.kill)
 	}
