Let agents exchange positions with agents only in need

Cause: an agent that no entry feeds sent its position to all sessions every 500 ms, also while it read the log itself. In a group that is a session to each other rank, both ways; the profile at 16 ranks shows yamux sessions and their wake-ups first. Answers among agents confirm nothing while the log does.

Change: while its confirmation is younger than 2.2 s an agent asks entries only. From then on it asks agents too, and agents answer those whose position shows a missing or old confirmation. Fewer positions make no process fresher. Before, an agent that entries fed answered no agent at all.

Groups with entries that confirm their agents had this state already.

--- a/io/configlog/exchange.go
+++ b/io/configlog/exchange.go
@@ -43,6 +43,9 @@
 	// next is the highest position that the peer has told of.
 	next  int64
 	heard config.Heard
+	// needy is set while the newest report shows a confirmation that is missing
+	// or older than agentAskAge.
+	needy bool
 }
 
 func newExchange() exchange {
@@ -140,6 +143,7 @@
 	}
 	if p.Seq >= ps.seq {
 		ps.seq, ps.seqAt = p.Seq, m.at
+		ps.needy = !p.Confirmed || p.ConfirmedAgeMs >= agentAskAge.Milliseconds()
 	}
 	ps.next = max(ps.next, p.NextOffset)
 	t.note(ps, hello.Id, p, m.at)
