Look only at the rank that answered unless the leader moved on

Cause: the leader went through the messages to all ranks at each answer of one, so its time grew with the square of the number of ranks.

Change: an answer that leaves phase, generation, plan end and maps as they were makes only messages to its own rank due.

Conclusion: kept for the square it removes.

--- a/core/expertmap/messages.go
+++ b/core/expertmap/messages.go
@@ -16,19 +16,44 @@
 	}
 	var out []Message
 	for i := range l.ranks {
-		r := &l.ranks[i]
-		if m, ok := l.want(i); ok && r.due(m, now) {
-			r.last, r.sent, r.acked = m, now, false
-			out = append(out, m)
-		}
-		if m, ok := l.wantLoad(i); ok && now.Sub(r.loadSent) >= resendAfter {
-			r.loadSent = now
-			out = append(out, m)
-		}
+		out = l.appendTo(out, i, now)
 	}
 	return out
 }
 
+// MessagesTo returns what the leader sends one rank now. It is enough after an
+// answer of that rank that has left Stage as it was.
+func (l *Leader) MessagesTo(rank int, now time.Time) []Message {
+	if l.deposed {
+		return nil
+	}
+	return l.appendTo(nil, rank, now)
+}
+
+func (l *Leader) appendTo(out []Message, rank int, now time.Time) []Message {
+	r := &l.ranks[rank]
+	if m, ok := l.want(rank); ok && r.due(m, now) {
+		r.last, r.sent, r.acked = m, now, false
+		out = append(out, m)
+	}
+	if m, ok := l.wantLoad(rank); ok && now.Sub(r.loadSent) >= resendAfter {
+		r.loadSent = now
+		out = append(out, m)
+	}
+	return out
+}
+
+// Stage is what the messages to all ranks depend on. It is comparable.
+type Stage struct {
+	phase                                        phase
+	generation, start, planEnd, current, pending int64
+}
+
+// Stage returns what the leader is doing now.
+func (l *Leader) Stage() Stage {
+	return Stage{phase: l.phase, generation: l.generation, start: l.start, planEnd: l.planEnd, current: l.current, pending: l.pending}
+}
+
 // due reports whether a message is new, unanswered for long or the next
 // heartbeat.
 func (r *rankView) due(m Message, now time.Time) bool {
--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -134,6 +134,7 @@
 	t.received += int64(a.receivedBytes)
 	t.sent++
 	t.sentBytes += int64(a.sentBytes)
+	stage := t.leader.Stage()
 	if err := deliver(t.leader, a.frame); err != nil {
 		t.log.Warn("answer of a rank", zap.Error(err))
 	}
@@ -141,7 +142,13 @@
 		t.resign("a rank has seen a higher fence")
 		return
 	}
-	t.dispatch(time.Now())
+	// Going through all ranks at the answer of each would cost the square of
+	// their number.
+	if t.leader.Stage() == stage {
+		t.dispatch(t.leader.MessagesTo(a.rank, time.Now()))
+		return
+	}
+	t.dispatch(t.leader.Messages(time.Now()))
 }
 
 // wake lets a leader that was paused first check that it still leads, as far
@@ -163,7 +170,7 @@
 	}
 	if t.leader != nil {
 		t.leader.Step(t.info.step)
-		t.dispatch(now)
+		t.dispatch(t.leader.Messages(now))
 		return
 	}
 	t.candidate(ctx, now)
@@ -182,8 +189,8 @@
 
 // dispatch hands due messages to the senders. A message that finds its queue
 // full is due again later.
-func (t *leadTask) dispatch(now time.Time) {
-	for _, m := range t.leader.Messages(now) {
+func (t *leadTask) dispatch(due []expertmap.Message) {
+	for _, m := range due {
 		var placement []byte
 		if m.Load != nil {
 			em, _ := t.leader.Map(m.Load.Version)
