Send rarer keepalives between agents; check a session that missed an answer

Cause: the dialling side of each session between two agents sent a keepalive each second, so each rank took part in one a second for each other rank, the cost that grows with the group at ranks that do not lead.

Change: agents send keepalives every 5 s also on sessions they dial, which lead to agents of their group only. A leader that gets no answer within 2 s pings the session and ends it after 3 s without a reply, so that a dead session that carries grants is still found within 5 s (4 s before). Other sessions between agents are found dead within 8 s; until then they count as reached when a rank leaves, which its drain timeout bounds.

--- a/io/group/send.go
+++ b/io/group/send.go
@@ -85,6 +85,10 @@
 	reply, err := x.exchange(ctx, f)
 	if err != nil {
 		x.g.cfg.Logger.Debug("message to rank failed", zap.Int("to", x.rank), zap.Error(err))
+		if x.stream != nil && ctx.Err() == nil {
+			// Keepalives of agents are rare.
+			x.stream.CheckSession()
+		}
 		x.drop()
 		return nil
 	}
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -26,6 +26,8 @@
 	// agentKeepAliveInterval is used by an agent for entries, which send their
 	// own keepalive each second. An agent only ends the runs of a lost entry, so
 	// it may learn of the loss later; an entry has hundreds of such sessions.
+	// An agent dials agents of its group only; a leader that misses an answer
+	// checks the session at once.
 	agentKeepAliveInterval = 5 * time.Second
 	writeTimeout           = 3 * time.Second
 	controlQueueLen        = 256
@@ -218,7 +220,7 @@
 	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil, fmt.Errorf("set handshake deadline: %w", err)
 	}
-	mux, err := newMux(&joinedConn{Conn: conn}, dialed, n.keepAlive(dialed))
+	mux, err := newMux(&joinedConn{Conn: conn}, dialed, n.keepAlive())
 	if err != nil {
 		return nil, err
 	}
@@ -234,8 +236,8 @@
 	return newSession(n, mux, control), nil
 }
 
-func (n *Node) keepAlive(dialed bool) time.Duration {
-	if !dialed && n.cfg.Self.GetRole() == core.RoleAgent {
+func (n *Node) keepAlive() time.Duration {
+	if n.cfg.Self.GetRole() == core.RoleAgent {
 		return agentKeepAliveInterval
 	}
 	return keepAliveInterval
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
@@ -71,6 +72,16 @@
 // bound.
 func (s *Stream) SetDeadline(t time.Time) error { return s.conn.SetDeadline(t) }
 
+// CheckSession ends the session of the stream when the peer does not answer a
+// ping within 3 s. It blocks until then.
+func (s *Stream) CheckSession() {
+	if m, ok := s.conn.(*yamux.Stream); ok {
+		if _, err := m.Session().Ping(); err != nil {
+			m.Session().Close()
+		}
+	}
+}
+
 // Close ends the sending direction; the peer's Receive then meets io.EOF.
 // Receive still works until the peer closes too.
 func (s *Stream) Close() error { return s.conn.Close() }
