Send the content of a map to each rank once

Cause: the leader repeats the order to load a map every 300 ms until the rank has loaded it, each time with the whole map. At 16 ranks that was most of the leader's bytes.

Change: LoadAck tells that the rank holds the content (new field held), and the leader leaves the content out of further orders of that version to it. A rank that does not hold it, such as one whose agent has restarted, says so and gets the content again. A version has one content, so nothing can be mixed up.

--- a/io/group/convert.go
+++ b/io/group/convert.go
@@ -64,9 +64,9 @@
 		Accepted: a.Accepted, Horizon: a.Horizon, HighestFence: a.HighestFence, Generation: a.Generation, StateLost: a.StateLost}}}
 }
 
-func loadAckToPB(group string, a expertmap.LoadAck) *peerpb.Frame {
+func loadAckToPB(group string, a expertmap.LoadAck, held bool) *peerpb.Frame {
 	return &peerpb.Frame{Body: &peerpb.Frame_LoadAck{LoadAck: &peerpb.LoadAck{Group: group, Rank: int32(a.Rank),
-		MapVersion: a.Version, Loaded: a.Loaded, HighestFence: a.HighestFence, StateLost: a.StateLost}}}
+		MapVersion: a.Version, Loaded: a.Loaded, HighestFence: a.HighestFence, StateLost: a.StateLost, Held: held}}}
 }
 
 func stopAckToPB(group string, a expertmap.StopAck) *peerpb.Frame {
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -172,3 +172,24 @@
 		}
 	}
 }
+
+// TestRepeatedOrderToLoad guards against a rank that has lost the content of a
+// map and is sent the order without it for ever.
+func TestRepeatedOrderToLoad(t *testing.T) {
+	c, l := fourRanks(t)
+	v := c.propose(l)
+	c.waitMap(v)
+	i := (l + 1) % 4
+	ask := func(version int64, placement string) *peerpb.LoadAck {
+		t.Helper()
+		f := c.agents[i].group.ask(context.Background(), &peerpb.Frame{Body: &peerpb.Frame_LoadMap{LoadMap: &peerpb.LoadMap{
+			Group: "g", Fence: c.agents[i].group.Status().Fence, MapVersion: version, Placement: []byte(placement)}}})
+		return f.GetLoadAck()
+	}
+	if a := ask(v, ""); !a.GetHeld() || !a.GetLoaded() {
+		t.Errorf("order without content for a held map: got %v, want it held and loaded", a)
+	}
+	if a := ask(v+1, ""); a == nil || a.GetHeld() || a.GetLoaded() {
+		t.Errorf("order without content for an unknown map: got %v, want it neither held nor loaded", a)
+	}
+}
--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -36,6 +36,8 @@
 	received  int64
 	// answeredAt is when each rank last answered this leader.
 	answeredAt []time.Time
+	// held is the map whose content each rank has last said to hold.
+	held []int64
 }
 
 func newLeadTask(g *Group) *leadTask {
@@ -107,6 +109,7 @@
 	t.g.leads.Store(true)
 	t.lastTurn = time.Now()
 	t.tookAt = t.lastTurn
+	t.held = make([]int64, len(t.g.cfg.RankIDs))
 	t.answeredAt = slices.Repeat([]time.Time{t.tookAt}, len(t.g.cfg.RankIDs))
 }
 
@@ -134,6 +137,11 @@
 	t.received += int64(a.receivedBytes)
 	t.sent++
 	t.sentBytes += int64(a.sentBytes)
+	if l := a.frame.GetLoadAck(); l.GetHeld() {
+		t.held[a.rank] = l.GetMapVersion()
+	} else if l != nil {
+		t.held[a.rank] = 0
+	}
 	stage := t.leader.Stage()
 	if err := deliver(t.leader, a.frame); err != nil {
 		t.log.Warn("answer of a rank", zap.Error(err))
@@ -192,7 +200,7 @@
 func (t *leadTask) dispatch(due []expertmap.Message) {
 	for _, m := range due {
 		var placement []byte
-		if m.Load != nil {
+		if m.Load != nil && t.held[m.Rank] != m.Load.Version {
 			em, _ := t.leader.Map(m.Load.Version)
 			var err error
 			if placement, err = json.Marshal(em); err != nil {
--- a/io/group/rank.go
+++ b/io/group/rank.go
@@ -249,12 +249,19 @@
 	if !t.ours(l.GetGroup(), l.GetFence(), true) {
 		return nil
 	}
-	m, err := decodeMap(l)
-	if err != nil {
-		t.log.Warn("refused a map", zap.Error(err))
-		return nil
-	}
 	order := expertmap.LoadMap{Fence: l.GetFence(), Version: l.GetMapVersion()}
+	m, held := t.maps[order.Version]
+	if !held && len(l.GetPlacement()) == 0 {
+		// This agent has restarted; the leader sends the content again.
+		return loadAckToPB(t.g.cfg.Group, t.rank.LoadAck(order), false)
+	}
+	if !held {
+		var err error
+		if m, err = decodeMap(l); err != nil {
+			t.log.Warn("refused a map", zap.Error(err))
+			return nil
+		}
+	}
 	if t.rank.Heeds(l.GetFence()) && !t.rank.LoadAck(order).Loaded {
 		if err := t.engine.Load(ctx, l.GetFence(), m); err != nil {
 			t.log.Warn("order to load a map failed", zap.Int64("map", m.Version), zap.Error(err))
@@ -263,7 +270,8 @@
 		}
 		t.poll(ctx)
 	}
-	return loadAckToPB(t.g.cfg.Group, t.rank.LoadAck(order))
+	_, held = t.maps[order.Version]
+	return loadAckToPB(t.g.cfg.Group, t.rank.LoadAck(order), held)
 }
 
 func (t *rankTask) stop(ctx context.Context, p *peerpb.Stop) *peerpb.Frame {
