--- a/io/group/lead.go
+++ b/io/group/lead.go
@@ -36,6 +36,8 @@
 	received  int64
 	// answeredAt is when each rank last answered this leader.
 	answeredAt []time.Time
+	// held is the map whose content each rank has last said to hold.
+	held []int64
 }
 
 func newLeadTask(g *Group) *leadTask {
@@ -54,6 +56,7 @@
 			return
 		case f := <-t.g.folds:
 			t.folded(ctx, f)
+			tick.Reset(t.interval())
 		case i := <-t.g.infos:
 			t.observe(i)
 		case a := <-t.g.answers:
@@ -63,10 +66,19 @@
 			op(t)
 		case <-tick.C:
 			t.turn(ctx)
+			tick.Reset(t.interval())
 		}
 	}
 }
 
+// interval returns the time to the next turn.
+func (t *leadTask) interval() time.Duration {
+	if _, had := t.fold.leaders.Of(t.g.cfg.Group); had && t.leader == nil && time.Since(t.heard) < idleSilence {
+		return idleInterval
+	}
+	return leadInterval
+}
+
 // folded follows the leaders stream: the record with the highest offset names
 // the leader.
 func (t *leadTask) folded(ctx context.Context, f fold) {
@@ -94,8 +106,10 @@
 	t.past[fence] = true
 	t.leader = expertmap.NewLeader(t.g.cfg.Group, fence, len(t.g.cfg.RankIDs), t.info.maps, t.g.cfg.InitialMap)
 	t.senders = t.g.startSenders(ctx, fence)
+	t.g.leads.Store(true)
 	t.lastTurn = time.Now()
 	t.tookAt = t.lastTurn
+	t.held = make([]int64, len(t.g.cfg.RankIDs))
 	t.answeredAt = slices.Repeat([]time.Time{t.tookAt}, len(t.g.cfg.RankIDs))
 }
 
@@ -111,6 +125,7 @@
 	s := t.senders
 	t.wg.Go(s.wait)
 	t.leader, t.senders = nil, nil
+	t.g.leads.Store(false)
 	t.heard = time.Now()
 }
 
@@ -122,6 +137,12 @@
 	t.received += int64(a.receivedBytes)
 	t.sent++
 	t.sentBytes += int64(a.sentBytes)
+	if l := a.frame.GetLoadAck(); l.GetHeld() {
+		t.held[a.rank] = l.GetMapVersion()
+	} else if l != nil {
+		t.held[a.rank] = 0
+	}
+	stage := t.leader.Stage()
 	if err := deliver(t.leader, a.frame); err != nil {
 		t.log.Warn("answer of a rank", zap.Error(err))
 	}
@@ -129,7 +150,13 @@
 		t.resign("a rank has seen a higher fence")
 		return
 	}
-	t.dispatch(time.Now())
+	// Going through all ranks at the answer of each would cost the square of
+	// their number.
+	if t.leader.Stage() == stage {
+		t.dispatch(t.leader.MessagesTo(a.rank, time.Now()))
+		return
+	}
+	t.dispatch(t.leader.Messages(time.Now()))
 }
 
 // wake lets a leader that was paused first check that it still leads, as far
@@ -151,7 +178,7 @@
 	}
 	if t.leader != nil {
 		t.leader.Step(t.info.step)
-		t.dispatch(now)
+		t.dispatch(t.leader.Messages(now))
 		return
 	}
 	t.candidate(ctx, now)
@@ -170,10 +197,10 @@
 
 // dispatch hands due messages to the senders. A message that finds its queue
 // full is due again later.
-func (t *leadTask) dispatch(now time.Time) {
-	for _, m := range t.leader.Messages(now) {
+func (t *leadTask) dispatch(due []expertmap.Message) {
+	for _, m := range due {
 		var placement []byte
-		if m.Load != nil {
+		if m.Load != nil && t.held[m.Rank] != m.Load.Version {
 			em, _ := t.leader.Map(m.Load.Version)
 			var err error
 			if placement, err = json.Marshal(em); err != nil {
