--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -85,6 +85,12 @@
 		{"check", bad},
 		{"check", settings},
 		{"check", settings + ".missing"},
+		{"entry"},
+		{"entry", "--settings", settings + ".missing"},
+		{"entry", "--settings", "../../examples/agent.toml"},
+		{"agent", "--settings", settings},
+		{"agent", "--settings", "../../examples/entry.toml"},
+		{"report", "--since=-1h"},
 	}
 	for _, args := range tests {
 		var out, errOut bytes.Buffer
