Run all random tests in the soak; name test deployments by process

Cause: two tests with random faults were not part of make soak, since they call eachPhase. Two test runs whose process ids agree modulo 200 would share the deployment name. Change: the pattern of the soak takes both; the name holds the process id.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 TEST_FLAGS ?=
 SEEDS ?= 20
-# The tests with random faults are those that call eachSeed.
-SEEDED_TESTS ?= $(shell awk '/^func Test/ {f = $$2; sub(/[^A-Za-z0-9_].*/, "", f)} /^\teachSeed.t, / {print f}' systemtest/*_test.go | paste -sd'|')
+# The tests with random faults are those that call eachSeed or eachPhase.
+SEEDED_TESTS ?= $(shell awk '/^func Test/ {f = $$2; sub(/[^A-Za-z0-9_].*/, "", f)} /^\teach(Seed|Phase).t, / {print f}' systemtest/*_test.go | paste -sd'|')
 
 export CGO_ENABLED := 1
 
--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -254,7 +254,7 @@
 func (c *cluster) newProc(role, id, domain string) *proc {
 	ip := c.address()
 	p := &proc{
-		t: c.t, id: id, role: role, domain: domain, deployment: c.net,
+		t: c.t, id: id, role: role, domain: domain, deployment: fmt.Sprintf("%s-%d", c.net, os.Getpid()),
 		caller: ip + ":8080", admin: ip + ":8081", peer: ip + ":8082",
 		logFile: c.dir + "/" + id + ".log", reports: c.reports,
 	}
