Publish a test's own contracts together with the default ones

Cause: two report tests published a contract before the first team existed, with the operators' token, which is no bootstrap token any more since the access table got a token of its own; both ended at their set-up with 401. Change: a cluster takes further contracts and publishes them after its first team. Conclusion: no check is changed.

--- a/systemtest/cluster_test.go
+++ b/systemtest/cluster_test.go
@@ -49,6 +49,8 @@
 type sizes struct {
 	entries, engines, desks int
 	engine                  engine.Options
+	// contracts are published beside the default ones.
+	contracts []core.Contract
 	// reports is the interval of the reports, 1m when it is empty.
 	reports string
 	// retention is what the processes think that the log keeps; the default is
@@ -72,13 +74,15 @@
 	log     *platformlog.Server
 	logAddr string
 	reports string
-	lists   map[string]*hostlist.Server
-	rows    []core.Host
-	entries []*proc
-	links   map[string]*proxy
-	models  []*backend
-	desks   []*backend
-	history *history
+	// contracts are published beside the default ones.
+	contracts []core.Contract
+	lists     map[string]*hostlist.Server
+	rows      []core.Host
+	entries   []*proc
+	links     map[string]*proxy
+	models    []*backend
+	desks     []*backend
+	history   *history
 }
 
 func newCluster(t testing.TB, s sizes) *cluster {
@@ -96,7 +100,7 @@
 	t.Cleanup(c.log.Close)
 	c.proxyIP = c.address()
 	c.logAddr = c.serve(c.log)
-	c.reports = s.reports
+	c.reports, c.contracts = s.reports, s.contracts
 	for i := range s.entries {
 		c.addEntry(i)
 	}
--- a/systemtest/operator_test.go
+++ b/systemtest/operator_test.go
@@ -31,6 +31,9 @@
 	c.mustPublish("service/"+deskService, core.Service{Name: deskService, Kind: core.ServicePlain, PathPrefix: "/bookings",
 		ColdConcurrency: 16, ColdTokens: 16, MaxConcurrency: 64, MemoryTokens: 64, MaxBodyBytes: 1 << 16, MaxReplyBytes: 1 << 16,
 		RequestTimeoutMS: 10000})
+	for _, k := range c.contracts {
+		c.mustPublish("contract/"+k.Organisation, k)
+	}
 	for _, org := range []string{"trails", "farm"} {
 		c.mustPublish("contract/"+org, core.Contract{Organisation: org, CallerKeyHashes: []string{hash(org + "-key")},
 			Services: []string{modelService, deskService}, RequestsPerSecond: 2000, TokensPerSecond: 1e6, Concurrency: 400,
--- a/systemtest/report_test.go
+++ b/systemtest/report_test.go
@@ -85,13 +85,12 @@
 }
 
 // newReportCluster has an organisation "small" whose limit its load exceeds.
-// Its contract is published first, so that it settles together with the others.
+// Its contract is published with the others, so that all settle together.
 func newReportCluster(t *testing.T) *cluster {
-	c := newCluster(t, sizes{entries: 3, engines: 3, desks: 1, reports: reportInterval.String()})
-	eventually(t, "an entry answers", func() bool { return c.entries[0].ready() })
-	c.mustPublish("contract/small", core.Contract{Organisation: "small", CallerKeyHashes: []string{hash("small-key")},
+	small := core.Contract{Organisation: "small", CallerKeyHashes: []string{hash("small-key")},
 		Services: []string{modelService}, RequestsPerSecond: 5, TokensPerSecond: 1e6, Concurrency: 100,
-		ReplyTimeMS: 20000, ReplyMemoryBytes: 64 << 20, MaxPriority: 3, Weight: 1})
+		ReplyTimeMS: 20000, ReplyMemoryBytes: 64 << 20, MaxPriority: 3, Weight: 1}
+	c := newCluster(t, sizes{entries: 3, engines: 3, desks: 1, reports: reportInterval.String(), contracts: []core.Contract{small}})
 	c.ready()
 	eventually(t, "the contract of small is in force", func() bool {
 		return c.client("small").complete(c.entries[0], "first", 1).result == resultOK
