End the lead task's callers when it ends, not when the whole group has

The rebalance task asks the lead task for its status and waits for an answer or for the end of the group. When both are told to stop and the lead task ends first, nobody answers, and the group does not end because it waits for the rebalance task. Ruled out: the peer node and the claimer, which end within their timeouts.

Change: Group.do gives up when the lead task has ended; Group.ask also when its context ends. TestStopDuringRebalance starts and stops a group 100 times with a rebalance interval of 1 µs.

Conclusion: the stop was a deadlock of the product, not of the test.

--- a/io/group/group.go
+++ b/io/group/group.go
@@ -91,6 +91,8 @@
 	floors   chan int64
 	answers  chan answer
 	ops      chan func(*leadTask)
+	// leadDone is closed when the lead task has ended, which is before done.
+	leadDone chan struct{}
 	done     chan struct{}
 	// steppedAt is when the engine was last seen to have run a step.
 	steppedAt atomic.Pointer[time.Time]
@@ -116,6 +118,7 @@
 		floors:   make(chan int64),
 		answers:  make(chan answer),
 		ops:      make(chan func(*leadTask)),
+		leadDone: make(chan struct{}),
 		done:     make(chan struct{}),
 		// A line break is in no id.
 		ranksHash: xxhash.Sum64String(strings.Join(cfg.RankIDs, "\n")),
@@ -138,7 +141,10 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { newRankTask(g).run(ctx) })
 	wg.Go(func() { g.follow(ctx) })
-	wg.Go(func() { newLeadTask(g).run(ctx) })
+	wg.Go(func() {
+		defer close(g.leadDone)
+		newLeadTask(g).run(ctx)
+	})
 	if g.cfg.Loads != nil && g.cfg.NewRebalancer != nil && g.cfg.RebalanceInterval > 0 {
 		wg.Go(func() { g.rebalance(ctx) })
 	}
@@ -181,6 +187,8 @@
 	select {
 	case reply := <-r.reply:
 		return reply
+	case <-ctx.Done():
+		return nil
 	case <-g.done:
 		return nil
 	}
@@ -193,7 +201,7 @@
 	case g.ops <- func(t *leadTask) { op(t); close(ran) }:
 		<-ran
 		return true
-	case <-g.done:
+	case <-g.leadDone:
 		return false
 	}
 }
--- /dev/null
+++ b/io/group/stop_test.go
@@ -0,0 +1,41 @@
+package group
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/expertmap"
+)
+
+// noLoads has no window of load.
+type noLoads struct{}
+
+func (noLoads) Experts(context.Context) (core.ExpertWindow, error) {
+	return core.ExpertWindow{}, core.ErrUnavailable
+}
+
+// Guards against a stop that waits for ever, because the rebalance task asks the
+// lead task after that one has ended.
+func TestStopDuringRebalance(t *testing.T) {
+	const stopLimit = 5 * time.Second
+	c := startCluster(t, clusterConfig{ranks: 1, stepTime: time.Millisecond, fencing: func(int) bool { return true }})
+	for i := range 100 {
+		g := New(Config{
+			Group: "g", RankIDs: []string{"agent-x"}, Log: newMemoryLog(), Engine: c.clients[0],
+			InitialMap: core.ExpertMap{Replicas: [][][]int{{{0}}}},
+			Loads:      noLoads{}, NewRebalancer: func() core.Rebalancer { return nil },
+			RebalanceInterval: time.Microsecond, Shape: expertmap.Shape{Layers: 1, Experts: 1, Ranks: 1},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go g.Run(ctx)
+		time.Sleep(time.Millisecond)
+		cancel()
+		select {
+		case <-g.Done():
+		case <-time.After(stopLimit):
+			t.Fatalf("stop %d: got a group that runs after %v, want an end", i, stopLimit)
+		}
+	}
+}
