Probe a group that is out of service, and send its callers back late

Cause: while a group is out of service every rank rejects. A gateway sent each request through several ranks and told its caller to come back after 200 ms.

Change: an engine that rejects twice in a row is left out and probed with one request at a time (100 to 400 ms apart). When all servers of a service are out, requests are rejected at once and callers are told to return after 2.5 s, which is inside the third of their time that they wait.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -22,6 +22,9 @@
 	// minRetryAfter and maxRetryAfter bound what a rejected caller is told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2500 * time.Millisecond
+	// shedRetryAfter is told to callers whose request servers have rejected
+	// while others serve.
+	shedRetryAfter = 200 * time.Millisecond
 	// rateHalfLife is the half-life of the measured rate of completions.
 	rateHalfLife = time.Second
 	// peerLoadAge is how long the load stated by another gateway counts.
@@ -235,4 +238,19 @@
 	sv.requests = max(0, sv.requests-1)
 	sv.tokens = max(0, sv.tokens-tokens)
 	sv.health.result(o, now)
+	if o == OutcomeShed && s.config.Engine != nil {
+		sv.health.rejected(now)
+	}
+}
+
+// RetryAfter returns when a caller should come back whose request was sent in
+// vain: soon while some server serves, late when all are out of service, since
+// callers return only a few times.
+func (d *Dispatcher) RetryAfter(name string) time.Duration {
+	for _, sv := range d.service(name).order {
+		if sv.Usable && !sv.health.out() {
+			return shedRetryAfter
+		}
+	}
+	return maxRetryAfter
 }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -243,3 +243,70 @@
 		t.Errorf("streams on time: got %.2f, want at least %.2f", bounded, baseline+leastGain)
 	}
 }
+
+// Guards against callers that are sent through all ranks of a group that is out
+// of service and told to come back while it still is, and against a group that
+// is formed again and left out.
+func TestGroupOutOfServiceIsOnlyProbed(t *testing.T) {
+	const ranks, probes = 4, 2
+	d := newDispatcher(ranks, 10, true)
+	at, id := start, uint64(0)
+	offer := func() dispatch.Verdict {
+		id++
+		v, ok := d.Offer(request(id, at.Sub(start)), at)
+		if !ok {
+			t.Fatalf("request %d waits, want a verdict at once", id)
+		}
+		return v
+	}
+	for range 100 {
+		if v := offer(); v.Rejected == "" {
+			d.Finished("s", v.Server.ID, 100, dispatch.OutcomeShed, at)
+		}
+	}
+	v := offer()
+	if v.Rejected != dispatch.ReasonNoServer || v.RetryAfter < 2*time.Second {
+		t.Errorf("verdict after 100 rejections: got %+v, want %s and a late return", v, dispatch.ReasonNoServer)
+	}
+	if got := d.RetryAfter("s"); got < 2*time.Second {
+		t.Errorf("return after a rejection by the group: got %v, want at least 2s", got)
+	}
+	sent := 0
+	at = at.Add(time.Second)
+	for range 100 {
+		if v := offer(); v.Rejected == "" {
+			sent++
+			d.Finished("s", v.Server.ID, 100, dispatch.OutcomeShed, at)
+		}
+	}
+	if sent > ranks {
+		t.Errorf("requests sent to a group that is out of service: got %d at once, want at most one for each of %d ranks", sent, ranks)
+	}
+	at = at.Add(time.Second)
+	for range ranks {
+		v := offer()
+		if v.Rejected != "" {
+			t.Fatalf("request to a group that may serve again: got %s, want a server", v.Rejected)
+		}
+		d.Finished("s", v.Server.ID, 100, dispatch.OutcomeServed, at)
+	}
+	for range ranks * probes {
+		if v := offer(); v.Rejected != "" {
+			t.Errorf("request after the group has served: got %s, want a server", v.Rejected)
+		}
+	}
+}
+
+// Guards against a full engine that is taken for one whose group is out of
+// service, so that callers are turned away from a group that serves.
+func TestSingleRejectionLeavesServerIn(t *testing.T) {
+	d := newDispatcher(1, 10, true)
+	v, _ := d.Offer(request(1, 0), start)
+	d.Finished("s", v.Server.ID, 100, dispatch.OutcomeShed, start)
+	if v, _ = d.Offer(request(2, 0), start); v.Rejected != "" {
+		t.Errorf("request after one rejection: got %s, want a server", v.Rejected)
+	}
+	if got := d.RetryAfter("s"); got > time.Second {
+		t.Errorf("return after one rejection: got %v, want at most 1s", got)
+	}
+}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -20,6 +20,14 @@
 	// out.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	// rejectionsInRow is the number of rejections without a success between them
+	// after which an engine counts as out of service with its group. A single
+	// one may come from a full engine.
+	rejectionsInRow = 2
+	// firstRejectionBackoff and maxRejectionBackoff bound how long such an engine
+	// is left out. A group that is formed again serves on all ranks at once.
+	firstRejectionBackoff = 100 * time.Millisecond
+	maxRejectionBackoff   = 400 * time.Millisecond
 )
 
 // health weighs the recent outcomes of a server.
@@ -28,6 +36,8 @@
 	at        time.Time
 	backoff   time.Duration
 	until     time.Time
+	// rejections counts rejections since the last success.
+	rejections int
 }
 
 // open reports whether the server may be tried.
@@ -60,7 +70,7 @@
 	switch o {
 	case OutcomeServed:
 		h.good++
-		h.backoff, h.until = 0, time.Time{}
+		h.backoff, h.until, h.rejections = 0, time.Time{}, 0
 	case OutcomeShed, OutcomeFailed:
 		h.bad++
 	case OutcomeUnreachable:
@@ -70,6 +80,18 @@
 	}
 }
 
+// rejected notes that an engine of a lock-step group has rejected a request.
+func (h *health) rejected(now time.Time) {
+	h.rejections++
+	if h.rejections >= rejectionsInRow {
+		h.backoff = min(maxRejectionBackoff, max(firstRejectionBackoff, 2*h.backoff))
+		h.until = now.Add(h.backoff)
+	}
+}
+
+// out reports whether the server is left out or only probed.
+func (h *health) out() bool { return h.backoff > 0 }
+
 // decay is the factor by which a value with a half-life fades over a time.
 func decay(d, halfLife time.Duration) float64 {
 	return math.Exp(-ln2 * float64(max(0, d)) / float64(halfLife))
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -31,8 +31,6 @@
 	plainQueueShare = 0.5
 	// minTimeLeft is the least time left with which a request is still sent.
 	minTimeLeft = 20 * time.Millisecond
-	// shedRetryAfter is told to callers whose request a server rejected.
-	shedRetryAfter = 200 * time.Millisecond
 )
 
 // attempts is the course of one request.
@@ -79,7 +77,7 @@
 			return
 		}
 		if why, ok := g.mayRepeat(a); !ok {
-			g.giveUp(a, why, shedRetryAfter)
+			g.giveUp(a, why, g.retryAfter(a.service))
 			return
 		}
 	}
@@ -126,7 +124,14 @@
 	if a.r.Context().Err() != nil {
 		return dispatch.Verdict{}, false
 	}
-	return dispatch.Verdict{Rejected: dispatch.ReasonTooLate, RetryAfter: shedRetryAfter}, true
+	return dispatch.Verdict{Rejected: dispatch.ReasonTooLate, RetryAfter: g.retryAfter(a.service)}, true
+}
+
+// retryAfter returns when a caller of a service should come back.
+func (g *Gateway) retryAfter(service string) time.Duration {
+	var after time.Duration
+	g.task.Do(func() { after = g.state.dispatcher.RetryAfter(service) })
+	return after
 }
 
 // request describes the request to the dispatcher.
@@ -191,7 +196,7 @@
 func (g *Gateway) attempt(a *attempts, v dispatch.Verdict) (dispatch.Outcome, bool) {
 	left := time.Until(a.callerEnds)
 	if time.Until(a.deadline) < minTimeLeft {
-		g.giveUp(a, "deadline", shedRetryAfter)
+		g.giveUp(a, "deadline", g.retryAfter(a.service))
 		return dispatch.OutcomeCancelled, true
 	}
 	a.tried = append(a.tried, v.Server.ID)
@@ -259,7 +264,7 @@
 	if a.r.Context().Err() != nil {
 		g.end(a, "caller_left")
 	} else {
-		g.giveUp(a, "deadline", shedRetryAfter)
+		g.giveUp(a, "deadline", g.retryAfter(a.service))
 	}
 	return true
 }
