Leave out engines that fall silent while their group gets on

Cause: on a frozen host the engine runs on but nothing reaches its callers.

Change: core/dispatch notes events by server and group. A server with requests that says nothing for 400 ms while others of its group do is left out like an unreachable one; its repeatable requests and resumable streams move to other ranks inside max_attempts and the retry budget. A group that stalls as a whole is not touched. TestSilentServerIsLeftOut, TestStalledGroupIsNotSilent and TestStreamLeavesSilentServer (fails without the move).

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -42,6 +42,8 @@
 	rate     float64
 	rateTime time.Time
 	pace     pace
+	// motions holds the motion of each group by its name.
+	motions map[string]*motion
 }
 
 // server is the state of one backend server.
@@ -52,6 +54,9 @@
 	peers    map[string]peerLoad
 	health   health
 	cold     coldLimit
+	// heard is when a server with requests last showed an event, or got its
+	// first request.
+	heard time.Time
 }
 
 type peerLoad struct {
@@ -108,7 +113,7 @@
 func (d *Dispatcher) service(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{name: name, servers: map[string]*server{}}
+		s = &service{name: name, servers: map[string]*server{}, motions: map[string]*motion{}}
 		d.services[name] = s
 	}
 	return s
@@ -140,11 +145,6 @@
 	return out
 }
 
-// ObservePause notes a pause between two events of a stream of a service.
-func (d *Dispatcher) ObservePause(name string, pause, most time.Duration, now time.Time) {
-	d.service(name).pace.observe(pause, most, now)
-}
-
 // load is the number of requests at a server as far as this gateway knows.
 func (sv *server) load(now time.Time) int {
 	n := sv.requests
@@ -220,6 +220,9 @@
 
 func (d *Dispatcher) assign(s *service, sv *server, r Request, now time.Time) Verdict {
 	v := Verdict{RequestID: r.ID, Server: sv.BackendServer, Load: sv.load(now), Waiting: len(s.queue)}
+	if sv.requests == 0 {
+		sv.heard = now
+	}
 	sv.requests++
 	sv.tokens += r.Tokens
 	sv.cold.take(sv.ColdUntil, now)
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -211,7 +211,7 @@
 			s.left--
 			s.late = s.late || pass > longest
 			if bounded {
-				d.ObservePause("s", pass, longest, now)
+				d.Event("s", "s0", pass, longest, now)
 			}
 			if s.left > 0 {
 				kept = append(kept, s)
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -70,7 +70,7 @@
 	switch o {
 	case OutcomeServed:
 		h.good++
-		h.backoff, h.until, h.rejections = 0, time.Time{}, 0
+		h.alive()
 	case OutcomeShed, OutcomeFailed:
 		h.bad++
 	case OutcomeUnreachable:
@@ -89,6 +89,17 @@
 	}
 }
 
+// silent leaves out a server that says nothing.
+func (h *health) silent(now time.Time) {
+	h.fade(now)
+	h.bad++
+	h.backoff = min(maxBackoff, max(firstSilentBackoff, 2*h.backoff))
+	h.until = now.Add(h.backoff)
+}
+
+// alive takes a server in again that has shown an event.
+func (h *health) alive() { h.backoff, h.until, h.rejections = 0, time.Time{}, 0 }
+
 // out reports whether the server is left out or only probed.
 func (h *health) out() bool { return h.backoff > 0 }
 
--- /dev/null
+++ b/core/dispatch/silence_test.go
@@ -0,0 +1,85 @@
+package dispatch_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"nutmegnotch/core/dispatch"
+)
+
+// step is the time between two events of a server in these tests.
+const step = 50 * time.Millisecond
+
+// occupied returns a dispatcher whose engines have a request each.
+func occupied(t *testing.T, n int) *dispatch.Dispatcher {
+	t.Helper()
+	d := newDispatcher(n, 10, true)
+	for i := range uint64(n) {
+		if v, ok := d.Offer(request(i, 0), start); !ok || v.Rejected != "" {
+			t.Fatalf("request %d: got %+v %v, want a server", i, v, ok)
+		}
+	}
+	return d
+}
+
+// Guards against callers that wait for an engine on a frozen host until their
+// patience ends, while the other ranks of its group serve.
+func TestSilentServerIsLeftOut(t *testing.T) {
+	d := occupied(t, 3)
+	var got []string
+	var found time.Duration
+	for at := step; at <= 800*time.Millisecond; at += step {
+		now := start.Add(at)
+		for _, id := range []string{"s1", "s2"} {
+			d.Event("s", id, step, 200*time.Millisecond, now)
+		}
+		if list := d.Silent(now); len(list) > 0 && found == 0 {
+			got, found = list, at
+		}
+	}
+	if !slices.Equal(got, []string{"s0"}) || found > 600*time.Millisecond {
+		t.Fatalf("silent servers: got %v after %v, want s0 within 600ms", got, found)
+	}
+	now := start.Add(found)
+	for i := range uint64(4) {
+		if v, _ := d.Offer(request(100+i, found), now); v.Server.ID == "s0" {
+			t.Error("request goes to the silent server, want another one")
+		}
+	}
+	d.Event("s", "s0", step, 200*time.Millisecond, now)
+	used := map[string]bool{}
+	for i := range uint64(16) {
+		v, _ := d.Offer(request(200+i, found), now)
+		used[v.Server.ID] = true
+	}
+	if !used["s0"] {
+		t.Error("server that speaks again gets no request, want one")
+	}
+}
+
+// Guards against requests that are moved from rank to rank while their whole
+// group stalls, and just after it has got on.
+func TestStalledGroupIsNotSilent(t *testing.T) {
+	d := occupied(t, 3)
+	now := start
+	for range 10 {
+		now = now.Add(step)
+		for _, id := range []string{"s0", "s1", "s2"} {
+			d.Event("s", id, step, 200*time.Millisecond, now)
+		}
+	}
+	for range 80 {
+		now = now.Add(step)
+		if got := d.Silent(now); len(got) > 0 {
+			t.Fatalf("silent servers in a group that stalls: got %v, want none", got)
+		}
+	}
+	for range 4 {
+		now = now.Add(step)
+		d.Event("s", "s1", step, 200*time.Millisecond, now)
+		if got := d.Silent(now); len(got) > 0 {
+			t.Fatalf("silent servers just after a stall: got %v, want none", got)
+		}
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -210,8 +210,11 @@
 		fields.LastEvent = a.relay.lastID
 		fields.Urgency = 0
 	}
-	ctx, cancel := context.WithCancel(a.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	defer cancel(nil)
+	if a.route.Kind.Repeatable() {
+		defer g.watchSilence(v.Server.ID, cancel)()
+	}
 	reply, err := g.client.Send(ctx, v.Server, backend.Request{
 		ID:     a.fields.RequestID,
 		Method: a.r.Method,
@@ -222,7 +225,7 @@
 		Once:   !a.route.Kind.Repeatable(),
 	})
 	if err != nil {
-		return g.sendFailed(a, v, err)
+		return g.sendFailed(a, v, err, errors.Is(context.Cause(ctx), errSilent))
 	}
 	defer reply.Close()
 	a.sent++
@@ -237,8 +240,9 @@
 	return g.attemptPlain(a, v, reply)
 }
 
-// sendFailed judges a send without a reply.
-func (g *Gateway) sendFailed(a *attempts, v dispatch.Verdict, err error) (dispatch.Outcome, bool) {
+// sendFailed judges a send without a reply. silent tells that the gateway has
+// given up on the server.
+func (g *Gateway) sendFailed(a *attempts, v dispatch.Verdict, err error, silent bool) (dispatch.Outcome, bool) {
 	if errors.Is(err, backend.ErrNotSent) {
 		a.unreachable++
 		if a.ctx.Err() != nil {
@@ -253,6 +257,10 @@
 		// A server that has said nothing until its caller left counts as failed.
 		return dispatch.OutcomeFailed, g.contextEnded(a)
 	}
+	if silent {
+		g.logAttempt(a, v, "server_silent", 0, err)
+		return dispatch.OutcomeCancelled, false
+	}
 	g.logAttempt(a, v, "no_reply", 0, err)
 	g.suspect(a.fingerprint, v.Server.ID)
 	return dispatch.OutcomeFailed, false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,7 @@
 	tunable    Tunable
 	budget     *retry.Window
 	waiting    map[uint64]chan dispatch.Verdict
+	sends      sends
 	members    *members
 	suspects   *suspects
 	// behind is since when another gateway knows more of a topic.
@@ -132,6 +133,7 @@
 		tunable:    cfg.Tunable,
 		budget:     newBudget(cfg.Tunable, 1),
 		waiting:    map[uint64]chan dispatch.Verdict{},
+		sends:      sends{},
 		members:    newMembers(cfg.PeerAddress, cfg.Tunable.Seeds),
 		suspects:   newSuspects(),
 	}
@@ -263,6 +265,7 @@
 				if g.state.directory.Expire(now) == directory.ChangeServers {
 					g.serversChanged(now)
 				}
+				g.moveFromSilent(now)
 				if g.state.dispatcher.Waiting() > 0 {
 					g.deliver(g.state.dispatcher.Next(now))
 				}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,8 @@
 	version  int
 	routes   []map[string]any
 	keys     []string
+	// engine describes the engines of the model service; nil means none.
+	engine map[string]any
 }
 
 // process is one running gateway.
@@ -83,7 +85,7 @@
 	d.version++
 	d.store.PutJSON("keyed.op", "config", map[string]any{
 		"version": d.version, "routes": d.routes,
-		"services": []map[string]any{{"name": "desk", "max_conns": 50}, {"name": "model", "max_conns": 50}},
+		"services": []map[string]any{{"name": "desk", "max_conns": 50}, {"name": "model", "max_conns": 50, "engine": d.engine}},
 		"limits":   map[string]any{"max_body_bytes": 1000},
 		"tenants":  []map[string]any{{"name": "org-a", "api_keys": d.keys}},
 	})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,6 +33,8 @@
 	gateway *Gateway
 	call    *call
 	rc      *http.ResponseController
+	// server is the one whose run is relayed.
+	server  string
 	started bool
 	lastID  string
 	last    time.Time
@@ -53,6 +55,7 @@
 		return dispatch.OutcomeFailed, false
 	}
 	before := a.relay.events
+	a.relay.server = v.Server.ID
 	err := a.relay.run(reply)
 	switch {
 	case err == nil:
@@ -161,12 +164,13 @@
 	}
 	s.lastID = id
 	now := time.Now()
+	pause := time.Duration(0)
 	if s.events > 0 {
-		pause := now.Sub(s.last)
+		pause = now.Sub(s.last)
 		s.worst = max(s.worst, pause)
-		g := s.gateway
-		g.task.Do(func() { g.state.dispatcher.ObservePause(s.call.service, pause, s.call.route.MaxPause, now) })
 	}
+	g := s.gateway
+	g.task.Do(func() { g.state.dispatcher.Event(s.call.service, s.server, pause, s.call.route.MaxPause, now) })
 	s.events++
 	s.last = now
 	return true
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -69,6 +69,34 @@
 	}
 }
 
+// Guards against callers that wait for a silent engine until their patience
+// ends, while others of its group serve: its requests are moved within a second.
+func TestStreamLeavesSilentServer(t *testing.T) {
+	t.Parallel()
+	const limit = time.Second
+	d := newDeployment(t)
+	d.engine = map[string]any{"slots": 4, "step_ms": 5, "stride": 1}
+	d.publish()
+	a := d.addRunner(runner.Config{ID: "m1", Events: 100, Pause: 10 * time.Millisecond}, "model")
+	d.addRunner(runner.Config{ID: "m2", Events: 100, Pause: 10 * time.Millisecond}, "model")
+	p := d.startReady()
+	a.Fail(runner.FaultHang, runner.FaultHang)
+	begun := time.Now()
+	answers := make(chan answer)
+	for range 4 {
+		go func() { answers <- send(newRequest(p, http.MethodPost, "/draft/1", "key-a", "write")) }()
+	}
+	for range 4 {
+		if got := <-answers; got.err != nil || got.body != wantStream(100) {
+			t.Errorf("stream: got %d bytes (%v), want all events", len(got.body), got.err)
+		}
+	}
+	// A stream lasts about a second.
+	if got, most := time.Since(begun), limit+1500*time.Millisecond; got > most {
+		t.Errorf("time of all streams: got %v, want at most %v", got, most)
+	}
+}
+
 // Guards against work that goes on after its caller has left.
 func TestCallerThatLeavesEndsTheRun(t *testing.T) {
 	t.Parallel()
