Use the pace of engines in placing, limits and maps

Cause: a slow engine makes every pass of its group slow.

Change: rank agents read the pace that their engine reports, tell it to gateways and to the leader. core/dispatch weighs the load of a server by it; the bound of streams is kept by group, and allows longer passes when the slowest engine makes every pause too long anyway; core/expertmap weighs the work of a rank by it. Requests that find every server full are not tried again in the same look at the queue.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	rateHalfLife = time.Second
 	// peerLoadAge is how long the load stated by another gateway counts.
 	peerLoadAge = time.Second
+	// slowAge is how long the news of a slow engine counts. It is repeated every
+	// second.
+	slowAge = 3 * time.Second
 )
 
 // service is the state of one service.
@@ -41,9 +44,9 @@
 	// rate is the measured rate of completions at this gateway, per second.
 	rate     float64
 	rateTime time.Time
-	pace     pace
-	// motions holds the motion of each group by its name.
-	motions map[string]*motion
+	// groups holds the lock-step groups by name; servers without a group share
+	// one.
+	groups map[string]*group
 }
 
 // server is the state of one backend server.
@@ -54,6 +57,10 @@
 	peers    map[string]peerLoad
 	health   health
 	cold     coldLimit
+	// slow is how many times slower than usual the engine works, as told at
+	// slowAt.
+	slow   float64
+	slowAt time.Time
 	// heard is when a server with requests last showed an event, or got its
 	// first request.
 	heard time.Time
@@ -113,7 +120,7 @@
 func (d *Dispatcher) service(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{name: name, servers: map[string]*server{}, motions: map[string]*motion{}}
+		s = &service{name: name, servers: map[string]*server{}, groups: map[string]*group{}}
 		d.services[name] = s
 	}
 	return s
@@ -145,6 +152,25 @@
 	return out
 }
 
+// SetPace notes how many times slower than usual the engine at an address works.
+func (d *Dispatcher) SetPace(address string, pace float64, now time.Time) {
+	for _, s := range d.services {
+		for _, sv := range s.order {
+			if sv.Address == address {
+				sv.slow, sv.slowAt = pace, now
+			}
+		}
+	}
+}
+
+// pace is how many times slower than usual the server works.
+func (sv *server) pace(now time.Time) float64 {
+	if now.Sub(sv.slowAt) > slowAge {
+		return 1
+	}
+	return max(1, sv.slow)
+}
+
 // load is the number of requests at a server as far as this gateway knows.
 func (sv *server) load(now time.Time) int {
 	n := sv.requests
@@ -164,27 +190,58 @@
 	return sv.Slots + plainOverbooking
 }
 
-// full reports whether the engines of a service run as many requests together
-// as their pauses allow.
-func (s *service) full(now time.Time) bool {
+// fullGroups returns the groups whose engines run as many requests together as
+// their pauses allow.
+func (s *service) fullGroups(now time.Time) map[string]bool {
 	if s.config.Engine == nil {
-		return false
+		return nil
+	}
+	for _, g := range s.groups {
+		g.requests, g.slots, g.servers, g.slowest = 0, 0, 0, 1
 	}
-	requests, slots := 0, 0
 	for _, sv := range s.order {
-		requests += sv.load(now)
-		slots += sv.Slots
+		g := s.group(sv)
+		g.requests += sv.load(now)
+		g.slots += sv.Slots
+		g.servers++
+		g.slowest = max(g.slowest, sv.pace(now))
+	}
+	full := map[string]bool{}
+	for name, g := range s.groups {
+		if g.servers == 0 {
+			continue
+		}
+		base := time.Duration(float64(s.config.Engine.PassBase) * g.slowest)
+		g.pace.measure(g.requests, base, now)
+		full[name] = g.requests >= g.pace.limit(g.servers, g.slots, base, now)
+	}
+	return full
+}
+
+// group is the state of one lock-step group. requests, slots, servers and
+// slowest are sums over its servers, and the pace of the slowest one.
+type group struct {
+	motion                   motion
+	pace                     pace
+	requests, slots, servers int
+	slowest                  float64
+}
+
+func (s *service) group(sv *server) *group {
+	g := s.groups[sv.Place.Group]
+	if g == nil {
+		g = &group{}
+		s.groups[sv.Place.Group] = g
 	}
-	base := s.config.Engine.PassBase
-	s.pace.measure(requests, base, now)
-	return requests >= s.pace.limit(len(s.order), slots, base, now)
+	return g
 }
 
 // choose returns the server for a request, or nil. full tells that servers
 // exist that could take it later.
 func (d *Dispatcher) choose(s *service, r Request, now time.Time) (best *server, full bool) {
-	if s.full(now) && !r.Resumed {
-		return nil, true
+	var fullGroups map[string]bool
+	if !r.Resumed {
+		fullGroups = s.fullGroups(now)
 	}
 	bestScore := 0.0
 	for _, sv := range s.order {
@@ -195,11 +252,11 @@
 			continue
 		}
 		load := sv.load(now)
-		if load >= s.limit(sv) || !sv.cold.allows(sv.ColdUntil, s.config.ColdRate/float64(d.gateways), now) {
+		if fullGroups[sv.Place.Group] || load >= s.limit(sv) || !sv.cold.allows(sv.ColdUntil, s.config.ColdRate/float64(d.gateways), now) {
 			full = true
 			continue
 		}
-		score := float64(load)/float64(sv.Slots) + sv.health.penalty(now) + tieBreak*d.rnd.Float64()
+		score := float64(load+1)/float64(sv.Slots)*sv.pace(now) + sv.health.penalty(now) + tieBreak*d.rnd.Float64()
 		if sv.Domain != d.domain {
 			score += domainPenalty
 		}
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -10,6 +10,10 @@
 	// paceTarget is the share of the longest pause on time that passes are held
 	// to. A pass that takes longer makes all running streams late at once.
 	paceTarget = 0.75
+	// lateTarget is the bound for a group whose slowest engine makes every pause
+	// too long, in units of the longest pause on time. Streams are late then in
+	// any case, and have to end before their callers give up.
+	lateTarget = 2.0
 	// paceWindow is how long pauses count, and paceSamples how many are needed.
 	paceWindow  = 200 * time.Millisecond
 	paceSamples = 5
@@ -70,6 +74,10 @@
 	if p.perRequest == 0 || now.Sub(p.measured) > time.Second {
 		return slots
 	}
-	room := time.Duration(paceTarget*float64(p.most)) - base
+	target := paceTarget
+	if base > time.Duration(paceTarget*float64(p.most)) {
+		target = lateTarget
+	}
+	room := time.Duration(target*float64(p.most)) - base
 	return min(slots, max(leastPerServer*servers, int(room/p.perRequest)))
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -75,11 +75,18 @@
 		}
 		slices.SortStableFunc(s.queue, func(a, b Request) int { return before(a, b, now) })
 		kept := s.queue[:0]
+		// blocked is set when no server takes a request that may go to any of
+		// them, so that the others need not be tried.
+		blocked := false
 		for _, r := range s.queue {
 			if !now.Before(r.GiveUp) {
 				out = append(out, s.reject(r, ReasonTooLate, now))
 				continue
 			}
+			if blocked && !r.Resumed {
+				kept = append(kept, r)
+				continue
+			}
 			sv, full := d.choose(s, r, now)
 			switch {
 			case sv != nil:
@@ -88,6 +95,7 @@
 				out = append(out, s.reject(r, ReasonNoServer, now))
 			default:
 				kept = append(kept, r)
+				blocked = len(r.Tried) == 0 && !r.Resumed
 			}
 		}
 		s.queue = kept
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -29,21 +29,17 @@
 // and the longest pause that is on time.
 func (d *Dispatcher) Event(name, serverID string, pause, most time.Duration, now time.Time) {
 	s := d.service(name)
-	if pause > 0 {
-		s.pace.observe(pause, most, now)
-	}
 	sv := s.servers[serverID]
 	if sv == nil {
 		return
 	}
 	sv.heard = now
 	sv.health.alive()
-	m := s.motions[sv.Place.Group]
-	if m == nil {
-		m = &motion{}
-		s.motions[sv.Place.Group] = m
+	g := s.group(sv)
+	g.motion.event(now)
+	if pause > 0 {
+		g.pace.observe(pause, most, now)
 	}
-	m.event(now)
 }
 
 // Silent returns the servers that have fallen silent since the last call. They
@@ -68,8 +64,8 @@
 // silent reports whether a server with requests has said nothing for long while
 // others of its group did.
 func (s *service) silent(sv *server, now time.Time) bool {
-	m := s.motions[sv.Place.Group]
-	if sv.requests == 0 || m == nil || now.Sub(m.last) > movingGap {
+	m := s.group(sv).motion
+	if sv.requests == 0 || now.Sub(m.last) > movingGap {
 		return false
 	}
 	return now.Sub(sv.heard) >= silentAfter && now.Sub(m.since) >= silentAfter
--- a/core/dispatch/silence_test.go
+++ b/core/dispatch/silence_test.go
@@ -58,6 +58,63 @@
 	}
 }
 
+// Guards against requests at a slow engine, which every pass of its group waits
+// for: it gets fewer than the others.
+func TestSlowServerGetsFewerRequests(t *testing.T) {
+	d := newDispatcher(3, 10, true)
+	dep, list := servers(3, 10, true)
+	for i := range list {
+		list[i].Address = list[i].ID
+	}
+	d.SetServers(dep, list, start)
+	d.SetPace("s1", 4, start)
+	got := map[string]int{}
+	for i := range uint64(9) {
+		v, _ := d.Offer(request(i, 0), start)
+		got[v.Server.ID]++
+	}
+	if got["s1"] > 1 {
+		t.Errorf("requests at an engine that takes 4 times as long: got %d of 9, want at most 1", got["s1"])
+	}
+	later := start.Add(10 * time.Second)
+	for i := range uint64(9) {
+		v, _ := d.Offer(request(100+i, 10*time.Second), later)
+		got[v.Server.ID]++
+	}
+	if got["s1"] < 4 {
+		t.Errorf("requests at an engine that is not slow any more: got %d of 18, want at least 4", got["s1"])
+	}
+}
+
+// Guards against a group that is left nearly empty because its slowest engine
+// makes every pause too long: its streams are late in any case, and fewer of
+// them serve nobody.
+func TestSlowGroupIsStillUsed(t *testing.T) {
+	const n, slots, most = 3, 10, 100 * time.Millisecond
+	d := newDispatcher(n, slots, true)
+	dep, list := servers(n, slots, true)
+	for i := range list {
+		list[i].Address = list[i].ID
+	}
+	d.SetServers(dep, list, start)
+	d.SetPace("s0", 7, start)
+	// A pass takes 7 times the usual 18 ms and 1 ms for each request.
+	now, running := start, 0
+	for id := range uint64(200) {
+		now = now.Add(step)
+		for i := range max(n, running) {
+			d.Event("s", list[i%n].ID, 126*time.Millisecond+time.Duration(running)*time.Millisecond, most, now)
+		}
+		d.SetPace("s0", 7, now)
+		if v, ok := d.Offer(request(id, now.Sub(start)), now); ok && v.Rejected == "" {
+			running++
+		}
+	}
+	if running < 20 {
+		t.Errorf("streams at a slow group: got %d of %d slots used, want at least 20", running, n*slots)
+	}
+}
+
 // Guards against requests that are moved from rank to rank while their whole
 // group stalls, and just after it has got on.
 func TestStalledGroupIsNotSilent(t *testing.T) {
--- a/core/expertmap/increment.go
+++ b/core/expertmap/increment.go
@@ -17,6 +17,9 @@
 	Places int
 	// MaxNew is the number of experts, over all sets, that a rank may copy.
 	MaxNew int
+	// Paces tell how many times slower than usual each rank works; nil stands
+	// for the usual pace.
+	Paces []float64
 }
 
 // setPlan is the plan of one set.
@@ -24,11 +27,13 @@
 	load    []float64
 	holders [][]int
 	held    []int
-	loads   []float64
+	paces   []float64
+	// loads is the work of each rank, in time at the usual pace.
+	loads []float64
 }
 
-func newSetPlan(l Layout, s int, load []float64) *setPlan {
-	p := &setPlan{load: load, holders: make([][]int, len(load)), held: make([]int, len(l)), loads: make([]float64, len(l))}
+func newSetPlan(l Layout, s int, load, paces []float64) *setPlan {
+	p := &setPlan{load: load, holders: make([][]int, len(load)), held: make([]int, len(l)), paces: paces, loads: make([]float64, len(l))}
 	for r := range l {
 		for _, e := range l[r][s] {
 			p.holders[e] = append(p.holders[e], r)
@@ -37,12 +42,21 @@
 	}
 	for e, on := range p.holders {
 		for _, r := range on {
-			p.loads[r] += load[e] / float64(len(on))
+			p.loads[r] += p.work(e, r, len(on))
 		}
 	}
 	return p
 }
 
+// work is the time that rank r spends on expert e when n ranks hold it.
+func (s *setPlan) work(e, r, n int) float64 {
+	w := s.load[e] / float64(n)
+	if s.paces != nil {
+		w *= s.paces[r]
+	}
+	return w
+}
+
 // move is one step of a plan: expert add comes to rank to. A negative from keeps
 // all replicas of it; a negative drop makes no room at to. With a negative to,
 // the replica at from is dropped only.
@@ -56,7 +70,7 @@
 func (p Increment) Plan(current Layout, load [][]float64) (Layout, bool) {
 	sets := make([]*setPlan, len(load))
 	for s := range load {
-		sets[s] = newSetPlan(current, s, load[s])
+		sets[s] = newSetPlan(current, s, load[s], p.Paces)
 	}
 	copied := make([]int, len(current))
 	changed := false
@@ -161,7 +175,7 @@
 // objective grows steeply with the load of the most loaded ranks. It is in units
 // of an even split, so that sets compare.
 func (s *setPlan) objective(loads []float64) float64 {
-	mean := sum(loads) / float64(len(loads))
+	mean := sum(s.load) / float64(len(loads))
 	if mean == 0 {
 		return 0
 	}
@@ -211,10 +225,10 @@
 
 func (s *setPlan) redistribute(loads []float64, e int, next []int) {
 	for _, r := range s.holders[e] {
-		loads[r] -= s.load[e] / float64(len(s.holders[e]))
+		loads[r] -= s.work(e, r, len(s.holders[e]))
 	}
 	for _, r := range next {
-		loads[r] += s.load[e] / float64(len(next))
+		loads[r] += s.work(e, r, len(next))
 	}
 }
 
--- a/core/expertmap/increment_test.go
+++ b/core/expertmap/increment_test.go
@@ -42,7 +42,7 @@
 		r := rand.New(rand.NewPCG(seed, 1))
 		load := shiftedLoad(r, sets, experts)
 		l := evenLayout(ranks, sets, experts)
-		baseline := LayoutSkew(l, load)
+		baseline := LayoutSkew(l, load, nil)
 		for range changes {
 			next, changed := Increment{Places: places, MaxNew: 1}.Plan(l, load)
 			if !changed {
@@ -63,7 +63,7 @@
 			}
 			l = next
 		}
-		if got := LayoutSkew(l, load); got > 1.3 || got >= baseline {
+		if got := LayoutSkew(l, load, nil); got > 1.3 || got >= baseline {
 			t.Errorf("seed %d: skew got %.2f after %d changes, want at most 1.3 (%.2f before)", seed, got, changes, baseline)
 		}
 	}
@@ -107,3 +107,36 @@
 		}
 	}
 }
+
+// Guards against a slow rank whose experts every pass of the group waits for:
+// its work moves to the others.
+func TestIncrementMovesWorkOffSlowRank(t *testing.T) {
+	const ranks, sets, experts, places, pace = 6, 2, 24, 6, 5.0
+	l := make(Layout, ranks)
+	for r := range l {
+		l[r] = make([][]int, sets)
+		for s := range sets {
+			for e := r; e < experts; e += ranks {
+				l[r][s] = append(l[r][s], e)
+			}
+		}
+	}
+	load := make([][]float64, sets)
+	for s := range load {
+		load[s] = make([]float64, experts)
+		for e := range load[s] {
+			load[s][e] = 1.0 / experts
+		}
+	}
+	paces := []float64{1, 1, pace, 1, 1, 1}
+	before := LayoutSkew(l, load, paces)
+	for range 8 {
+		l, _ = Increment{Places: places, MaxNew: 1, Paces: paces}.Plan(l, load)
+		if !l.Complete(sets, experts) {
+			t.Fatal("layout lost an expert")
+		}
+	}
+	if got := LayoutSkew(l, load, paces); before < pace || got > 1.7 {
+		t.Errorf("time of the slowest rank over an even split: got %.2f after %.2f, want at most 1.7", got, before)
+	}
+}
--- a/core/expertmap/layout.go
+++ b/core/expertmap/layout.go
@@ -58,13 +58,14 @@
 }
 
 // LayoutSkew returns the time of the slowest ranks, set by set, over the time of
-// an even split. Load is by set and expert.
-func LayoutSkew(l Layout, load [][]float64) float64 {
+// an even split over ranks of the usual pace. Load is by set and expert; paces
+// tell how many times slower each rank works, and may be nil.
+func LayoutSkew(l Layout, load [][]float64, paces []float64) float64 {
 	slowest, mean := 0.0, 0.0
 	for s := range load {
-		p := newSetPlan(l, s, load[s])
+		p := newSetPlan(l, s, load[s], paces)
 		slowest += slices.Max(p.loads)
-		mean += sum(p.loads) / float64(len(l))
+		mean += sum(load[s]) / float64(len(l))
 	}
 	if mean == 0 {
 		return 1
--- a/core/store.go
+++ b/core/store.go
@@ -86,6 +86,8 @@
 	Map, Prepared, Armed int64
 	ArmedPass, HeldPass  int64
 	Running, Waiting     int
+	// Pace is how many times slower than usual the engine works; 1 is usual.
+	Pace float64
 }
 
 // OrderKind names an order to the engine of a rank.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -82,6 +82,10 @@
 		g.task.Do(func() { g.onPull(from, b.DirectoryPull) })
 	case *peerpb.Frame_DirectoryRecords:
 		g.task.Do(func() { g.onRecords(from, b.DirectoryRecords, time.Now()) })
+	case *peerpb.Frame_RankPace:
+		g.task.Do(func() {
+			g.state.dispatcher.SetPace(b.RankPace.GetEngineAddress(), b.RankPace.GetPace(), time.Now())
+		})
 	case *peerpb.Frame_Suspicion:
 		g.task.Do(func() { g.state.suspects.add(b.Suspicion.GetFingerprint(), b.Suspicion.GetServerId(), time.Now()) })
 	}
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -82,7 +82,10 @@
 	// sentPlacement is the leader session that knows the placement.
 	sentPlacement *peer.Session
 	sentMap       int64
-	lead          *lead
+	// toldPace is the pace that gateways were told, at toldAt.
+	toldPace float64
+	toldAt   time.Time
+	lead     *lead
 }
 
 // shape is the size of the engine's experts.
@@ -107,7 +110,7 @@
 		log:   cfg.Logger,
 		port:  port,
 		task:  task.New(),
-		state: &state{ranks: map[int]string{}, kept: map[string]bool{}, leaders: map[int]*leaderView{}},
+		state: &state{toldPace: 1, ranks: map[int]string{}, kept: map[string]bool{}, leaders: map[int]*leaderView{}},
 		wg:    conc.NewWaitGroup(),
 		done:  make(chan struct{}),
 	}
--- a/rankagent/lead.go
+++ b/rankagent/lead.go
@@ -48,6 +48,7 @@
 	placedMap int64
 	mapNow    int64
 	epoch     int64
+	pace      float64
 }
 
 // leadStatus takes the status of a rank; a nil session stands for the own one.
@@ -95,7 +96,7 @@
 // take notes the status of a rank.
 func (l *lead) take(from *peer.Session, rank int, st *peerpb.RankStatus, now time.Time) {
 	r := &l.ranks[rank]
-	r.session, r.heard = from, now
+	r.session, r.heard, r.pace = from, now, st.GetPace()
 	if r.epoch != st.GetEpoch() {
 		r.placement = nil
 	}
@@ -131,7 +132,7 @@
 	c := l.changer
 	switch {
 	case c.Phase() == expertmap.PhasePrepare:
-		if current, next := c.Current(), c.Next(); expertmap.LayoutSkew(next, load) >= expertmap.LayoutSkew(current, load) {
+		if current, next := c.Current(), c.Next(); expertmap.LayoutSkew(next, load, l.paces()) >= expertmap.LayoutSkew(current, load, l.paces()) {
 			l.agent.log.Info("change of map dropped: demand has shifted", zap.Int64("version", c.Version()))
 			c.Drop(now)
 		}
@@ -158,16 +159,17 @@
 // propose plans a change of the map in force and begins it when it pays.
 func (l *lead) propose(load [][]float64, now time.Time) {
 	current := l.changer.Current()
-	before := expertmap.LayoutSkew(current, load)
+	paces := l.paces()
+	before := expertmap.LayoutSkew(current, load, paces)
 	if before < leastSkew {
 		return
 	}
-	plan := expertmap.Increment{Places: l.shape.places, MaxNew: min(newPerRank, l.shape.maxNew)}
+	plan := expertmap.Increment{Places: l.shape.places, MaxNew: min(newPerRank, l.shape.maxNew), Paces: paces}
 	next, changed := plan.Plan(current, load)
 	if !changed {
 		return
 	}
-	after := expertmap.LayoutSkew(next, load)
+	after := expertmap.LayoutSkew(next, load, paces)
 	if before-after < leastCut*(before-1) || !next.Complete(l.shape.sets, l.shape.experts) {
 		return
 	}
@@ -177,6 +179,18 @@
 	}
 }
 
+// paces returns how many times slower than usual each rank works.
+func (l *lead) paces() []float64 {
+	out := make([]float64, len(l.ranks))
+	for i := range l.ranks {
+		out[i] = 1
+		if p := l.ranks[i].pace; p >= slowPace {
+			out[i] = p
+		}
+	}
+	return out
+}
+
 // askSilent reads the engines of ranks whose agents do not report.
 func (l *lead) askSilent(now time.Time) {
 	for i := range l.ranks {
--- a/rankagent/status.go
+++ b/rankagent/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,17 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
+// Settings of the news of slow engines.
+const (
+	// paceChange is the relative change of the pace that is told at once.
+	paceChange = 0.1
+	// slowPace is the pace from which an engine counts as slow.
+	slowPace = 1.2
+	// paceRepeat is the time between two messages about a slow engine. Gateways
+	// forget the news after a few of them.
+	paceRepeat = time.Second
+)
+
 // poll reads the engine at an interval.
 func (a *Agent) poll(ctx context.Context) {
 	t := time.NewTicker(pollInterval)
@@ -72,6 +84,7 @@
 		s.placement, s.placedMap, s.placedEpoch = placement, r.Map, r.Place.Epoch
 		s.sentPlacement = nil
 	}
+	a.tellPace(now)
 	choices := s.choices(counts, r.StartedUnixMS)
 	st := s.status(choices)
 	a.keepSessions()
@@ -82,6 +95,24 @@
 	a.sendStatus(st, now)
 }
 
+// tellPace tells gateways when the own engine is slow, and when it no longer is.
+// It runs in the task.
+func (a *Agent) tellPace(now time.Time) {
+	s := a.state
+	p := max(1, s.report.Pace)
+	changed := math.Abs(p-s.toldPace) > paceChange*s.toldPace
+	if !changed && (p < slowPace || now.Sub(s.toldAt) < paceRepeat) {
+		return
+	}
+	if changed {
+		a.log.Info("pace of the engine changed", zap.Float64("pace", p), zap.Float64("before", s.toldPace))
+	}
+	s.toldPace, s.toldAt = p, now
+	a.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_RankPace{
+		RankPace: &peerpb.RankPace{EngineAddress: a.cfg.EngineAddress, Pace: p},
+	}})
+}
+
 // choices returns the choices since the last poll. Counts begin anew when the
 // engine restarts.
 func (s *state) choices(counts []int64, started int64) []uint32 {
@@ -104,7 +135,7 @@
 		Group: r.Place.Group, Rank: int32(r.Place.Rank), Size: int32(r.Place.Size), Epoch: r.Place.Epoch, Open: r.Place.Open,
 		Pass: r.Pass, MapVersion: r.Map, PreparedVersion: r.Prepared, ArmedVersion: r.Armed,
 		ArmedPass: r.ArmedPass, HeldPass: r.HeldPass, Running: uint32(r.Running), Waiting: uint32(r.Waiting),
-		StartedUnixMs: r.StartedUnixMS, Choices: choices,
+		StartedUnixMs: r.StartedUnixMS, Choices: choices, Pace: r.Pace,
 	}
 }
 
