Let callers that have come back wait for a group that is formed again

Change: - a group is out of service as a whole after three rejections in a row, or when an agent beside one of its engines says so; agents tell gateways at once when it serves again. It is probed by first attempts only. - a caller with less time left than others of its route has come back.

The seconds after a group is formed stay late: map 0 has a skew above 3 and the returning callers come on top of the others.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -48,6 +48,8 @@
 // the store and stays in use until the grace has passed.
 type entry struct {
 	server core.BackendServer
+	// offset is that of the newest record.
+	offset int64
 	lapsed bool
 	// coldUntil is when the server stops being cold.
 	coldUntil time.Time
@@ -105,7 +107,7 @@
 		if r.Deleted {
 			return d.removeServer(r.Key, now), nil
 		}
-		return d.applyServer(r.Key, fact.Server, now), err
+		return d.applyServer(r, fact.Server, now), err
 	}
 	return ChangeNone, err
 }
@@ -131,7 +133,8 @@
 	return ChangeDrained
 }
 
-func (d *Directory) applyServer(id string, s *core.BackendServer, now time.Time) Change {
+func (d *Directory) applyServer(r core.KeyedRecord, s *core.BackendServer, now time.Time) Change {
+	id := r.Key
 	if s == nil {
 		if _, known := d.servers[id]; !known {
 			return ChangeNone
@@ -140,7 +143,7 @@
 		return ChangeServers
 	}
 	old := d.servers[id]
-	e := &entry{server: *s, coldUntil: now.Add(s.ColdLeft)}
+	e := &entry{server: *s, offset: r.Offset, coldUntil: now.Add(s.ColdLeft)}
 	d.servers[id] = e
 	if old == nil || old.lapsed {
 		return ChangeServers
@@ -229,19 +232,25 @@
 	core.BackendServer
 	// ColdUntil is when the server stops being cold by its own account.
 	ColdUntil time.Time
-	// Usable tells that the server takes new work: it is not leaving and its
-	// failure domain is in service.
+	// Usable tells that the server takes new work: it is not leaving, its failure
+	// domain is in service and no other server has registered at its address
+	// later.
 	Usable bool
 }
 
 // Servers returns all known backend servers in order of their ids.
 func (d *Directory) Servers() []Server {
 	out := make([]Server, 0, len(d.servers))
+	newest := map[string]int64{}
+	for _, e := range d.servers {
+		newest[e.server.Address] = max(newest[e.server.Address], e.offset)
+	}
 	for _, e := range d.servers {
 		out = append(out, Server{
 			BackendServer: e.server,
 			ColdUntil:     e.coldUntil,
-			Usable:        e.server.State == core.BackendReady && !d.drained[e.server.Domain],
+			Usable: e.server.State == core.BackendReady && !d.drained[e.server.Domain] &&
+				e.offset == newest[e.server.Address],
 		})
 	}
 	slices.SortFunc(out, func(a, b Server) int {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -13,7 +13,8 @@
 
 var now = time.Unix(1_000_000, 0)
 
-// decoder reads "version" for the key config, and "state" for servers.
+// decoder reads "version" for the key config, and "state" or "state address" for
+// servers.
 type decoder struct{}
 
 func (decoder) Decode(t core.Topic, r core.KeyedRecord) (core.Fact, error) {
@@ -26,8 +27,12 @@
 		if string(r.Value) == "bad" {
 			return f, fmt.Errorf("bad record: %w", core.ErrInvalid)
 		}
-		f.Server = &core.BackendServer{ID: r.Key, Service: "s", Domain: "z1"}
-		if string(r.Value) == "leaving" {
+		state, address, ok := strings.Cut(string(r.Value), " ")
+		if !ok {
+			address = "address of " + r.Key
+		}
+		f.Server = &core.BackendServer{ID: r.Key, Service: "s", Domain: "z1", Address: address}
+		if state == "leaving" {
 			f.Server.State = core.BackendLeaving
 		}
 		return f, nil
@@ -52,6 +57,31 @@
 	return strings.Join(out, " ")
 }
 
+// Guards against requests to a server that has ended without a word, as by a loss
+// of power, and whose address another one has by now: its record stands until it
+// lapses.
+func TestNewestServerAtAnAddress(t *testing.T) {
+	d := directory.New(decoder{})
+	steps := []struct {
+		r    core.KeyedRecord
+		want string
+	}{
+		{rec("a", "ready 10.0.0.1:1", 1), "a"},
+		{rec("b", "ready 10.0.0.1:1", 2), "b"},
+		{rec("c", "ready 10.0.0.2:1", 3), "b c"},
+		{rec("a", "ready 10.0.0.1:1", 4), "a c"},
+		{rec("a", "", 5), "b c"},
+	}
+	for i, s := range steps {
+		if _, err := d.Apply(core.TopicServers, s.r, time.Unix(1000, 0)); err != nil {
+			t.Fatalf("apply record %d: %v", i, err)
+		}
+		if got := usable(d); got != s.want {
+			t.Errorf("usable servers after record %d: got %q, want %q", i, got, s.want)
+		}
+	}
+}
+
 // Guards against a configuration that goes back, whatever order its records and
 // readings arrive in.
 func TestVersionNeverGoesBack(t *testing.T) {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,9 +29,6 @@
 	rateHalfLife = time.Second
 	// peerLoadAge is how long the load stated by another gateway counts.
 	peerLoadAge = time.Second
-	// slowAge is how long the news of a slow engine counts. It is repeated every
-	// second.
-	slowAge = 3 * time.Second
 )
 
 // service is the state of one service.
@@ -56,14 +53,14 @@
 	tokens   int64
 	peers    map[string]peerLoad
 	health   health
-	cold     coldLimit
-	// slow is how many times slower than usual the engine works, as told at
-	// slowAt.
-	slow   float64
-	slowAt time.Time
+	// alone is the outage of an engine without a group.
+	alone outage
+	cold  coldLimit
 	// heard is when a server with requests last showed an event, or got its
 	// first request.
 	heard time.Time
+	// spoke tells that it showed an event since then.
+	spoke bool
 }
 
 type peerLoad struct {
@@ -77,11 +74,12 @@
 	services map[string]*service
 	rnd      *rand.Rand
 	gateways int
+	engines  engines
 }
 
 // New returns a dispatcher for a gateway in a failure domain.
 func New(domain string, seed uint64) *Dispatcher {
-	return &Dispatcher{domain: domain, services: map[string]*service{}, rnd: rand.New(rand.NewPCG(seed, seed)), gateways: 1}
+	return &Dispatcher{domain: domain, services: map[string]*service{}, rnd: rand.New(rand.NewPCG(seed, seed)), gateways: 1, engines: engines{}}
 }
 
 // SetGateways sets the number of gateways that share the servers.
@@ -98,8 +96,11 @@
 		seen[item.ID] = true
 		sv := s.servers[item.ID]
 		if sv == nil || sv.StartedUnixMS != item.StartedUnixMS || sv.Address != item.Address {
-			sv = &server{peers: map[string]peerLoad{}}
+			sv = &server{Server: item, peers: map[string]peerLoad{}}
 			s.servers[item.ID] = sv
+			if e, ok := d.engines.newest(item.Address, now); ok && !e.open {
+				s.outageOf(sv).begin(now)
+			}
 		}
 		sv.Server = item
 		s.order = append(s.order, sv)
@@ -152,25 +153,6 @@
 	return out
 }
 
-// SetPace notes how many times slower than usual the engine at an address works.
-func (d *Dispatcher) SetPace(address string, pace float64, now time.Time) {
-	for _, s := range d.services {
-		for _, sv := range s.order {
-			if sv.Address == address {
-				sv.slow, sv.slowAt = pace, now
-			}
-		}
-	}
-}
-
-// pace is how many times slower than usual the server works.
-func (sv *server) pace(now time.Time) float64 {
-	if now.Sub(sv.slowAt) > slowAge {
-		return 1
-	}
-	return max(1, sv.slow)
-}
-
 // load is the number of requests at a server as far as this gateway knows.
 func (sv *server) load(now time.Time) int {
 	n := sv.requests
@@ -192,7 +174,7 @@
 
 // fullGroups returns the groups whose engines run as many requests together as
 // their pauses allow.
-func (s *service) fullGroups(now time.Time) map[string]bool {
+func (s *service) fullGroups(e engines, now time.Time) map[string]bool {
 	if s.config.Engine == nil {
 		return nil
 	}
@@ -204,7 +186,7 @@
 		g.requests += sv.load(now)
 		g.slots += sv.Slots
 		g.servers++
-		g.slowest = max(g.slowest, sv.pace(now))
+		g.slowest = max(g.slowest, e.pace(sv.Address, now))
 	}
 	full := map[string]bool{}
 	for name, g := range s.groups {
@@ -222,6 +204,7 @@
 // slowest are sums over its servers, and the pace of the slowest one.
 type group struct {
 	motion                   motion
+	outage                   outage
 	pace                     pace
 	requests, slots, servers int
 	slowest                  float64
@@ -241,14 +224,14 @@
 func (d *Dispatcher) choose(s *service, r Request, now time.Time) (best *server, full bool) {
 	var fullGroups map[string]bool
 	if !r.Resumed {
-		fullGroups = s.fullGroups(now)
+		fullGroups = s.fullGroups(d.engines, now)
 	}
 	bestScore := 0.0
 	for _, sv := range s.order {
 		if !sv.Usable || slices.Contains(r.Tried, sv.ID) {
 			continue
 		}
-		if !sv.health.open(now) {
+		if !sv.health.open(now) || !s.outageOf(sv).takes(r, now) {
 			continue
 		}
 		load := sv.load(now)
@@ -256,7 +239,7 @@
 			full = true
 			continue
 		}
-		score := float64(load+1)/float64(sv.Slots)*sv.pace(now) + sv.health.penalty(now) + tieBreak*d.rnd.Float64()
+		score := float64(load+1)/float64(sv.Slots)*d.engines.pace(sv.Address, now) + sv.health.penalty(now) + tieBreak*d.rnd.Float64()
 		if sv.Domain != d.domain {
 			score += domainPenalty
 		}
@@ -278,19 +261,22 @@
 func (d *Dispatcher) assign(s *service, sv *server, r Request, now time.Time) Verdict {
 	v := Verdict{RequestID: r.ID, Server: sv.BackendServer, Load: sv.load(now), Waiting: len(s.queue)}
 	if sv.requests == 0 {
-		sv.heard = now
+		sv.heard, sv.spoke = now, false
 	}
 	sv.requests++
 	sv.tokens += r.Tokens
 	sv.cold.take(sv.ColdUntil, now)
 	sv.health.sent(now)
+	s.outageOf(sv).sent(now)
 	return v
 }
 
 // Finished notes the end of a send to a server.
 func (d *Dispatcher) Finished(name, serverID string, tokens int64, o Outcome, now time.Time) {
 	s := d.service(name)
-	s.completed(now)
+	if o == OutcomeServed {
+		s.completed(now)
+	}
 	sv := s.servers[serverID]
 	if sv == nil {
 		return
@@ -298,8 +284,11 @@
 	sv.requests = max(0, sv.requests-1)
 	sv.tokens = max(0, sv.tokens-tokens)
 	sv.health.result(o, now)
-	if o == OutcomeShed && s.config.Engine != nil {
-		sv.health.rejected(now)
+	switch {
+	case o == OutcomeServed:
+		s.outageOf(sv).over()
+	case o == OutcomeShed && s.config.Engine != nil:
+		s.outageOf(sv).rejected(now)
 	}
 }
 
@@ -307,8 +296,9 @@
 // vain: soon while some server serves, late when all are out of service, since
 // callers return only a few times.
 func (d *Dispatcher) RetryAfter(name string) time.Duration {
-	for _, sv := range d.service(name).order {
-		if sv.Usable && !sv.health.out() {
+	s := d.service(name)
+	for _, sv := range s.order {
+		if sv.Usable && !sv.health.out() && !s.outageOf(sv).out() {
 			return shedRetryAfter
 		}
 	}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -20,14 +20,6 @@
 	// out.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 2 * time.Second
-	// rejectionsInRow is the number of rejections without a success between them
-	// after which an engine counts as out of service with its group. A single
-	// one may come from a full engine.
-	rejectionsInRow = 2
-	// firstRejectionBackoff and maxRejectionBackoff bound how long such an engine
-	// is left out. A group that is formed again serves on all ranks at once.
-	firstRejectionBackoff = 100 * time.Millisecond
-	maxRejectionBackoff   = 400 * time.Millisecond
 )
 
 // health weighs the recent outcomes of a server.
@@ -36,8 +28,6 @@
 	at        time.Time
 	backoff   time.Duration
 	until     time.Time
-	// rejections counts rejections since the last success.
-	rejections int
 }
 
 // open reports whether the server may be tried.
@@ -73,6 +63,9 @@
 		h.alive()
 	case OutcomeShed, OutcomeFailed:
 		h.bad++
+	case OutcomeMisdirected:
+		h.bad++
+		h.backoff, h.until = maxBackoff, now.Add(maxBackoff)
 	case OutcomeUnreachable:
 		h.bad++
 		h.backoff = min(maxBackoff, max(firstBackoff, 2*h.backoff))
@@ -80,15 +73,6 @@
 	}
 }
 
-// rejected notes that an engine of a lock-step group has rejected a request.
-func (h *health) rejected(now time.Time) {
-	h.rejections++
-	if h.rejections >= rejectionsInRow {
-		h.backoff = min(maxRejectionBackoff, max(firstRejectionBackoff, 2*h.backoff))
-		h.until = now.Add(h.backoff)
-	}
-}
-
 // silent leaves out a server that says nothing.
 func (h *health) silent(now time.Time) {
 	h.fade(now)
@@ -98,7 +82,7 @@
 }
 
 // alive takes a server in again that has shown an event.
-func (h *health) alive() { h.backoff, h.until, h.rejections = 0, time.Time{}, 0 }
+func (h *health) alive() { h.backoff, h.until = 0, time.Time{} }
 
 // out reports whether the server is left out or only probed.
 func (h *health) out() bool { return h.backoff > 0 }
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -32,7 +32,6 @@
 	most   time.Duration
 	// perRequest is the measured time that one request adds to a pass.
 	perRequest time.Duration
-	measured   time.Time
 }
 
 type pauseSample struct {
@@ -66,12 +65,11 @@
 	}
 	slices.Sort(sorted)
 	p.perRequest = max(time.Microsecond, (sorted[len(sorted)/2]-base)/time.Duration(requests))
-	p.measured = now
 }
 
 // limit returns the number of requests that the servers may run together.
 func (p *pace) limit(servers, slots int, base time.Duration, now time.Time) int {
-	if p.perRequest == 0 || now.Sub(p.measured) > time.Second {
+	if p.perRequest == 0 {
 		return slots
 	}
 	target := paceTarget
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -8,14 +8,19 @@
 // Offer takes a request. It returns a verdict when one is known at once.
 func (d *Dispatcher) Offer(r Request, now time.Time) (Verdict, bool) {
 	s := d.service(r.Service)
+	// During an outage the rate of completions tells nothing of the wait.
+	outage := false
 	if len(s.queue) == 0 || !s.firstInLine(r, now) {
 		if sv, full := d.choose(s, r, now); sv != nil {
 			return d.assign(s, sv, r, now), true
 		} else if !full {
-			return s.reject(r, ReasonNoServer, now), true
+			if !s.mayReturn(r) {
+				return s.reject(r, ReasonNoServer, now), true
+			}
+			outage = true
 		}
 	}
-	if wait := s.expectedWait(len(s.queue)+1, now); now.Add(wait).After(r.GiveUp) {
+	if wait := s.expectedWait(len(s.queue)+1, now); !outage && now.Add(wait).After(r.GiveUp) {
 		return s.reject(r, ReasonTooLate, now), true
 	}
 	if len(s.queue) >= s.maxQueue(d.gateways) {
@@ -26,6 +31,21 @@
 	return Verdict{}, false
 }
 
+// mayReturn reports whether a request waits although no server serves now: its
+// caller will not come back again, and a group that is out of service may be
+// formed again in time.
+func (s *service) mayReturn(r Request) bool {
+	if !r.Returning {
+		return false
+	}
+	for _, sv := range s.order {
+		if sv.Usable && s.outageOf(sv).out() && !slices.Contains(r.Tried, sv.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // firstInLine reports whether a waiting request goes before r.
 func (s *service) firstInLine(r Request, now time.Time) bool { return before(s.queue[0], r, now) < 0 }
 
@@ -91,11 +111,11 @@
 			switch {
 			case sv != nil:
 				out = append(out, d.assign(s, sv, r, now))
-			case !full:
+			case !full && !s.mayReturn(r):
 				out = append(out, s.reject(r, ReasonNoServer, now))
 			default:
 				kept = append(kept, r)
-				blocked = len(r.Tried) == 0 && !r.Resumed
+				blocked = full && len(r.Tried) == 0 && !r.Resumed
 			}
 		}
 		s.queue = kept
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -20,6 +20,9 @@
 	Tokens int64
 	// Resumed marks a stream that has begun at another server.
 	Resumed bool
+	// Returning marks a request whose caller has come back after a failure. It may
+	// not come back again, so it waits for a server that may return.
+	Returning bool
 	// Tried lists the servers that the request was sent to before.
 	Tried []string
 }
@@ -56,6 +59,8 @@
 	OutcomeServed Outcome = iota
 	// OutcomeShed is a rejection by the server: the request has not run.
 	OutcomeShed
+	// OutcomeMisdirected is a rejection by another server at the same address.
+	OutcomeMisdirected
 	// OutcomeFailed is a broken, foreign or missing reply.
 	OutcomeFailed
 	// OutcomeUnreachable is a connection that was not made.
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -5,9 +5,12 @@
 // Settings of the search for engines that fall silent while their group gets on,
 // as on a host that is frozen.
 const (
-	// silentAfter is the silence after which an engine with requests is left
-	// out. It is several times the usual wait for a first event.
+	// silentAfter is the silence after which an engine that has sent events is
+	// left out: several times the longest pause on time. silentFirst is the same
+	// for one that only has requests without an event, since long prompts
+	// take long to read.
 	silentAfter = 400 * time.Millisecond
+	silentFirst = 500 * time.Millisecond
 	// movingGap is the longest time without any event for which a group counts
 	// as getting on. A group that stalls is silent on all ranks.
 	movingGap = 200 * time.Millisecond
@@ -33,10 +36,11 @@
 	if sv == nil {
 		return
 	}
-	sv.heard = now
+	sv.heard, sv.spoke = now, true
 	sv.health.alive()
 	g := s.group(sv)
 	g.motion.event(now)
+	s.outageOf(sv).over()
 	if pause > 0 {
 		g.pace.observe(pause, most, now)
 	}
@@ -68,5 +72,9 @@
 	if sv.requests == 0 || now.Sub(m.last) > movingGap {
 		return false
 	}
-	return now.Sub(sv.heard) >= silentAfter && now.Sub(m.since) >= silentAfter
+	after := silentFirst
+	if sv.spoke {
+		after = silentAfter
+	}
+	return now.Sub(sv.heard) >= after && now.Sub(m.since) >= after
 }
--- a/core/dispatch/silence_test.go
+++ b/core/dispatch/silence_test.go
@@ -27,6 +27,7 @@
 // patience ends, while the other ranks of its group serve.
 func TestSilentServerIsLeftOut(t *testing.T) {
 	d := occupied(t, 3)
+	d.Event("s", "s0", step, 200*time.Millisecond, start)
 	var got []string
 	var found time.Duration
 	for at := step; at <= 800*time.Millisecond; at += step {
@@ -58,6 +59,24 @@
 	}
 }
 
+// Guards against an engine that is left out while it reads long prompts.
+func TestServerWithoutFirstEventIsNotSilentYet(t *testing.T) {
+	d := occupied(t, 3)
+	for at := step; at < 1200*time.Millisecond; at += step {
+		now := start.Add(at)
+		for _, id := range []string{"s1", "s2"} {
+			d.Event("s", id, step, 200*time.Millisecond, now)
+		}
+		switch got := d.Silent(now); {
+		case at < 450*time.Millisecond && len(got) > 0:
+			t.Fatalf("silent servers after %v without a first event: got %v, want none", at, got)
+		case len(got) > 0:
+			return
+		}
+	}
+	t.Error("silent servers after 1.2s without a first event: got none, want s0")
+}
+
 // Guards against requests at a slow engine, which every pass of its group waits
 // for: it gets fewer than the others.
 func TestSlowServerGetsFewerRequests(t *testing.T) {
@@ -67,7 +86,7 @@
 		list[i].Address = list[i].ID
 	}
 	d.SetServers(dep, list, start)
-	d.SetPace("s1", 4, start)
+	d.SetEngine("s1", 4, true, start)
 	got := map[string]int{}
 	for i := range uint64(9) {
 		v, _ := d.Offer(request(i, 0), start)
@@ -97,7 +116,7 @@
 		list[i].Address = list[i].ID
 	}
 	d.SetServers(dep, list, start)
-	d.SetPace("s0", 7, start)
+	d.SetEngine("s0", 7, true, start)
 	// A pass takes 7 times the usual 18 ms and 1 ms for each request.
 	now, running := start, 0
 	for id := range uint64(200) {
@@ -105,7 +124,7 @@
 		for i := range max(n, running) {
 			d.Event("s", list[i%n].ID, 126*time.Millisecond+time.Duration(running)*time.Millisecond, most, now)
 		}
-		d.SetPace("s0", 7, now)
+		d.SetEngine("s0", 7, true, now)
 		if v, ok := d.Offer(request(id, now.Sub(start)), now); ok && v.Rejected == "" {
 			running++
 		}
--- a/core/store.go
+++ b/core/store.go
@@ -56,6 +56,8 @@
 	RequestID string
 	// NotRun is the promise that the request has not run.
 	NotRun bool
+	// Misdirected tells that another server than the one that was meant replied.
+	Misdirected bool
 	// Sealed tells that the reply bears the signature of a backend server.
 	Sealed bool
 	// Running and Waiting are the load of the server; HasLoad tells that it
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -18,8 +18,10 @@
 	// record. A connection that has gone silent is noticed after it.
 	operatorWait = 2 * time.Second
 	membersWait  = 20 * time.Second
-	firstBackoff = 100 * time.Millisecond
-	maxBackoff   = 800 * time.Millisecond
+	// leastInterval is the least time between two reads of the servers' topic.
+	leastInterval = 150 * time.Millisecond
+	firstBackoff  = 100 * time.Millisecond
+	maxBackoff    = 800 * time.Millisecond
 )
 
 // follower reads one topic of the store.
@@ -29,9 +31,11 @@
 	wait     time.Duration
 	interval time.Duration
 	apply    func(b core.KeyedBatch, full bool)
-	next     int64
-	known    bool
-	failed   bool
+	// wake ends the pause between two reads; it may be nil.
+	wake   <-chan struct{}
+	next   int64
+	known  bool
+	failed bool
 }
 
 // run reads until ctx ends. Failed reads are repeated with a growing delay and
@@ -42,7 +46,8 @@
 		err := f.read(ctx)
 		if err == nil {
 			backoff = firstBackoff
-			f.pause(ctx, f.interval)
+			f.pause(ctx, min(f.interval, leastInterval))
+			f.pauseUntilWoken(ctx, f.interval-leastInterval)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -67,6 +72,27 @@
 	}
 }
 
+// pauseUntilWoken is pause, which wake ends too.
+func (f *follower) pauseUntilWoken(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-f.wake:
+	case <-ctx.Done():
+	}
+}
+
+// readServersSoon has the list of backend servers read before its time: a server
+// was not where the list says. It does not block.
+func (g *Gateway) readServersSoon() {
+	select {
+	case g.wakeServers <- struct{}{}:
+	default:
+	}
+}
+
 // read takes the newest records of all keys once, and then what follows.
 func (f *follower) read(ctx context.Context) error {
 	if !f.known {
@@ -115,7 +141,8 @@
 }
 
 func (g *Gateway) followServers(ctx context.Context) {
-	f := &follower{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, apply: g.applyFrom(core.TopicServers)}
+	f := &follower{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, wake: g.wakeServers,
+		apply: g.applyFrom(core.TopicServers)}
 	f.run(ctx)
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -26,6 +26,9 @@
 	// queueShare is the part of that patience for which a stream may wait for a
 	// server; the rest is for its first event.
 	queueShare = 0.6
+	// returningQueueShare is the same for callers that have come back after a
+	// failure, which do not come back again.
+	returningQueueShare = 0.9
 	// plainQueueShare is the part of the time left for which other requests may
 	// wait for a server.
 	plainQueueShare = 0.5
@@ -44,6 +47,9 @@
 	// mayHaveRun is set when a send may have run at a server.
 	mayHaveRun bool
 	relay      *relay
+	// age is how long ago the caller's first attempt was made; it is above 0 for
+	// a caller that has come back after a failure.
+	age time.Duration
 	// kept is a whole failure of a server, which is passed on when no other
 	// server does better.
 	kept *plainReply
@@ -62,7 +68,10 @@
 		g.refuse(c, refusal{http.StatusServiceUnavailable, "crashes_backend_servers", convictedRetryAfter})
 		return
 	}
-	g.task.Do(func() { g.state.budget.Request(c.service, c.arrived) })
+	g.task.Do(func() {
+		g.state.budget.Request(c.service, c.arrived)
+		a.age = g.state.patience.age(c.route.Name, c.callerEnds.Sub(c.arrived), c.route.Timeout, c.arrived)
+	})
 	for {
 		v, ok := g.place(a)
 		if !ok {
@@ -141,9 +150,10 @@
 		ID:        id,
 		Service:   a.service,
 		Arrived:   a.arrived,
-		Objective: a.arrived.Add(a.route.Objective),
+		Objective: a.arrived.Add(a.route.Objective - a.age),
 		Priority:  a.priority(),
 		Tokens:    a.fields.PromptTokens + a.expectedTokens(),
+		Returning: a.age > 0,
 		Tried:     a.tried,
 	}
 	switch {
@@ -152,7 +162,11 @@
 		r.Priority, r.Objective, r.Resumed = -1, now, true
 		r.GiveUp = now.Add(a.patience() / 2)
 	case a.relay != nil:
-		r.GiveUp = a.arrived.Add(time.Duration(queueShare * float64(a.patience())))
+		share := queueShare
+		if a.age > 0 {
+			share = returningQueueShare
+		}
+		r.GiveUp = a.arrived.Add(time.Duration(share * float64(a.patience())))
 	default:
 		r.GiveUp = a.arrived.Add(time.Duration(plainQueueShare * float64(a.deadline.Sub(a.arrived))))
 	}
@@ -229,7 +243,12 @@
 	}
 	defer reply.Close()
 	a.sent++
-	if g.cfg.Headers.Reply(reply.Status, reply.Header).NotRun {
+	switch r := g.cfg.Headers.Reply(reply.Status, reply.Header); {
+	case r.Misdirected:
+		g.logAttempt(a, v, "misdirected", reply.Status, nil)
+		g.readServersSoon()
+		return dispatch.OutcomeMisdirected, false
+	case r.NotRun:
 		g.logAttempt(a, v, "not_run", reply.Status, nil)
 		return dispatch.OutcomeShed, false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,7 @@
 	inFlight          atomic.Int64
 	bodyBytes         atomic.Int64
 	nextID            atomic.Uint64
+	wakeServers       chan struct{}
 	cancel            context.CancelFunc
 	wg                *conc.WaitGroup
 	done              chan struct{}
@@ -107,6 +108,7 @@
 	budget     *retry.Window
 	waiting    map[uint64]chan dispatch.Verdict
 	sends      sends
+	patience   patience
 	members    *members
 	suspects   *suspects
 	// behind is since when another gateway knows more of a topic.
@@ -117,11 +119,12 @@
 // New returns a gateway that is not running.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
-		cfg:  cfg,
-		log:  cfg.Logger,
-		task: task.New(),
-		wg:   conc.NewWaitGroup(),
-		done: make(chan struct{}),
+		cfg:         cfg,
+		log:         cfg.Logger,
+		task:        task.New(),
+		wg:          conc.NewWaitGroup(),
+		done:        make(chan struct{}),
+		wakeServers: make(chan struct{}, 1),
 	}
 	g.client = backend.New(backend.Config{
 		MaxIdle:   maxIdleConnections,
@@ -134,6 +137,7 @@
 		budget:     newBudget(cfg.Tunable, 1),
 		waiting:    map[uint64]chan dispatch.Verdict{},
 		sends:      sends{},
+		patience:   patience{},
 		members:    newMembers(cfg.PeerAddress, cfg.Tunable.Seeds),
 		suspects:   newSuspects(),
 	}
--- /dev/null
+++ b/gateway/patience_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against callers that have come back and are turned away like those that
+// will come again, also just after a restart.
+func TestAgeOfCallers(t *testing.T) {
+	const timeout = 8 * time.Second
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		at, left, want time.Duration
+	}{
+		{0, 7 * time.Second, time.Second},
+		{time.Second, 8 * time.Second, 0},
+		{3 * time.Second, 6 * time.Second, 2 * time.Second},
+		{4 * time.Second, 9 * time.Second, 0},
+		{5 * time.Second, 8 * time.Second, time.Second},
+	}
+	p := patience{}
+	for _, tt := range tests {
+		if got := p.age("r", tt.left, timeout, start.Add(tt.at)); got != tt.want {
+			t.Errorf("age of a caller with %v left at %v: got %v, want %v", tt.left, tt.at, got, tt.want)
+		}
+	}
+	// A route whose callers wait less than its timeout.
+	p = patience{}
+	p.age("r", 4*time.Second, timeout, start)
+	if got := p.age("r", 4*time.Second, timeout, start.Add(newRoute)); got != 0 {
+		t.Errorf("age of a caller with the usual time left: got %v, want 0", got)
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -82,15 +82,22 @@
 		g.task.Do(func() { g.onPull(from, b.DirectoryPull) })
 	case *peerpb.Frame_DirectoryRecords:
 		g.task.Do(func() { g.onRecords(from, b.DirectoryRecords, time.Now()) })
-	case *peerpb.Frame_RankPace:
-		g.task.Do(func() {
-			g.state.dispatcher.SetPace(b.RankPace.GetEngineAddress(), b.RankPace.GetPace(), time.Now())
-		})
+	case *peerpb.Frame_EngineState:
+		g.task.Do(func() { g.onEngineState(b.EngineState, time.Now()) })
 	case *peerpb.Frame_Suspicion:
 		g.task.Do(func() { g.state.suspects.add(b.Suspicion.GetFingerprint(), b.Suspicion.GetServerId(), time.Now()) })
 	}
 }
 
+// onEngineState takes over what a rank agent says of its engine.
+func (g *Gateway) onEngineState(s *peerpb.EngineState, now time.Time) {
+	d := g.state.dispatcher
+	d.SetEngine(s.GetEngineAddress(), s.GetPace(), s.GetOpen(), now)
+	if d.Waiting() > 0 {
+		g.deliver(d.Next(now))
+	}
+}
+
 // onBeat takes over the loads of another gateway, and asks it for records that
 // this one should have read from the store by now.
 func (g *Gateway) onBeat(from *peer.Session, b *peerpb.DirectoryBeat, now time.Time) {
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -82,8 +82,9 @@
 	// sentPlacement is the leader session that knows the placement.
 	sentPlacement *peer.Session
 	sentMap       int64
-	// toldPace is the pace that gateways were told, at toldAt.
+	// toldPace and toldOpen are the state that gateways were told, at toldAt.
 	toldPace float64
+	toldOpen bool
 	toldAt   time.Time
 	lead     *lead
 }
@@ -126,6 +127,7 @@
 		},
 		Handlers: map[peerpb.StreamKind]peer.Handler{peerpb.StreamKind_STREAM_KIND_RANK_ORDER: a.serveOrder},
 		Control:  a.control,
+		Up:       a.peerUp,
 		Down:     a.peerDown,
 		Log:      cfg.Logger,
 	})
--- a/rankagent/session.go
+++ b/rankagent/session.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// peerUp tells a new gateway the state of the engine.
+func (a *Agent) peerUp(s *peer.Session) {
+	if s.Hello.GetRole() != core.RoleGateway {
+		return
+	}
+	a.task.Do(func() {
+		if a.state.reported {
+			s.Control(a.stateFrame())
+		}
+	})
+}
+
 // peerDown forgets a session that has ended.
 func (a *Agent) peerDown(ended *peer.Session) {
 	a.task.Do(func() {
--- a/rankagent/status.go
+++ b/rankagent/status.go
@@ -12,15 +12,15 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
-// Settings of the news of slow engines.
+// Settings of the news that gateways get of an engine.
 const (
 	// paceChange is the relative change of the pace that is told at once.
 	paceChange = 0.1
 	// slowPace is the pace from which an engine counts as slow.
 	slowPace = 1.2
-	// paceRepeat is the time between two messages about a slow engine. Gateways
-	// forget the news after a few of them.
-	paceRepeat = time.Second
+	// stateRepeat is the time between two messages about an engine that is slow
+	// or whose group does not serve. Gateways forget the news after a few of them.
+	stateRepeat = time.Second
 )
 
 // poll reads the engine at an interval.
@@ -84,7 +84,7 @@
 		s.placement, s.placedMap, s.placedEpoch = placement, r.Map, r.Place.Epoch
 		s.sentPlacement = nil
 	}
-	a.tellPace(now)
+	a.tellState(now)
 	choices := s.choices(counts, r.StartedUnixMS)
 	st := s.status(choices)
 	a.keepSessions()
@@ -95,22 +95,27 @@
 	a.sendStatus(st, now)
 }
 
-// tellPace tells gateways when the own engine is slow, and when it no longer is.
-// It runs in the task.
-func (a *Agent) tellPace(now time.Time) {
+// tellState tells gateways when the own engine gets slow or its group stops to
+// serve, and when that is over. It runs in the task.
+func (a *Agent) tellState(now time.Time) {
 	s := a.state
-	p := max(1, s.report.Pace)
-	changed := math.Abs(p-s.toldPace) > paceChange*s.toldPace
-	if !changed && (p < slowPace || now.Sub(s.toldAt) < paceRepeat) {
+	p, open := max(1, s.report.Pace), s.report.Place.Open
+	changed := math.Abs(p-s.toldPace) > paceChange*s.toldPace || open != s.toldOpen
+	if !changed && (p < slowPace && open || now.Sub(s.toldAt) < stateRepeat) {
 		return
 	}
 	if changed {
-		a.log.Info("pace of the engine changed", zap.Float64("pace", p), zap.Float64("before", s.toldPace))
+		a.log.Info("engine state changed", zap.Float64("pace", p), zap.Bool("open", open), zap.Int64("epoch", s.report.Place.Epoch))
 	}
-	s.toldPace, s.toldAt = p, now
-	a.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_RankPace{
-		RankPace: &peerpb.RankPace{EngineAddress: a.cfg.EngineAddress, Pace: p},
-	}})
+	s.toldPace, s.toldOpen, s.toldAt = p, open, now
+	a.node.Broadcast(core.RoleGateway, a.stateFrame())
+}
+
+// stateFrame runs in the task.
+func (a *Agent) stateFrame() *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_EngineState{EngineState: &peerpb.EngineState{
+		EngineAddress: a.cfg.EngineAddress, Pace: a.state.toldPace, Open: a.state.toldOpen,
+	}}}
 }
 
 // choices returns the choices since the last poll. Counts begin anew when the
