Apply the operators' limits on callers' connections

Cause: the limits on header bytes, header time and idle time were decoded and not applied; the gateway had fixed bounds. The limits of a net/http server cannot change while it serves.

Change: callers' connections are accepted in one place and handed to a server for the limits in force; a connection keeps the limits under which it was accepted. TestLimitsOfConnections (431 for a long header, closed after half a header or an idle time, a later version, a connection from before) fails without it.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,7 +20,7 @@
 
 // drain serves on for the notice time, then rejects new requests and waits for
 // those in progress until the grace is over.
-func (g *Gateway) drain(callers *http.Server) {
+func (g *Gateway) drain() {
 	begun := time.Now()
 	g.leaving.Store(true)
 	g.log.Info("gateway is leaving", zap.Int64("in_progress", g.inFlight.Load()))
@@ -35,5 +34,4 @@
 	if n := g.inFlight.Load(); n > 0 {
 		g.log.Warn("requests are cut off at the end of the grace", zap.Int64("in_progress", n))
 	}
-	callers.Close()
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -187,6 +187,7 @@
 	if deployment {
 		dep := d.Deployment()
 		g.snap.Store(&snapshot{deployment: dep, routes: directory.NewRoutes(dep)})
+		g.callers.setLimits(dep.Limits)
 		g.log.Info("configuration changed", zap.Int64("version", dep.Version), zap.String("source", source),
 			zap.Int("routes", len(dep.Routes)), zap.Int("keys", len(dep.Keys)))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,11 +31,6 @@
 	tickInterval = 20 * time.Millisecond
 	// maxIdleConnections bounds the idle connections to one backend server.
 	maxIdleConnections = 16
-	// idleTimeout is above the idle time that the operators' limits allow, so
-	// that a caller never meets a connection that is just being closed.
-	idleTimeout       = 2 * time.Minute
-	readHeaderTimeout = 20 * time.Second
-	maxHeaderBytes    = 64 << 10
 )
 
 // Config is what a Gateway needs.
@@ -95,6 +90,7 @@
 	bodyBytes         atomic.Int64
 	nextID            atomic.Uint64
 	wakeServers       chan struct{}
+	callers           *callers
 	cancel            context.CancelFunc
 	wg                *conc.WaitGroup
 	done              chan struct{}
@@ -195,15 +191,9 @@
 	g.cancel = cancel
 	defer cancel()
 	g.task.Start(run)
-	callers := &http.Server{
-		Handler:           g,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(g.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
+	g.callers = newCallers(g, listeners[0].Addr(), g.log)
 	health := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readHeaderTimeout}
-	g.wg.Go(func() { g.serve(callers, listeners[0]) })
+	g.wg.Go(func() { g.callers.serve(listeners[0]) })
 	g.wg.Go(func() { g.serve(health, listeners[1]) })
 	g.wg.Go(func() {
 		if err := g.node.Serve(listeners[2]); err != nil {
@@ -216,7 +206,8 @@
 	g.log.Info("gateway started", zap.String("id", g.cfg.ID), zap.String("incarnation", g.cfg.Incarnation),
 		zap.String("caller_address", g.cfg.CallerAddress))
 	<-ctx.Done()
-	g.drain(callers)
+	g.drain()
+	g.callers.close(listeners[0])
 	health.Close()
 	cancel()
 	g.node.Stop()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,7 @@
 	version  int
 	routes   []map[string]any
 	keys     []string
+	limits   map[string]any
 	// engine describes the engines of the model service; nil means none.
 	engine map[string]any
 }
@@ -50,7 +51,8 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: metastore.New(), runners: map[string]*runner.Runner{}, keys: []string{"key-a"}}
+	d := &deployment{t: t, store: metastore.New(), runners: map[string]*runner.Runner{}, keys: []string{"key-a"},
+		limits: map[string]any{"max_body_bytes": 1000}}
 	d.http = httptest.NewServer(d.store)
 	t.Cleanup(func() {
 		d.store.SetFault(metastore.FaultNone)
@@ -86,7 +88,7 @@
 	d.store.PutJSON("keyed.op", "config", map[string]any{
 		"version": d.version, "routes": d.routes,
 		"services": []map[string]any{{"name": "desk", "max_conns": 50}, {"name": "model", "max_conns": 50, "engine": d.engine}},
-		"limits":   map[string]any{"max_body_bytes": 1000},
+		"limits":   d.limits,
 		"tenants":  []map[string]any{{"name": "org-a", "api_keys": d.keys}},
 	})
 }
