Repeat the experts of a rank to the leader of its group

Agents tell their experts to the leader once for each session and map. A leader that does not know the shape of the engines yet, because no gateway has a configuration, drops the message, and never asks a rank that it has heard of. A gateway without a configuration also overwrote the shape with zeros.

Change: experts are told again every second; a view without a shape leaves the known one. TestMapFollowsDemandAfterLateConfiguration fails without the first.

--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -82,6 +82,7 @@
 	// sentPlacement is the leader session that knows the placement.
 	sentPlacement *peer.Session
 	sentMap       int64
+	sentAt        time.Time
 	// toldPace and toldOpen are the state that gateways were told, at toldAt.
 	toldPace float64
 	toldOpen bool
--- a/rankagent/agent_test.go
+++ b/rankagent/agent_test.go
@@ -34,12 +34,33 @@
 	t       *testing.T
 	engines *lockstep.Group
 	gateway string
+	// publish gives the operators' configuration to the store.
+	publish func()
+	// ends are what close ends, in reverse order.
+	ends    []func()
 	stops   []context.CancelFunc
 	dones   []chan struct{}
 	started int
 }
 
 func newGroup(t *testing.T, cfg lockstep.Config) *group {
+	t.Helper()
+	g := newUnconfiguredGroup(t, cfg)
+	g.publish()
+	return g
+}
+
+// close ends the group; it may be called again.
+func (g *group) close() {
+	for len(g.ends) > 0 {
+		end := g.ends[len(g.ends)-1]
+		g.ends = g.ends[:len(g.ends)-1]
+		end()
+	}
+}
+
+// newUnconfiguredGroup is newGroup before the operators have configured it.
+func newUnconfiguredGroup(t *testing.T, cfg lockstep.Config) *group {
 	t.Helper()
 	cfg.Ranks, cfg.Sets, cfg.Experts, cfg.Pass, cfg.Copy = ranks, sets, experts, 20*time.Millisecond, 50*time.Millisecond
 	engines, err := lockstep.New(cfg)
@@ -47,12 +68,13 @@
 		t.Fatalf("start group: %v", err)
 	}
 	g := &group{t: t, engines: engines, stops: make([]context.CancelFunc, ranks), dones: make([]chan struct{}, ranks)}
-	t.Cleanup(engines.Close)
+	t.Cleanup(g.close)
+	g.ends = append(g.ends, engines.Close)
 	g.startGateway()
 	for i := range ranks {
 		g.start(i)
 	}
-	t.Cleanup(func() {
+	g.ends = append(g.ends, func() {
 		for i := range ranks {
 			g.stop(i)
 		}
@@ -63,9 +85,11 @@
 func (g *group) startGateway() {
 	m := metastore.New()
 	s := httptest.NewServer(m)
-	m.PutJSON("keyed.op", "config", map[string]any{"version": 1, "routes": []any{}, "services": []map[string]any{{
-		"name": "model", "engine": map[string]any{"slots": 4, "expert_sets": sets, "experts": experts, "placements": 6, "spare_slots": 2, "expert_mb": 1, "link_mbps": 1},
-	}}})
+	g.publish = func() {
+		m.PutJSON("keyed.op", "config", map[string]any{"version": 1, "routes": []any{}, "services": []map[string]any{{
+			"name": "model", "engine": map[string]any{"slots": 4, "expert_sets": sets, "experts": experts, "placements": 6, "spare_slots": 2, "expert_mb": 1, "link_mbps": 1},
+		}}})
+	}
 	for i := range ranks {
 		m.PutJSON("keyed.servers", fmt.Sprintf("i-%d", i), map[string]any{
 			"service": "model", "addr": g.engines.Address(i), "zone": "z", "slots": 4, "state": "ready",
@@ -88,7 +112,7 @@
 			g.t.Errorf("run gateway: %v", err)
 		}
 	}()
-	g.t.Cleanup(func() {
+	g.ends = append(g.ends, func() {
 		cancel()
 		<-done
 		store.Close()
@@ -181,6 +205,21 @@
 	g.check()
 }
 
+// Guards against a group whose map never follows demand because its leader learns
+// the shape of the engines after the ranks have told it their experts, as when
+// everything restarts while the store is away. It is played a few times: the
+// leader asks ranks that it has not heard of at all.
+func TestMapFollowsDemandAfterLateConfiguration(t *testing.T) {
+	for range 4 {
+		g := newUnconfiguredGroup(t, lockstep.Config{})
+		time.Sleep(time.Second)
+		g.publish()
+		g.changes("a group that was configured late", 1)
+		g.check()
+		g.close()
+	}
+}
+
 // Guards against passes with two maps, and groups that stop, while orders get no
 // answer and are carried out late.
 func TestLateOrders(t *testing.T) {
--- a/rankagent/session.go
+++ b/rankagent/session.go
@@ -132,6 +132,17 @@
 	})
 }
 
+func newShape(v *peerpb.GroupView) shape {
+	sh := shape{
+		sets: int(v.GetExpertSets()), experts: int(v.GetExperts()),
+		places: int(v.GetPlacesPerRank()), maxNew: int(v.GetMaxNewExperts()),
+	}
+	if rate := v.GetBytesPerSecond(); rate > 0 {
+		sh.copyTime = time.Duration(v.GetExpertBytes() / rate * float64(time.Second))
+	}
+	return sh
+}
+
 // onView takes the ranks of the own group. It runs in the task.
 func (a *Agent) onView(v *peerpb.GroupView) {
 	s := a.state
@@ -141,12 +152,9 @@
 			a.node.Keep(g)
 		}
 	}
-	s.shape = shape{
-		sets: int(v.GetExpertSets()), experts: int(v.GetExperts()),
-		places: int(v.GetPlacesPerRank()), maxNew: int(v.GetMaxNewExperts()),
-	}
-	if rate := v.GetBytesPerSecond(); rate > 0 {
-		s.shape.copyTime = time.Duration(v.GetExpertBytes() / rate * float64(time.Second))
+	// A gateway without a configuration does not know the shape.
+	if v.GetExpertSets() > 0 {
+		s.shape = newShape(v)
 	}
 	own := ""
 	for _, r := range v.GetRanks() {
--- a/rankagent/status.go
+++ b/rankagent/status.go
@@ -21,6 +21,9 @@
 	// stateRepeat is the time between two messages about an engine that is slow
 	// or whose group does not serve. Gateways forget the news after a few of them.
 	stateRepeat = time.Second
+	// placementRepeat is the time between two messages with the experts of the
+	// rank. A leader that does not know the shape of the engines yet drops them.
+	placementRepeat = time.Second
 )
 
 // poll reads the engine at an interval.
@@ -151,11 +154,11 @@
 	if to == nil {
 		return
 	}
-	if s.sentPlacement != to || s.sentMap != s.placedMap {
+	if s.sentPlacement != to || s.sentMap != s.placedMap || now.Sub(s.sentAt) > placementRepeat {
 		for _, list := range s.placement {
 			st.Placement = append(st.Placement, expertList(list))
 		}
-		s.sentPlacement, s.sentMap = to, s.placedMap
+		s.sentPlacement, s.sentMap, s.sentAt = to, s.placedMap, now
 	}
 	to.Control(&peerpb.Frame{Body: &peerpb.Frame_RankStatus{RankStatus: st}})
 }
