Test the conviction of crashing requests and the budget over gateways

Cause: a request that ends its servers is known at every gateway, and all gateways share one budget of repeats; neither had a test with several gateways.

A gateway of the tests keeps its log, so that they can wait until gateways have met.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"nutmegnotch/emulator/metastore"
 	"nutmegnotch/emulator/runner"
@@ -38,6 +39,7 @@
 	routes   []map[string]any
 	keys     []string
 	limits   map[string]any
+	tunable  gateway.Tunable
 	// engine describes the engines of the model service; nil means none.
 	engine map[string]any
 }
@@ -47,12 +49,14 @@
 	address, ready, peer string
 	stop                 context.CancelFunc
 	done                 chan struct{}
+	logs                 *observer.ObservedLogs
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: metastore.New(), runners: map[string]*runner.Runner{}, keys: []string{"key-a"},
-		limits: map[string]any{"max_body_bytes": 1000}}
+		limits:  map[string]any{"max_body_bytes": 1000},
+		tunable: gateway.Tunable{RetryRatio: 1, RetrySlack: 20, RetryWindow: 10 * time.Second, Grace: 2 * time.Second}}
 	d.http = httptest.NewServer(d.store)
 	t.Cleanup(func() {
 		d.store.SetFault(metastore.FaultNone)
@@ -135,12 +139,16 @@
 	for _, o := range d.gateways {
 		seeds = append(seeds, o.peer)
 	}
+	tunable := d.tunable
+	tunable.Seeds = seeds
+	logs, seen := observer.New(zap.InfoLevel)
+	p.logs = seen
 	store := platform.NewStore(strings.TrimPrefix(d.http.URL, "http://"), 500*time.Millisecond)
 	g := gateway.New(gateway.Config{
 		ID: fmt.Sprintf("gateway-%d", len(d.gateways)), Incarnation: p.address, FailureDomain: "z1", Deployment: "test",
 		CallerAddress: p.address, ReadyAddress: p.ready, PeerAddress: p.peer, ServersInterval: 50 * time.Millisecond,
-		Tunable:    gateway.Tunable{Seeds: seeds, RetryRatio: 1, RetrySlack: 20, RetryWindow: 10 * time.Second, Grace: 2 * time.Second},
-		BodyMemory: 1 << 20, Store: store, Decoder: platform.Records{}, Headers: platform.Headers{}, Logger: zap.NewNop(),
+		Tunable:    tunable,
+		BodyMemory: 1 << 20, Store: store, Decoder: platform.Records{}, Headers: platform.Headers{}, Logger: zap.New(logs),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
@@ -155,6 +163,20 @@
 	return p
 }
 
+// acquainted reports whether each gateway has met all others.
+func (d *deployment) acquainted() bool {
+	for _, p := range d.gateways {
+		met := map[string]bool{}
+		for _, l := range p.logs.FilterMessage("peer session up").All() {
+			met[l.ContextMap()["peer"].(string)] = true
+		}
+		if len(met) < len(d.gateways)-1 {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *deployment) startReady() *process {
 	d.t.Helper()
 	p := d.start()
