Leave small skews alone, and drop a change that a shift has overtaken

In the bad seconds demand shifted while a change that took the skew from 1.15 to 1.05 was under way; the change that was needed began 0.26 s later than after an idle time (relief 0.84 s after the shift in place of 0.55 s), and streams were late by their pauses.

Change: a change begins from a skew of 1.25 on (1.15 before). A change that is prepared when demand shifts is dropped unless it still takes away three tenths of the skew.

A strong shift (skew 3.5 to 1.5 in the first change) still costs two seconds.

--- /dev/null
+++ b/core/expertmap/worthwhile.go
@@ -0,0 +1,28 @@
+package expertmap
+
+// Settings of the decision whether a change of map pays.
+const (
+	// leastSkew is the skew below which the map is left as it is: a change that is
+	// under way when demand shifts holds up the one that is needed then.
+	leastSkew = 1.25
+	// leastCut is the part of the skew above 1 that a change has to take away.
+	leastCut = 0.2
+	// staleGain is the part of the skew that a change from before a shift of
+	// demand may leave. A better one waits for it.
+	staleGain = 0.7
+)
+
+// WorthBeginning reports whether a change of map pays that takes the skew from
+// before to after.
+func WorthBeginning(before, after float64) bool {
+	return before >= leastSkew && before-after >= leastCut*(before-1)
+}
+
+// WorthEnding reports whether a change that is prepared still pays. stale tells
+// that demand has shifted since it was planned; the skews are those of now.
+func WorthEnding(before, after float64, stale bool) bool {
+	if stale {
+		return after < staleGain*before
+	}
+	return after < before
+}
--- a/rankagent/lead.go
+++ b/rankagent/lead.go
@@ -18,10 +18,6 @@
 	// copyBudget bounds the time for which ranks copy experts for one change. It
 	// is a tenth of the time after which the popularity of experts moves on.
 	copyBudget = 400 * time.Millisecond
-	// leastSkew is the skew below which the map is left as it is, leastCut the
-	// part of the skew above 1 that a change has to take away.
-	leastSkew = 1.15
-	leastCut  = 0.2
 	// silentRank is how long a rank without reports is waited for before its
 	// engine is asked directly, at a price.
 	silentRank = 500 * time.Millisecond
@@ -29,14 +25,16 @@
 
 // lead is the state of an agent while it leads its group.
 type lead struct {
-	agent    *Agent
-	group    string
-	changer  *expertmap.Changer
-	demand   *expertmap.Demand
-	shape    shape
-	ranks    []rankState
-	lastTook int
-	lastDrop int
+	agent   *Agent
+	group   string
+	changer *expertmap.Changer
+	demand  *expertmap.Demand
+	shape   shape
+	ranks   []rankState
+	// plannedAt is the number of shifts of demand before the change was planned.
+	plannedAt int
+	lastTook  int
+	lastDrop  int
 }
 
 // rankState is what the leader knows of the agent of a rank.
@@ -132,7 +130,7 @@
 	c := l.changer
 	switch {
 	case c.Phase() == expertmap.PhasePrepare:
-		if current, next := c.Current(), c.Next(); expertmap.LayoutSkew(next, load, l.paces()) >= expertmap.LayoutSkew(current, load, l.paces()) {
+		if !l.stillPays(load) {
 			l.agent.log.Info("change of map dropped: demand has shifted", zap.Int64("version", c.Version()))
 			c.Drop(now)
 		}
@@ -141,6 +139,14 @@
 	}
 }
 
+// stillPays reports whether the change that is prepared helps with the demand of
+// now.
+func (l *lead) stillPays(load [][]float64) bool {
+	before := expertmap.LayoutSkew(l.changer.Current(), load, l.paces())
+	after := expertmap.LayoutSkew(l.changer.Next(), load, l.paces())
+	return expertmap.WorthEnding(before, after, l.demand.Shifts != l.plannedAt)
+}
+
 // findCurrent puts the map in force together from the ranks' placements.
 func (l *lead) findCurrent() {
 	layout := make(expertmap.Layout, len(l.ranks))
@@ -161,7 +167,8 @@
 	current := l.changer.Current()
 	paces := l.paces()
 	before := expertmap.LayoutSkew(current, load, paces)
-	if before < leastSkew {
+	// A plan without any skew left is the best that can come.
+	if !expertmap.WorthBeginning(before, 1) {
 		return
 	}
 	plan := expertmap.Increment{Places: l.shape.places, MaxNew: l.shape.newPerRank(), MaxNewInSet: l.shape.maxNew, Paces: paces}
@@ -170,10 +177,11 @@
 		return
 	}
 	after := expertmap.LayoutSkew(next, load, paces)
-	if before-after < leastCut*(before-1) || !next.Complete(l.shape.sets, l.shape.experts) {
+	if !expertmap.WorthBeginning(before, after) || !next.Complete(l.shape.sets, l.shape.experts) {
 		return
 	}
 	if l.changer.Propose(next, now) {
+		l.plannedAt = l.demand.Shifts
 		l.agent.log.Info("change of map begun", zap.Int64("version", l.changer.Version()), zap.Int64("epoch", l.changer.Epoch()),
 			zap.Float64("skew_before", before), zap.Float64("skew_after", after), zap.Int("shifts", l.demand.Shifts))
 	}
