Read long lists of expert counts at every second poll

Cause: agents of the grown sites read and sent 1,536 counts every 50 ms: 30 KB/s an agent, above the 25 KB/s of the design size, and 23 times that into the leader's link of 8 Mbit/s. 72 agents used 0.0160 cores each, more than half of all processor time.

Change: up to 1,000 counts are read at each poll, more at every second one, and so on. The report of the engine is read at each poll as before.

The small sites have 288 counts.

--- a/rankagent/status.go
+++ b/rankagent/status.go
@@ -12,6 +12,11 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
+// countsPerPoll is the number of counts that are read and told at each poll; more
+// are read at every second poll, and so on. It keeps an agent's messages below
+// 25 KB/s (docs/CAPACITY.md), at one byte a count.
+const countsPerPoll = 1000
+
 // Settings of the news that gateways get of an engine.
 const (
 	// paceChange is the relative change of the pace that is told at once.
@@ -31,13 +36,13 @@
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	failed := false
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		err := a.pollOnce(ctx)
+		err := a.pollOnce(ctx, n)
 		if err != nil && !failed {
 			a.log.Warn("engine lost", zap.Error(err))
 		}
@@ -48,7 +53,8 @@
 	}
 }
 
-func (a *Agent) pollOnce(ctx context.Context) error {
+// pollOnce is the n-th poll. Long lists of counts are not read at each.
+func (a *Agent) pollOnce(ctx context.Context, n int) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	r, err := a.cfg.Engine.Report(ctx, a.cfg.EngineAddress)
@@ -58,13 +64,11 @@
 	if r.Place.Group == "" {
 		return nil
 	}
-	counts, epoch, err := a.cfg.Engine.Counts(ctx, a.cfg.EngineAddress)
-	if err != nil {
-		return fmt.Errorf("poll engine: %w", err)
-	}
 	var placement [][]int
 	var known bool
+	var every int
 	a.task.Do(func() {
+		every = 1 + len(a.state.counts)/countsPerPoll
 		known = a.state.placement != nil && a.state.placedMap == r.Map && a.state.placedEpoch == r.Place.Epoch
 	})
 	if !known {
@@ -72,12 +76,19 @@
 			return fmt.Errorf("poll engine: %w", err)
 		}
 	}
-	a.task.Do(func() { a.polled(r, counts, epoch, placement, time.Now()) })
+	var counts []int64
+	if n%every == 0 {
+		if counts, _, err = a.cfg.Engine.Counts(ctx, a.cfg.EngineAddress); err != nil {
+			return fmt.Errorf("poll engine: %w", err)
+		}
+	}
+	a.task.Do(func() { a.polled(r, counts, placement, time.Now()) })
 	return nil
 }
 
-// polled takes what the engine said. It runs in the task.
-func (a *Agent) polled(r core.RankReport, counts []int64, epoch int64, placement [][]int, now time.Time) {
+// polled takes what the engine said; counts is nil when they were not read. It
+// runs in the task.
+func (a *Agent) polled(r core.RankReport, counts []int64, placement [][]int, now time.Time) {
 	s := a.state
 	if s.reported && s.report.Place.Epoch != r.Place.Epoch {
 		a.log.Info("group epoch changed", zap.Int64("epoch", r.Place.Epoch), zap.Bool("open", r.Place.Open))
@@ -88,7 +99,10 @@
 		s.sentPlacement = nil
 	}
 	a.tellState(now)
-	choices := s.choices(counts, r.StartedUnixMS)
+	var choices []uint32
+	if counts != nil {
+		choices = s.choices(counts, r.StartedUnixMS)
+	}
 	st := s.status(choices)
 	a.keepSessions()
 	if a.leads(now) {
