--- a/core/expertmap/changer.go
+++ b/core/expertmap/changer.go
@@ -213,6 +213,15 @@
 	return busy
 }
 
+// Running returns the mean number of running requests of a rank.
+func (c *Changer) Running() float64 {
+	n := 0
+	for i := range c.ranks {
+		n += c.ranks[i].report.Running
+	}
+	return float64(n) / float64(c.size)
+}
+
 // Propose begins a change to a layout. It reports false when none may begin.
 func (c *Changer) Propose(next Layout, now time.Time) bool {
 	if !c.Ready(now) {
--- a/rankagent/lead.go
+++ b/rankagent/lead.go
@@ -168,7 +168,8 @@
 	paces := l.paces()
 	before := expertmap.LayoutSkew(current, load, paces)
 	// A plan without any skew left is the best that can come.
-	if !expertmap.WorthBeginning(before, 1) {
+	running := l.changer.Running()
+	if !expertmap.WorthBeginning(before, 1, running) {
 		return
 	}
 	plan := expertmap.Increment{Places: l.shape.places, MaxNew: l.shape.newPerRank(), MaxNewInSet: l.shape.maxNew, Paces: paces}
@@ -177,7 +178,7 @@
 		return
 	}
 	after := expertmap.LayoutSkew(next, load, paces)
-	if !expertmap.WorthBeginning(before, after) || !next.Complete(l.shape.sets, l.shape.experts) {
+	if !expertmap.WorthBeginning(before, after, running) || !next.Complete(l.shape.sets, l.shape.experts) {
 		return
 	}
 	if l.changer.Propose(next, now) {
