Let all callers that have come back wait during an outage

Change: Offer asks whether all servers are out of service with their groups. TestReturningCallersWaitTogether fails without it.

--- a/core/dispatch/outage_test.go
+++ b/core/dispatch/outage_test.go
@@ -45,6 +45,34 @@
 	}
 }
 
+// Guards against callers that come back during an outage and are turned away
+// because of others that wait already, or by the rate of completions before it.
+func TestReturningCallersWaitTogether(t *testing.T) {
+	d := grouped(3)
+	for i := range uint64(5) {
+		r := request(i, time.Duration(i)*10*time.Millisecond)
+		r.Returning = true
+		if i == 1 {
+			// Seen by others that serve a little, which is forgotten in seconds.
+			d.Finished("s", "s0", 100, dispatch.OutcomeServed, start)
+			d.SetEngine("s0", 1, false, start)
+		}
+		if v, ok := d.Offer(r, r.Arrived); ok {
+			t.Errorf("caller %d that has come back during an outage: got %+v, want a wait", i, v)
+		}
+	}
+	fresh := request(9, 100*time.Millisecond)
+	fresh.Objective = fresh.Arrived.Add(time.Hour)
+	if v, ok := d.Offer(fresh, fresh.Arrived); !ok || v.Rejected == "" && v.Server.ID == "" {
+		t.Errorf("first attempt behind them: got %+v %v, want a verdict at once", v, ok)
+	}
+	now := start.Add(500 * time.Millisecond)
+	d.SetEngine("s1", 1, true, now)
+	if got := d.Next(now); len(got) != 5 {
+		t.Errorf("verdicts once the group serves: got %d, want 5", len(got))
+	}
+}
+
 // Guards against a caller that is held although it waits no longer.
 func TestReturningCallerIsRejectedInTime(t *testing.T) {
 	d := grouped(3)
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -8,19 +8,16 @@
 // Offer takes a request. It returns a verdict when one is known at once.
 func (d *Dispatcher) Offer(r Request, now time.Time) (Verdict, bool) {
 	s := d.service(r.Service)
-	// During an outage the rate of completions tells nothing of the wait.
-	outage := false
-	if len(s.queue) == 0 || !s.firstInLine(r, now) {
+	out := s.out()
+	if len(s.queue) == 0 || !s.firstInLine(r, now) || out {
 		if sv, full := d.choose(s, r, now); sv != nil {
 			return d.assign(s, sv, r, now), true
-		} else if !full {
-			if !s.mayReturn(r) {
-				return s.reject(r, ReasonNoServer, now), true
-			}
-			outage = true
+		} else if !full && !s.mayReturn(r) {
+			return s.reject(r, ReasonNoServer, now), true
 		}
 	}
-	if wait := s.expectedWait(len(s.queue)+1, now); !outage && now.Add(wait).After(r.GiveUp) {
+	// During an outage the rate of completions tells nothing of the wait.
+	if wait := s.expectedWait(len(s.queue)+1, now); !out && now.Add(wait).After(r.GiveUp) {
 		return s.reject(r, ReasonTooLate, now), true
 	}
 	if len(s.queue) >= s.maxQueue(d.gateways) {
@@ -31,6 +28,21 @@
 	return Verdict{}, false
 }
 
+// out reports whether all servers are out of service with their groups.
+func (s *service) out() bool {
+	known := false
+	for _, sv := range s.order {
+		if !sv.Usable {
+			continue
+		}
+		if !s.outageOf(sv).out() {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // mayReturn reports whether a request waits although no server serves now: its
 // caller will not come back again, and a group that is out of service may be
 // formed again in time.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,13 +4,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"nutmegnotch/emulator/loopback"
 	"nutmegnotch/emulator/metastore"
 	"nutmegnotch/emulator/runner"
 	"nutmegnotch/gateway"
@@ -114,21 +112,13 @@
 	})
 }
 
-// addresses counts the addresses that were given out.
-var addresses atomic.Int32
-
-// freeAddress returns an address that nothing else of this process uses: each
-// has an IP number of its own, since a port that was found free on a shared one
-// may be taken before it is listened on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	n := int(addresses.Add(1))
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 60+os.Getpid()%60, n/250, n%250+1))
+	a, err := loopback.FreeAddress()
 	if err != nil {
-		t.Fatalf("find a free address: %v", err)
+		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 // start runs a gateway that knows the other ones as seeds.
--- a/rankagent/agent_test.go
+++ b/rankagent/agent_test.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
-	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/emulator/lockstep"
+	"nutmegnotch/emulator/loopback"
 	"nutmegnotch/emulator/metastore"
 	"nutmegnotch/gateway"
 	"nutmegnotch/platform"
@@ -121,21 +120,13 @@
 	})
 }
 
-// addresses counts the addresses that were given out.
-var addresses atomic.Int32
-
-// freeAddress returns an address that nothing else of this process uses: each
-// has an IP number of its own, since a port that was found free on a shared one
-// may be taken before it is listened on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	n := int(addresses.Add(1))
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 60+os.Getpid()%60, n/250, n%250+1))
+	a, err := loopback.FreeAddress()
 	if err != nil {
-		t.Fatalf("find a free address: %v", err)
+		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 // start runs the agent of a rank on the host of its engine.
