Accept callers again after a listener error that passes

Cause: found on reading the change: since callers' connections are accepted in our own loop, one error of the listener, as for want of descriptors, ended it for good, and the gateway stayed ready without taking callers. net/http, which accepted them before, waits and goes on.

Change: only a closed listener ends the loop; after other errors it waits 5 ms to 1 s, as net/http does. TestAcceptGoesOnAfterErrors fails without it. A comment in the leader's plan stands at its line.

--- /dev/null
+++ b/gateway/accept_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// scarceListener fails to accept a few times, as without descriptors.
+type scarceListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a gateway that takes no callers any more after it was once short
+// of descriptors.
+func TestAcceptGoesOnAfterErrors(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	l := &scarceListener{Listener: inner}
+	l.failures.Store(3)
+	c := newCallers(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }), l.Addr(), zap.NewNop())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.serve(l)
+	}()
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + l.Addr().String())
+	if err != nil {
+		t.Fatalf("request after errors of the listener: got %v, want an answer", err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status: got %d, want 200", resp.StatusCode)
+	}
+	c.close(l)
+	<-done
+}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,13 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// firstAcceptDelay and maxAcceptDelay bound the pause after a connection could not
+// be accepted, as in net/http.
+const (
+	firstAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay   = time.Second
+)
+
 // callers serves the connections of callers. The limits of a net/http server do
 // not change, so there is a server for each set of limits; a connection keeps
 // the limits under which it was accepted.
@@ -59,19 +67,22 @@
 	c.current.Store(s)
 }
 
-// serve accepts connections until the listener is closed.
+// serve accepts connections until the listener is closed. Other errors, as for
+// want of descriptors, pass.
 func (c *callers) serve(l net.Listener) {
+	delay := firstAcceptDelay
 	for {
 		conn, err := l.Accept()
-		if err != nil {
-			c.mu.Lock()
-			closed := c.closed
-			c.mu.Unlock()
-			if !closed {
-				c.log.Error("accepting callers ended", zap.Stringer("address", c.address), zap.Error(err))
-			}
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			c.log.Error("accepting a caller failed", zap.Stringer("address", c.address), zap.Duration("delay", delay), zap.Error(err))
+			time.Sleep(delay)
+			delay = min(maxAcceptDelay, 2*delay)
+			continue
 		}
+		delay = firstAcceptDelay
 		c.current.Load().take(conn)
 	}
 }
--- a/rankagent/lead.go
+++ b/rankagent/lead.go
@@ -167,8 +167,8 @@
 	current := l.changer.Current()
 	paces := l.paces()
 	before := expertmap.LayoutSkew(current, load, paces)
-	// A plan without any skew left is the best that can come.
 	running := l.changer.Running()
+	// A plan without any skew left is the best that can come.
 	if !expertmap.WorthBeginning(before, 1, running) {
 		return
 	}
