Log which crashes are counted against a request

The logs could not tell the hypotheses about crashing requests apart: no line said that a crash was counted, against which request, or where the report came from. No decision changes.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -179,7 +179,7 @@
 // guarantee that the request has not run and will not run.
 func (g *Gateway) refuse(c *call, ref refusal) {
 	g.log.Info("request refused", zap.String("request_id", c.id()), zap.String("route", c.route.Name),
-		zap.Int("status", ref.status), zap.String("reason", ref.reason), zap.Duration("retry_after", ref.retryAfter),
+		fingerprintField(c.fingerprint), zap.Int("status", ref.status), zap.String("reason", ref.reason), zap.Duration("retry_after", ref.retryAfter),
 		zap.Int64("version", c.version), zap.Duration("held", time.Since(c.arrived)))
 	c.outcome = "refused_" + strconv.Itoa(ref.status)
 	h := c.w.Header()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 var (
 	requestsByOutcome = expvar.NewMap("gateway_requests")
 	sendsByOutcome    = expvar.NewMap("gateway_sends")
+	quarantineEvents  = expvar.NewMap("gateway_quarantine")
 	latencies         = &latencyHistograms{byName: map[string]*hdrhistogram.Histogram{}}
 )
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -87,7 +87,7 @@
 		g.task.Do(func() { g.onEngineState(b.EngineState, time.Now()) })
 	case *peerpb.Frame_Suspicion:
 		g.task.Do(func() {
-			g.state.quarantine.addCrash(b.Suspicion.GetFingerprint(), b.Suspicion.GetServerId(), time.Now())
+			g.countCrash(b.Suspicion.GetFingerprint(), b.Suspicion.GetServerId(), from.Hello.GetId())
 		})
 	}
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"nutmegnotch/core"
 	"nutmegnotch/io/peer/peerpb"
@@ -33,7 +35,8 @@
 
 func newQuarantine() *quarantine { return &quarantine{byFingerprint: map[uint64]*crashRecord{}} }
 
-func (q *quarantine) addCrash(fingerprint uint64, serverID string, now time.Time) {
+// addCrash returns the number of servers that have crashed.
+func (q *quarantine) addCrash(fingerprint uint64, serverID string, now time.Time) int {
 	rec := q.byFingerprint[fingerprint]
 	if rec == nil {
 		q.evict(now)
@@ -42,6 +45,7 @@
 	}
 	rec.servers[serverID] = true
 	rec.lastCrash = now
+	return len(rec.servers)
 }
 
 // evict removes expired records if the quarantine is full, and arbitrary ones if it
@@ -84,10 +88,25 @@
 	return h.Sum64()
 }
 
+// fingerprintField returns the log field by which the lines about one request, its
+// copies and its crashes are found.
+func fingerprintField(fingerprint uint64) zap.Field {
+	return zap.String("fingerprint", strconv.FormatUint(fingerprint, 16))
+}
+
+// countCrash counts a crash that this gateway or a peer has seen. It runs in the
+// task.
+func (g *Gateway) countCrash(fingerprint uint64, serverID, source string) {
+	n := g.state.quarantine.addCrash(fingerprint, serverID, time.Now())
+	quarantineEvents.Add("crashes_counted", 1)
+	g.log.Info("crash counted", fingerprintField(fingerprint), zap.String("server", serverID),
+		zap.Int("crashes", n), zap.String("source", source))
+}
+
 // reportCrash counts a crash of a server that ran a request, and reports it to the
 // other gateways.
 func (g *Gateway) reportCrash(fingerprint uint64, serverID string) {
-	g.task.Do(func() { g.state.quarantine.addCrash(fingerprint, serverID, time.Now()) })
+	g.task.Do(func() { g.countCrash(fingerprint, serverID, "self") })
 	g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_Suspicion{
 		Suspicion: &peerpb.Suspicion{Fingerprint: fingerprint, ServerId: serverID},
 	}})
