--- /dev/null
+++ b/emulator/runner/crash.go
@@ -0,0 +1,77 @@
+package runner
+
+import (
+	"io"
+	"net"
+	"strings"
+	"time"
+)
+
+// partialReplyTime is the time between the first part of a reply and the crash, since
+// the reset of a connection discards what the client has not read yet.
+const partialReplyTime = 20 * time.Millisecond
+
+// CrashPoint is the point in a run at which the process of a Runner ends.
+type CrashPoint string
+
+// Crash points. After CrashSilently the Runner keeps its connections open and answers
+// nothing, like a server whose host has lost power.
+const (
+	CrashBeforeReply CrashPoint = "before reply"
+	CrashAfterHead   CrashPoint = "after head"
+	CrashInBody      CrashPoint = "in body"
+	CrashSilently    CrashPoint = "silently"
+)
+
+// Crashed is closed when the process of the Runner has ended.
+func (r *Runner) Crashed() <-chan struct{} { return r.crashed }
+
+// Crash ends the process. It closes the listener and resets all connections, or, if
+// silently is set, leaves them open without an answer.
+func (r *Runner) Crash(silently bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended, r.silent = true, silently
+	if !silently {
+		r.listener.Close()
+		for c := range r.conns {
+			reset(c)
+		}
+	}
+	close(r.crashed)
+}
+
+func (r *Runner) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent
+}
+
+// crashesAt reports whether a run ends the process at a point.
+func (r *Runner) crashesAt(run *Run, at CrashPoint) bool {
+	return r.cfg.CrashMarker != "" && r.cfg.CrashPoint == at && strings.Contains(run.Target+run.Body, r.cfg.CrashMarker)
+}
+
+// crashAtStart crashes the Runner if the run ends the process without a reply.
+func (r *Runner) crashAtStart(c net.Conn, run *Run) bool {
+	switch {
+	case r.crashesAt(run, CrashBeforeReply):
+		r.Crash(false)
+	case r.crashesAt(run, CrashSilently):
+		r.Crash(true)
+		_, _ = io.Copy(io.Discard, c)
+	default:
+		return false
+	}
+	return true
+}
+
+// crashAfter sends the first part of a reply and crashes.
+func (r *Runner) crashAfter(c net.Conn, part string) {
+	_, _ = io.WriteString(c, part)
+	time.Sleep(partialReplyTime)
+	r.Crash(false)
+}
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -61,6 +61,12 @@
 	EventInterval time.Duration
 	// ProcessingTime is the time before a reply or the first event.
 	ProcessingTime time.Duration
+	// CrashMarker is a text in the target or the body of a request that ends the
+	// process of the Runner at CrashPoint. An empty text has no effect.
+	CrashMarker string
+	CrashPoint  CrashPoint
+	// Address is the address to listen on. If it is empty, the Runner picks one.
+	Address string
 }
 
 // Run is a request that a Runner has run.
@@ -81,15 +87,23 @@
 	faults   []Fault
 	conns    map[net.Conn]bool
 	wg       sync.WaitGroup
+	// crashed is closed when the process has ended, and ended is set. silent is set
+	// if it has left its connections open.
+	crashed       chan struct{}
+	ended, silent bool
 }
 
 // New starts a Runner on a loopback address. Callers must call Close to stop it.
 func New(cfg Config) (*Runner, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address := cfg.Address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	r := &Runner{cfg: cfg, listener: l, conns: map[net.Conn]bool{}}
+	r := &Runner{cfg: cfg, listener: l, conns: map[net.Conn]bool{}, crashed: make(chan struct{})}
 	r.wg.Add(1)
 	go r.serve()
 	return r, nil
@@ -187,6 +201,10 @@
 
 // handle handles a request. It reports whether the connection can be used again.
 func (r *Runner) handle(c net.Conn, req *http.Request, body string) bool {
+	if r.isSilent() {
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	}
 	id := req.Header.Get(headerRequestID)
 	if want := req.Header.Get(headerExpectInstance); want != r.cfg.ID {
 		writeReply(c, "421 Misdirected Request", id, "", "", "")
@@ -219,6 +237,9 @@
 		return false
 	}
 	time.Sleep(r.cfg.ProcessingTime)
+	if r.crashAtStart(c, run) {
+		return false
+	}
 	if r.cfg.Events > 0 {
 		return r.sendStream(c, run, fault)
 	}
@@ -242,6 +263,15 @@
 		_, _ = io.WriteString(c, head+"Content-Length: "+strconv.Itoa(len(r.cfg.Body))+"\r\n\r\n"+r.cfg.Body[:len(r.cfg.Body)/2])
 		return false
 	}
+	partial := head + "Content-Length: " + strconv.Itoa(len(r.cfg.Body)) + "\r\n\r\n"
+	switch {
+	case r.crashesAt(run, CrashAfterHead):
+		r.crashAfter(c, partial)
+		return false
+	case r.crashesAt(run, CrashInBody):
+		r.crashAfter(c, partial+r.cfg.Body[:len(r.cfg.Body)/2])
+		return false
+	}
 	writeReply(c, "200 OK", run.ID, r.cfg.ID, "", r.cfg.Body)
 	if fault == FaultExtraReply {
 		writeReply(c, "200 OK", "another-request", r.cfg.ID, "", "not yours")
@@ -269,8 +299,16 @@
 		r.markCancelled(run)
 		return false
 	}
+	if r.crashesAt(run, CrashAfterHead) {
+		r.crashAfter(c, "")
+		return false
+	}
 	for id := lastID + 1; id <= r.cfg.Events; id++ {
 		event := Event(id)
+		if r.crashesAt(run, CrashInBody) && id == lastID+2 {
+			r.crashAfter(c, fmt.Sprintf("%x\r\n%s", len(event), event[:len(event)/2]))
+			return false
+		}
 		if fault == FaultTruncated && id == lastID+(r.cfg.Events-lastID)/2+1 {
 			event = event[:len(event)/2]
 			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +17,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"nutmegnotch/core"
 	"nutmegnotch/emulator/loopback"
 	"nutmegnotch/emulator/metastore"
 	"nutmegnotch/emulator/runner"
@@ -28,11 +31,18 @@
 
 // deployment runs a store, backend servers and gateways in the test process.
 type deployment struct {
-	t          *testing.T
-	store      *metastore.Store
-	http       *httptest.Server
-	runners    map[string]*runner.Runner
-	gateways   []*process
+	t        *testing.T
+	store    *metastore.Store
+	http     *httptest.Server
+	runners  map[string]*runner.Runner
+	servers  []*runner.Process
+	gateways []*process
+	// started is the number of gateways that were started.
+	started int
+	// links wraps the store client of the next gateways; nil means that they have
+	// no faults of their own.
+	links      func(core.KeyedStore) core.KeyedStore
+	isolations []*isolation
 	version    int
 	routes     []map[string]any
 	keys       []string
@@ -69,6 +79,9 @@
 		for _, r := range d.runners {
 			r.Close()
 		}
+		for _, p := range d.servers {
+			p.Close()
+		}
 		http.DefaultClient.CloseIdleConnections()
 	})
 	d.routes = []map[string]any{
@@ -133,9 +146,13 @@
 	reloadable.Seeds = seeds
 	logs, seen := observer.New(zap.InfoLevel)
 	p.logs = seen
-	store := platform.NewStoreClient(strings.TrimPrefix(d.http.URL, "http://"), 500*time.Millisecond)
+	client := platform.NewStoreClient(strings.TrimPrefix(d.http.URL, "http://"), 500*time.Millisecond)
+	store := core.KeyedStore(client)
+	if d.links != nil {
+		store = d.links(client)
+	}
 	g := gateway.New(gateway.Config{
-		ID: fmt.Sprintf("gateway-%d", len(d.gateways)), Incarnation: p.address, FailureDomain: "z1", Deployment: "test",
+		ID: "gateway-" + strconv.Itoa(d.started), Incarnation: p.address, FailureDomain: "z1", Deployment: "test",
 		CallerAddress: p.address, ReadyAddress: p.ready, PeerAddress: p.peer, ServersInterval: 50 * time.Millisecond,
 		Reloadable:      reloadable,
 		BodyMemoryBytes: 1 << 20, Store: store, Decoder: platform.RecordDecoder{}, Headers: platform.Headers{}, Logger: zap.New(logs),
@@ -147,9 +164,10 @@
 		if err := g.Run(ctx); err != nil {
 			d.t.Errorf("run gateway: %v", err)
 		}
-		store.Close()
+		client.Close()
 	}()
 	d.gateways = append(d.gateways, p)
+	d.started++
 	return p
 }
 
@@ -167,6 +185,52 @@
 	return true
 }
 
+// restart stops a gateway and starts another one with the others as its seeds.
+func (d *deployment) restart(i int) *process {
+	d.t.Helper()
+	old := d.gateways[i]
+	old.stop()
+	<-old.done
+	d.gateways = slices.Delete(d.gateways, i, i+1)
+	p := d.startReady()
+	d.gateways = slices.Insert(slices.Delete(d.gateways, len(d.gateways)-1, len(d.gateways)), i, p)
+	return p
+}
+
+// restartAll stops all gateways before it starts as many again.
+func (d *deployment) restartAll() []*process {
+	d.t.Helper()
+	old := d.gateways
+	for _, p := range old {
+		p.stop()
+	}
+	for _, p := range old {
+		<-p.done
+	}
+	d.gateways = nil
+	for range old {
+		d.startReady()
+	}
+	return d.gateways
+}
+
+// startIsolated starts a gateway with its own link to the store. Its seeds are
+// empty, so it knows other gateways only from the store.
+func (d *deployment) startIsolated(link *isolation) *process {
+	d.t.Helper()
+	d.isolations = append(d.isolations, link)
+	others := d.gateways
+	d.gateways = nil
+	d.links = func(s core.KeyedStore) core.KeyedStore {
+		link.KeyedStore = s
+		return link
+	}
+	p := d.startReady()
+	d.links = nil
+	d.gateways = append(others, p)
+	return p
+}
+
 func (d *deployment) startReady() *process {
 	d.t.Helper()
 	p := d.start()
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,395 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/emulator/runner"
+)
+
+// Bounds of the retries of a request that crashes servers: at most crashRetries
+// runs begin later than crashSettleTime after the third crash.
+const (
+	crashRetries    = 3
+	crashSettleTime = time.Second
+	crashTarget     = "/lookup/crash"
+)
+
+// addServers starts n servers of a service that end when they run a request with
+// the text crash.
+func (d *deployment) addServers(n int, service string, cfg runner.ProcessConfig) {
+	d.t.Helper()
+	for range n {
+		c := cfg
+		i := len(d.servers)
+		c.ID, c.Body, c.CrashMarker = fmt.Sprintf("%s-%d", service, i), "found", "crash"
+		c.Service, c.Zone, c.Store = service, "z1", d.store
+		if c.ExpiryDelay == 0 {
+			c.ExpiryDelay, c.RestartDelay = 500*time.Millisecond, 300*time.Millisecond
+		}
+		p, err := runner.NewProcess(c)
+		if err != nil {
+			d.t.Fatalf("start server: %v", err)
+		}
+		d.servers = append(d.servers, p)
+	}
+}
+
+// crashes returns the times of all crashes, in order.
+func (d *deployment) crashes() []time.Time {
+	var out []time.Time
+	for _, p := range d.servers {
+		out = append(out, p.Crashes()...)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// crashRuns returns the number of runs of the crashing request, and how many of
+// them began later than crashSettleTime after the third crash.
+func (d *deployment) crashRuns() (all, late int) {
+	ends := d.crashes()
+	for _, p := range d.servers {
+		for _, r := range p.Runs() {
+			if !strings.Contains(r.Target+r.Body, "crash") {
+				continue
+			}
+			all++
+			if len(ends) >= 3 && r.At.After(ends[2].Add(crashSettleTime)) {
+				late++
+			}
+		}
+	}
+	return all, late
+}
+
+// refusedAsCrashing reports whether a request was refused since it crashes servers.
+func refusedAsCrashing(a answer) bool {
+	return a.status == http.StatusServiceUnavailable && strings.Contains(a.body, "crashes_backend_servers")
+}
+
+// sendUntilRefused sends copies of the crashing request to a gateway until it is
+// refused.
+func (d *deployment) sendUntilRefused(p *process) {
+	d.t.Helper()
+	eventually(d.t, "the request is refused", func() bool {
+		return refusedAsCrashing(send(newRequest(p, http.MethodGet, crashTarget, "key-a", "")))
+	})
+	if got := len(d.crashes()); got < 3 {
+		d.t.Fatalf("crashes before the refusal: got %d, want at least 3", got)
+	}
+}
+
+// Guards against a request that crashes servers and is sent on because its crashes
+// are not recognised, wherever in the run the server ends.
+func TestCrashesAreCountedAtEachPointOfARun(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name, method, path string
+		point              runner.CrashPoint
+		servers            int
+		keepID             bool
+	}{
+		{"lookup before the reply", http.MethodGet, crashTarget, runner.CrashBeforeReply, 6, false},
+		{"lookup after the head", http.MethodGet, crashTarget, runner.CrashAfterHead, 6, false},
+		{"lookup in the body", http.MethodGet, crashTarget, runner.CrashInBody, 6, false},
+		{"lookup silently", http.MethodGet, crashTarget, runner.CrashSilently, 14, false},
+		{"booking before the reply", http.MethodPost, "/book/crash", runner.CrashBeforeReply, 6, false},
+		{"booking in the body", http.MethodPost, "/book/crash", runner.CrashInBody, 6, false},
+		{"stream before the reply", http.MethodPost, "/draft/crash", runner.CrashBeforeReply, 6, false},
+		{"stream after the head", http.MethodPost, "/draft/crash", runner.CrashAfterHead, 6, false},
+		{"stream in an event", http.MethodPost, "/draft/crash", runner.CrashInBody, 6, false},
+		{"stream silently", http.MethodPost, "/draft/crash", runner.CrashSilently, 14, false},
+		{"two servers that keep their ids", http.MethodGet, crashTarget, runner.CrashBeforeReply, 2, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.publish()
+			cfg := runner.ProcessConfig{Config: runner.Config{CrashPoint: c.point}, KeepID: c.keepID}
+			copies, gap, left := 50, 100*time.Millisecond, 400
+			if c.point == runner.CrashSilently {
+				// Callers leave before the server answers again, and each copy before the next one.
+				copies, gap, left = 12, 400*time.Millisecond, 200
+				cfg.ExpiryDelay, cfg.RestartDelay = 800*time.Millisecond, 900*time.Millisecond
+			}
+			service := "desk"
+			if strings.HasPrefix(c.path, "/draft/") {
+				service, cfg.Events, cfg.EventInterval = "model", 6, 10*time.Millisecond
+			}
+			d.addServers(c.servers, service, cfg)
+			gateways := []*process{d.startReady(), d.startReady()}
+			eventually(t, "the gateways are connected", d.connected)
+			var wg sync.WaitGroup
+			for i := range copies {
+				r := newRequest(gateways[i%2], c.method, c.path, "key-a", "")
+				r.Header.Set("Nutmegnotch-Deadline-Ms", strconv.Itoa(left))
+				wg.Go(func() { send(r) })
+				time.Sleep(gap)
+			}
+			wg.Wait()
+			all, late := d.crashRuns()
+			if got := len(d.crashes()); got < 3 {
+				t.Fatalf("crashes: got %d, want at least 3", got)
+			}
+			if late > crashRetries {
+				t.Errorf("runs later than %v after the third crash: got %d (%d in all), want at most %d", crashSettleTime, late, all, crashRetries)
+			}
+			for i, p := range gateways {
+				if got := send(newRequest(p, c.method, c.path, "key-a", "")); !refusedAsCrashing(got) {
+					t.Errorf("last copy at gateway %d: got %d %q (%v), want a refusal as crashing", i, got.status, got.body, got.err)
+				}
+			}
+		})
+	}
+}
+
+// isolation is a link of a gateway to the store that can be cut. While members is
+// set, the gateway neither sees other gateways in the store nor shows itself there.
+type isolation struct {
+	core.KeyedStore
+	cut, members atomic.Bool
+}
+
+func (s *isolation) Newest(ctx context.Context, t core.Topic) (core.KeyedBatch, error) {
+	if s.cut.Load() {
+		return core.KeyedBatch{}, core.ErrUnavailable
+	}
+	b, err := s.KeyedStore.Newest(ctx, t)
+	if t == core.TopicMembers && s.members.Load() {
+		b.Records = nil
+	}
+	return b, err
+}
+
+func (s *isolation) Read(ctx context.Context, t core.Topic, from int64, wait time.Duration) (core.KeyedBatch, error) {
+	if s.cut.Load() {
+		return core.KeyedBatch{}, core.ErrUnavailable
+	}
+	b, err := s.KeyedStore.Read(ctx, t, from, wait)
+	if t == core.TopicMembers && s.members.Load() {
+		b.Records = nil
+	}
+	if s.cut.Load() {
+		return core.KeyedBatch{}, core.ErrUnavailable
+	}
+	return b, err
+}
+
+func (s *isolation) Put(ctx context.Context, t core.Topic, key string, value []byte) error {
+	if s.cut.Load() {
+		return core.ErrUnavailable
+	}
+	if t == core.TopicMembers && s.members.Load() {
+		return nil
+	}
+	return s.KeyedStore.Put(ctx, t, key, value)
+}
+
+// Guards against gateways that send a request on because they have missed the
+// reports of its crashes.
+func TestGatewaysThatMissedCrashReports(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		// prepare runs before the crashes and after runs after them. It returns the
+		// gateways that must refuse the request.
+		prepare func(d *deployment)
+		after   func(d *deployment, first *process) []*process
+	}{
+		{"added after the crashes", func(*deployment) {}, func(d *deployment, _ *process) []*process {
+			return []*process{d.startReady()}
+		}},
+		{"restarted in turn", func(d *deployment) { d.startReady() }, func(d *deployment, _ *process) []*process {
+			return []*process{d.restart(0), d.restart(1)}
+		}},
+		{"restarted at the same moment", func(d *deployment) { d.startReady() }, func(d *deployment, _ *process) []*process {
+			time.Sleep(crashSettleTime)
+			return d.restartAll()
+		}},
+		{"cut off from the other gateways", func(d *deployment) {
+			link := &isolation{}
+			link.members.Store(true)
+			d.startIsolated(link)
+		}, func(d *deployment, _ *process) []*process { return []*process{d.gateways[1]} }},
+		{"cut off from the other gateways and the store", func(d *deployment) {
+			link := &isolation{}
+			link.members.Store(true)
+			d.startIsolated(link)
+			link.cut.Store(true)
+		}, func(d *deployment, _ *process) []*process {
+			d.isolations[0].cut.Store(false)
+			return []*process{d.gateways[1]}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.publish()
+			d.addServers(6, "desk", runner.ProcessConfig{Config: runner.Config{CrashPoint: runner.CrashBeforeReply}})
+			first := d.startReady()
+			c.prepare(d)
+			d.sendUntilRefused(first)
+			list := c.after(d, first)
+			time.Sleep(2 * crashSettleTime)
+			before, _ := d.crashRuns()
+			for i, p := range list {
+				for range 3 {
+					if got := send(newRequest(p, http.MethodGet, crashTarget, "key-a", "")); !refusedAsCrashing(got) {
+						t.Errorf("copy at gateway %d: got %d %q (%v), want a refusal as crashing", i, got.status, got.body, got.err)
+					}
+				}
+				if got := send(newRequest(p, http.MethodGet, "/lookup/other", "key-a", "")); got.status != http.StatusOK {
+					t.Errorf("another request at gateway %d: got %d %q (%v), want 200", i, got.status, got.body, got.err)
+				}
+			}
+			if after, _ := d.crashRuns(); after != before {
+				t.Errorf("further runs: got %d, want 0", after-before)
+			}
+		})
+	}
+}
+
+// Guards against crashes that are forgotten when gateways restart between them.
+func TestCrashCountsOutliveGateways(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		restart func(d *deployment, n int)
+	}{
+		{"in turn", func(d *deployment, n int) { d.restart(n % 2) }},
+		{"all at once", func(d *deployment, _ int) { d.restartAll() }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.routes[1]["max_attempts"] = 1
+			d.publish()
+			d.addServers(8, "desk", runner.ProcessConfig{Config: runner.Config{CrashPoint: runner.CrashBeforeReply}})
+			d.startReady()
+			d.startReady()
+			for n := range 8 {
+				for _, p := range d.gateways {
+					send(newRequest(p, http.MethodPost, "/book/crash", "key-a", ""))
+					time.Sleep(crashSettleTime)
+				}
+				c.restart(d, n)
+			}
+			if all, late := d.crashRuns(); late > crashRetries {
+				t.Errorf("runs later than %v after the third crash: got %d (%d in all), want at most %d", crashSettleTime, late, all, crashRetries)
+			}
+		})
+	}
+}
+
+// Guards against copies that waited in the queue when the request was found to
+// crash servers, and were sent all the same.
+func TestQueuedCopiesOfACrashingRequest(t *testing.T) {
+	t.Parallel()
+	const busyTime = 2 * time.Second
+	d := newDeployment(t)
+	d.routes[0]["timeout_ms"], d.routes[0]["max_attempts"] = 10_000, 1
+	d.publish()
+	later := func(path string) *http.Request {
+		r := newRequest(d.gateways[0], http.MethodGet, path, "key-a", "")
+		r.Header.Set("Nutmegnotch-Deadline-Ms", "10000")
+		return r
+	}
+	cfg := runner.ProcessConfig{Slots: 1, ExpiryDelay: 300 * time.Millisecond, RestartDelay: time.Minute,
+		Config: runner.Config{CrashPoint: runner.CrashBeforeReply, ProcessingTime: busyTime}}
+	d.addServers(6, "desk", cfg)
+	d.startReady()
+	var wg sync.WaitGroup
+	for i := range 18 {
+		r := later(fmt.Sprintf("/lookup/%d", i))
+		wg.Go(func() { send(r) })
+	}
+	eventually(t, "each server runs a request", func() bool {
+		return !slices.ContainsFunc(d.servers, func(s *runner.Process) bool { return len(s.Runs()) == 0 })
+	})
+	cfg.ProcessingTime = 200 * time.Millisecond
+	d.addServers(3, "desk", cfg)
+	time.Sleep(300 * time.Millisecond)
+	for range 45 {
+		r := later(crashTarget)
+		wg.Go(func() { send(r) })
+	}
+	wg.Wait()
+	if got := len(d.crashes()); got < 3 {
+		t.Fatalf("crashes: got %d, want at least 3", got)
+	}
+	if all, late := d.crashRuns(); late > crashRetries {
+		t.Errorf("runs later than %v after the third crash: got %d (%d in all), want at most %d", crashSettleTime, late, all, crashRetries)
+	}
+}
+
+// Guards against a request that is refused as crashing although no server has
+// ended, or although its servers ended for another reason.
+func TestInnocentRequestIsNotRefusedAsCrashing(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name   string
+		faults []runner.Fault
+	}{
+		{"half served, a quarter reset, a quarter broken off", []runner.Fault{runner.FaultReset, runner.FaultNone, runner.FaultTruncated, runner.FaultNone}},
+		{"all reset", []runner.Fault{runner.FaultReset}},
+		{"all broken off", []runner.Fault{runner.FaultTruncated}},
+		{"all without a valid reply", []runner.Fault{runner.FaultGarbage}},
+		{"all without a reply", []runner.Fault{runner.FaultHang}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.publish()
+			for i := range 12 {
+				d.addRunner(runner.Config{ID: fmt.Sprintf("d%d", i), Body: "found"}, "desk").Fail(slices.Repeat(c.faults, 20)...)
+			}
+			p := d.startReady()
+			for i := range 60 {
+				r := newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")
+				r.Header.Set("Nutmegnotch-Deadline-Ms", "200")
+				if got := send(r); refusedAsCrashing(got) {
+					t.Fatalf("copy %d: got %d %q, want it forwarded", i, got.status, got.body)
+				}
+			}
+		})
+	}
+	t.Run("all servers end at the same moment", func(t *testing.T) {
+		t.Parallel()
+		d := newDeployment(t)
+		d.publish()
+		d.addServers(6, "desk", runner.ProcessConfig{Config: runner.Config{ProcessingTime: 300 * time.Millisecond}})
+		p := d.startReady()
+		var wg sync.WaitGroup
+		for range 12 {
+			r := newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")
+			wg.Go(func() { send(r) })
+		}
+		eventually(t, "each server runs a copy", func() bool {
+			return !slices.ContainsFunc(d.servers, func(s *runner.Process) bool { return len(s.Runs()) == 0 })
+		})
+		for _, s := range d.servers {
+			s.Runner().Crash(false)
+		}
+		wg.Wait()
+		time.Sleep(crashSettleTime)
+		for i := range 3 {
+			if got := send(newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")); got.status != http.StatusOK {
+				t.Errorf("copy %d after the servers are back: got %d %q (%v), want 200", i, got.status, got.body, got.err)
+			}
+		}
+	})
+}
