--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -223,6 +223,38 @@
 	return changes, firstErr
 }
 
+// ProcessState is what the records tell about one process of a backend server.
+type ProcessState int
+
+// States of a process. ProcessUnlisted means that it has no record and that no other
+// process has registered at its address.
+const (
+	ProcessReady ProcessState = iota
+	ProcessLeaving
+	ProcessReplaced
+	ProcessUnlisted
+)
+
+// Process returns the state of the process that a server was when it was listed as s.
+func (d *Directory) Process(s core.BackendServer) ProcessState {
+	own := d.servers[s.ID]
+	if own != nil && own.server.StartedUnixMS != s.StartedUnixMS {
+		return ProcessReplaced
+	}
+	for id, e := range d.servers {
+		if id != s.ID && e.server.Address == s.Address && (own == nil || e.offset > own.offset) {
+			return ProcessReplaced
+		}
+	}
+	switch {
+	case own == nil:
+		return ProcessUnlisted
+	case own.server.State == core.BackendLeaving:
+		return ProcessLeaving
+	}
+	return ProcessReady
+}
+
 // Records returns the newest record of each key, from an offset on and sorted by
 // offset.
 func (d *Directory) Records(t core.Topic, from int64) []core.KeyedRecord {
@@ -245,6 +277,9 @@
 	// failure domain is not drained, and no other server has registered with the
 	// same address later.
 	Usable bool
+	// Replaced reports that another server has registered with the same address
+	// later, so the process of this one has ended.
+	Replaced bool
 }
 
 // Servers returns all known backend servers, sorted by id.
@@ -255,11 +290,12 @@
 		newest[e.server.Address] = max(newest[e.server.Address], e.offset)
 	}
 	for _, e := range d.servers {
+		replaced := e.offset < newest[e.server.Address]
 		out = append(out, Server{
 			BackendServer: e.server,
 			ColdUntil:     e.coldUntil,
-			Usable: e.server.State == core.BackendReady && !d.drained[e.server.Domain] &&
-				e.offset == newest[e.server.Address],
+			Usable:        e.server.State == core.BackendReady && !d.drained[e.server.Domain] && !replaced,
+			Replaced:      replaced,
 		})
 	}
 	slices.SortFunc(out, func(a, b Server) int {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -233,3 +233,38 @@
 		}
 	}
 }
+
+// Guards against a process that is taken for running although another one has taken
+// its place, or for crashed although it leaves as planned.
+func TestStateOfOneProcess(t *testing.T) {
+	cases := []struct {
+		name    string
+		records []core.KeyedRecord
+		want    directory.ProcessState
+	}{
+		{"ready", []core.KeyedRecord{rec("a", "ready x", 1)}, directory.ProcessReady},
+		{"leaving", []core.KeyedRecord{rec("a", "leaving x", 1)}, directory.ProcessLeaving},
+		{"not listed", []core.KeyedRecord{rec("b", "ready y", 1)}, directory.ProcessUnlisted},
+		{"another server at its address", []core.KeyedRecord{rec("a", "ready x", 1), rec("b", "ready x", 2)}, directory.ProcessReplaced},
+		{"its record is gone, another server at its address", []core.KeyedRecord{rec("b", "ready x", 2)}, directory.ProcessReplaced},
+		{"an earlier server at its address", []core.KeyedRecord{rec("b", "ready x", 1), rec("a", "ready x", 2)}, directory.ProcessReady},
+	}
+	for _, c := range cases {
+		d := directory.New(decoder{})
+		for _, r := range c.records {
+			if _, err := d.Apply(core.TopicServers, r, now); err != nil {
+				t.Fatalf("%s: %v", c.name, err)
+			}
+		}
+		if got := d.Process(core.BackendServer{ID: "a", Address: "x"}); got != c.want {
+			t.Errorf("%s: got state %d, want %d", c.name, got, c.want)
+		}
+	}
+	d := directory.New(decoder{})
+	if _, err := d.Apply(core.TopicServers, rec("a", "ready x", 1), now); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := d.Process(core.BackendServer{ID: "a", Address: "x", StartedUnixMS: 7}), directory.ProcessReplaced; got != want {
+		t.Errorf("another start time: got state %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/core/retry/broken_runs.go
@@ -0,0 +1,156 @@
+package retry
+
+import (
+	"strconv"
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// Limits of broken runs.
+const (
+	// MaxBrokenRuns bounds the broken runs that are kept. Further ones are not
+	// counted if their servers have ended.
+	MaxBrokenRuns = 4096
+	// SilentServerTime is how long the end of a server counts for a run that broke
+	// off, if nothing is known of the server. It covers the time in which a server
+	// that has lost power starts again.
+	SilentServerTime = 15 * time.Second
+	// AliveServerTime is the same for a server that accepted a connection after the
+	// run broke off. Only a server that had already started again can have ended; its
+	// record arrives within this time.
+	AliveServerTime = time.Second
+)
+
+// ProcessID identifies one process of a backend server: a server that starts again
+// may keep its id.
+func ProcessID(s core.BackendServer) string {
+	return s.ID + "/" + strconv.FormatInt(s.StartedUnixMS, 10)
+}
+
+// BrokenRuns holds runs that broke off until it is known whether their servers have
+// ended. Most runs break off for other reasons: a connection is reset, a reply is
+// spoiled, or a caller leaves. It is not safe for concurrent use.
+type BrokenRuns struct {
+	byProcess map[string]*brokenProcess
+	// requests is the number of broken runs of each request.
+	requests map[uint64]int
+	n        int
+}
+
+// brokenProcess holds the broken runs of one process.
+type brokenProcess struct {
+	server core.BackendServer
+	runs   []brokenRun
+}
+
+type brokenRun struct {
+	crash Crash
+	until time.Time
+}
+
+// NewBrokenRuns returns an empty set.
+func NewBrokenRuns() *BrokenRuns {
+	return &BrokenRuns{byProcess: map[string]*brokenProcess{}, requests: map[uint64]int{}}
+}
+
+// Len returns the number of broken runs.
+func (b *BrokenRuns) Len() int { return b.n }
+
+// Add adds a run that broke off at a server, and reports whether there was room.
+func (b *BrokenRuns) Add(s core.BackendServer, fingerprint uint64, started, ended time.Time) bool {
+	if b.n >= MaxBrokenRuns {
+		return false
+	}
+	id := ProcessID(s)
+	p := b.byProcess[id]
+	if p == nil {
+		p = &brokenProcess{server: s}
+		b.byProcess[id] = p
+	}
+	c := Crash{Fingerprint: fingerprint, ID: id, Started: started, Ended: ended}
+	p.runs = append(p.runs, brokenRun{c, ended.Add(SilentServerTime)})
+	b.requests[fingerprint]++
+	b.n++
+	return true
+}
+
+// Alive records that a process accepted a connection at a time.
+func (b *BrokenRuns) Alive(processID string, at time.Time) {
+	p := b.byProcess[processID]
+	if p == nil {
+		return
+	}
+	for i, r := range p.runs {
+		if until := at.Add(AliveServerTime); r.crash.Ended.Before(at) && until.Before(r.until) {
+			p.runs[i].until = until
+		}
+	}
+}
+
+// Ended returns the runs that broke off at a process that has ended, and removes
+// them.
+func (b *BrokenRuns) Ended(processID string, now time.Time) []Crash {
+	p := b.byProcess[processID]
+	if p == nil {
+		return nil
+	}
+	var out []Crash
+	b.remove(processID, func(r brokenRun) bool {
+		if !now.After(r.until) {
+			out = append(out, r.crash)
+		}
+		return true
+	})
+	return out
+}
+
+// Registered records that a server is the newest one at its address. It returns the
+// runs that broke off at an earlier process of the server or of its address, which
+// has ended therefore.
+func (b *BrokenRuns) Registered(s core.BackendServer, now time.Time) []Crash {
+	var out []Crash
+	for id, p := range b.byProcess {
+		if id != ProcessID(s) && (p.server.ID == s.ID || p.server.Address == s.Address) {
+			out = append(out, b.Ended(id, now)...)
+		}
+	}
+	return out
+}
+
+// Completed removes the broken runs of a request that was served to its end.
+func (b *BrokenRuns) Completed(fingerprint uint64) {
+	if b.requests[fingerprint] == 0 {
+		return
+	}
+	for id := range b.byProcess {
+		b.remove(id, func(r brokenRun) bool { return r.crash.Fingerprint == fingerprint })
+	}
+}
+
+// Expire removes the runs for which the end of their server counts no longer.
+func (b *BrokenRuns) Expire(now time.Time) {
+	for id := range b.byProcess {
+		b.remove(id, func(r brokenRun) bool { return now.After(r.until) })
+	}
+}
+
+// remove removes the runs of a process for which drop returns true.
+func (b *BrokenRuns) remove(processID string, drop func(brokenRun) bool) {
+	p := b.byProcess[processID]
+	kept := p.runs[:0]
+	for _, r := range p.runs {
+		if !drop(r) {
+			kept = append(kept, r)
+			continue
+		}
+		b.n--
+		if b.requests[r.crash.Fingerprint]--; b.requests[r.crash.Fingerprint] == 0 {
+			delete(b.requests, r.crash.Fingerprint)
+		}
+	}
+	p.runs = kept
+	if len(kept) == 0 {
+		delete(b.byProcess, processID)
+	}
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -63,7 +63,4 @@
 	return true
 }
 
-var (
-	_ core.Retrier    = (*Budget)(nil)
-	_ core.Quarantine = (*Quarantine)(nil)
-)
+var _ core.Retrier = (*Budget)(nil)
--- /dev/null
+++ b/core/retry/crash_test.go
@@ -0,0 +1,209 @@
+package retry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/retry"
+)
+
+const fp = 1
+
+func at(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+
+func crash(id string, started, ended int) retry.Crash {
+	return retry.Crash{Fingerprint: fp, ID: id, Started: at(started), Ended: at(ended)}
+}
+
+// Guards against a request that is blocked too late, or blocked although its servers
+// may have ended for one other reason.
+func TestCrashesThatBlock(t *testing.T) {
+	cases := []struct {
+		name    string
+		crashes []retry.Crash
+		want    core.QuarantineStatus
+		alone   bool
+	}{
+		{"none", nil, core.QuarantineClear, false},
+		{"two", []retry.Crash{crash("a", 0, 10), crash("b", 20, 30)}, core.QuarantineSuspect, false},
+		{"three in turn", []retry.Crash{crash("a", 0, 10), crash("b", 20, 30), crash("c", 40, 50)}, core.QuarantineBlocked, false},
+		{"three at once", []retry.Crash{crash("a", 0, 10), crash("b", 1, 10), crash("c", 2, 11)}, core.QuarantineSuspect, true},
+		{"three at once and one later", []retry.Crash{crash("a", 0, 10), crash("b", 1, 10), crash("c", 2, 11), crash("d", 20, 30)}, core.QuarantineBlocked, false},
+		{"one process by two gateways", []retry.Crash{crash("a", 0, 10), crash("a", 5, 11), crash("b", 20, 30)}, core.QuarantineSuspect, false},
+		{"an id that is kept, in an outdated list", []retry.Crash{crash("a", 0, 10), crash("a", 1000, 1010), crash("a", 2000, 2010)}, core.QuarantineBlocked, false},
+	}
+	for _, c := range cases {
+		q := retry.NewQuarantine()
+		for _, x := range c.crashes {
+			q.Add(x, at(5000))
+		}
+		if got := q.Status(fp, at(5000)); got != c.want {
+			t.Errorf("%s: got status %d, want %d", c.name, got, c.want)
+		}
+		if got := q.IsAmbiguous(fp, at(5000)); got != c.alone {
+			t.Errorf("%s: got ambiguous %v, want %v", c.name, got, c.alone)
+		}
+	}
+}
+
+// Guards against processes that reach different results from the same reports, in
+// whichever order and however often they come.
+func TestCrashReportsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		crashes := []retry.Crash{crash("a", 0, 10), crash("b", 20, 30), crash("c", 40, 50), crash("d", 41, 55)}
+		served := rapid.IntRange(-1, 60).Draw(t, "served")
+		count := 0
+		for _, c := range crashes {
+			if c.Ended.After(at(served)) {
+				count++
+			}
+		}
+		apply := func(order []int) *retry.Quarantine {
+			q := retry.NewQuarantine()
+			q.Add(crash("first", -20, -10), now)
+			for _, i := range order {
+				if i == len(crashes) {
+					q.Clear(fp, at(served))
+				} else {
+					q.Add(crashes[i], at(100))
+				}
+			}
+			return q
+		}
+		order := append(rapid.Permutation([]int{0, 1, 2, 3, 4}).Draw(t, "order"), rapid.Permutation([]int{0, 1, 2, 3, 4}).Draw(t, "again")...)
+		if got := apply(order).Crashes(fp); got != count {
+			t.Fatalf("order %v, served at %d ms: got %d crashes, want %d", order, served, got, count)
+		}
+	})
+}
+
+// Guards against a request that stays blocked although a server has served it, and
+// against old crashes that count again when they are reported late.
+func TestServedRequestIsCleared(t *testing.T) {
+	q := retry.NewQuarantine()
+	list := []retry.Crash{crash("a", 0, 10), crash("b", 20, 30), crash("c", 40, 50)}
+	for _, c := range list {
+		q.Add(c, at(60))
+	}
+	if got, want := len(q.Clear(fp, at(70))), 3; got != want {
+		t.Errorf("dropped crashes: got %d, want %d", got, want)
+	}
+	for _, c := range list {
+		if q.Add(c, at(80)) {
+			t.Errorf("crash of process %s before the served run: got counted, want ignored", c.ID)
+		}
+	}
+	if got, want := q.Status(fp, at(80)), core.QuarantineClear; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
+
+// Guards against crashing requests that are forgotten because many other requests
+// were running on servers that ended.
+func TestBlockedRequestsAreKeptUnderPressure(t *testing.T) {
+	q := retry.NewQuarantine()
+	for i := range 3 {
+		q.Add(crash(fmt.Sprint(i), 20*i, 20*i+10), now)
+	}
+	for i := range uint64(2 * retry.MaxFingerprints) {
+		q.Add(retry.Crash{Fingerprint: 100 + i, ID: "other", Ended: at(1000 + int(i))}, at(1000+int(i)))
+	}
+	if got, want := q.Status(fp, at(50_000)), core.QuarantineBlocked; got != want {
+		t.Errorf("blocked request: got status %d, want %d", got, want)
+	}
+	if got := len(q.Records(2*retry.MaxFingerprints, at(50_000))); got > retry.MaxFingerprints {
+		t.Errorf("records: got %d, want at most %d", got, retry.MaxFingerprints)
+	}
+}
+
+// Guards against records that are kept for good.
+func TestOldCrashesExpire(t *testing.T) {
+	q := retry.NewQuarantine()
+	q.Add(crash("a", 0, 10), now)
+	if got := len(q.Expire(now.Add(retry.RecordTTL / 2))); got != 0 {
+		t.Errorf("expired early: got %d crashes, want 0", got)
+	}
+	if got, want := len(q.Expire(now.Add(2*retry.RecordTTL))), 1; got != want {
+		t.Errorf("expired: got %d crashes, want %d", got, want)
+	}
+}
+
+func server(id, address string, started int64) core.BackendServer {
+	return core.BackendServer{ID: id, Address: address, StartedUnixMS: started}
+}
+
+// Guards against ends of servers that are not attributed to the runs that broke off
+// there, and against other broken runs that are counted as crashes.
+func TestBrokenRunsAtEndedServers(t *testing.T) {
+	old := server("s", "addr", 1)
+	cases := []struct {
+		name string
+		// after is what happens after a run broke off at 10 ms.
+		after func(b *retry.BrokenRuns) []retry.Crash
+		want  int
+	}{
+		{"ended", func(b *retry.BrokenRuns) []retry.Crash { return b.Ended("s/1", at(20)) }, 1},
+		{"another process ended", func(b *retry.BrokenRuns) []retry.Crash { return b.Ended("s/2", at(20)) }, 0},
+		{"started again with its id", func(b *retry.BrokenRuns) []retry.Crash {
+			return b.Registered(server("s", "other", 2), at(5000))
+		}, 1},
+		{"another server at its address", func(b *retry.BrokenRuns) []retry.Crash {
+			return b.Registered(server("t", "addr", 2), at(5000))
+		}, 1},
+		{"registered again unchanged", func(b *retry.BrokenRuns) []retry.Crash { return b.Registered(old, at(5000)) }, 0},
+		{"replaced much later", func(b *retry.BrokenRuns) []retry.Crash {
+			return b.Registered(server("s", "addr", 2), at(60_000))
+		}, 0},
+		{"alive, replaced soon", func(b *retry.BrokenRuns) []retry.Crash {
+			b.Alive("s/1", at(12))
+			return b.Registered(server("s", "addr", 2), at(500))
+		}, 1},
+		{"alive, replaced later", func(b *retry.BrokenRuns) []retry.Crash {
+			b.Alive("s/1", at(12))
+			return b.Registered(server("s", "addr", 2), at(5000))
+		}, 0},
+		{"alive before it broke off", func(b *retry.BrokenRuns) []retry.Crash {
+			b.Alive("s/1", at(5))
+			return b.Registered(server("s", "addr", 2), at(5000))
+		}, 1},
+		{"the request was served", func(b *retry.BrokenRuns) []retry.Crash {
+			b.Completed(fp)
+			return b.Ended("s/1", at(20))
+		}, 0},
+		{"expired", func(b *retry.BrokenRuns) []retry.Crash {
+			b.Expire(at(60_000))
+			return b.Ended("s/1", at(60_000))
+		}, 0},
+	}
+	for _, c := range cases {
+		b := retry.NewBrokenRuns()
+		b.Add(old, fp, at(0), at(10))
+		got := c.after(b)
+		if len(got) != c.want {
+			t.Errorf("%s: got %d crashes, want %d", c.name, len(got), c.want)
+		}
+		if want := crash("s/1", 0, 10); c.want == 1 && !slices.Contains(got, want) {
+			t.Errorf("%s: got %v, want %v", c.name, got, want)
+		}
+	}
+}
+
+// Guards against unbounded memory when runs break off in great numbers.
+func TestBrokenRunsAreBounded(t *testing.T) {
+	b := retry.NewBrokenRuns()
+	for i := range uint64(retry.MaxBrokenRuns + 10) {
+		b.Add(server("s", "addr", int64(i)), i, at(0), at(10))
+	}
+	if got, want := b.Len(), retry.MaxBrokenRuns; got != want {
+		t.Errorf("broken runs: got %d, want %d", got, want)
+	}
+	b.Expire(at(60_000))
+	if got := b.Len(); got != 0 {
+		t.Errorf("after they expired: got %d, want 0", got)
+	}
+}
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -1,65 +1,160 @@
 package retry
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
 	"time"
 
 	"nutmegnotch/core"
 )
 
-// Limits of the quarantine. When MaxCrashes or MaxFingerprints is reached, the
-// oldest item is dropped.
+// Limits of the quarantine.
 const (
-	MaxCrashes      = 1024
+	// MaxFingerprints bounds the requests with recorded crashes.
 	MaxFingerprints = 16384
-	// MaxRequestsPerCrash bounds the recorded requests of one crash.
+	// MaxCrashes bounds the crash reports whose lists of requests are kept.
+	MaxCrashes = 1024
+	// MaxRequestsPerCrash bounds the recorded requests of one crash report.
 	MaxRequestsPerCrash = 1024
-	// blockAfterCrashes is the number of crashes after which a fingerprint is
-	// blocked regardless of the requests that ran with it.
-	blockAfterCrashes = 3
+	// maxCrashesPerRequest bounds the recorded crashes of one request.
+	maxCrashesPerRequest = 16
+	// evictedShare is the part of the records that is dropped when there are
+	// MaxFingerprints.
+	evictedShare = 16
+	// blockAfterCrashes is the number of crashes after which a request is blocked,
+	// if minSeparateCrashes of them came one after the other.
+	blockAfterCrashes  = 3
+	minSeparateCrashes = 2
+	// minRestartTime is the least time in which a backend server starts again after
+	// a crash.
+	minRestartTime = 300 * time.Millisecond
+	// RecordTTL is how long the crashes of a request count after the last one.
+	RecordTTL = time.Hour
 )
 
-// Quarantine implements core.Quarantine. It is not safe for concurrent use.
-// Crashes are identified by an id, so reports of the same crash by several
-// entries count once, in any order.
+// Crash is the end of a backend server's process during a run of a request.
+type Crash struct {
+	Fingerprint uint64
+	// ID identifies the process that ended.
+	ID string
+	// Started and Ended are when the run was sent and when it broke off. Started is
+	// zero if that is not known.
+	Started, Ended time.Time
+}
+
+// Record holds what is known of one request. CompletedAt is when it was last served
+// to its end, or zero; crashes before it do not count.
+type Record struct {
+	Fingerprint uint64
+	Crashes     []Crash
+	CompletedAt time.Time
+}
+
+// Quarantine implements core.Quarantine for the processes that send requests to
+// backend servers. It is not safe for concurrent use. Crashes are identified by an
+// id, so reports of the same crash by several processes count once, in any order.
 type Quarantine struct {
-	crashes      map[string][]uint64
-	crashOrder   []string
-	suspects     map[uint64][]string
-	suspectOrder []uint64
-	blocked      map[uint64]bool
-	blockedOrder []uint64
+	records map[uint64]*record
+	// reports holds the requests of each crash that was reported with a complete
+	// list of them, and reportOrder their ids from oldest to newest.
+	reports     map[string][]uint64
+	reportOrder []string
+}
+
+type record struct {
+	crashes     map[string]Crash
+	completedAt time.Time
+	lastCrash   time.Time
+	// onlyCommon is set when the request is the only one that ran on both servers
+	// of two crashes.
+	onlyCommon bool
 }
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{
-		crashes:  map[string][]uint64{},
-		suspects: map[uint64][]string{},
-		blocked:  map[uint64]bool{},
+	return &Quarantine{records: map[uint64]*record{}, reports: map[string][]uint64{}}
+}
+
+var _ core.Quarantine = (*Quarantine)(nil)
+
+// Add records a crash and reports whether it is new and counts.
+func (q *Quarantine) Add(c Crash, now time.Time) bool {
+	rec := q.records[c.Fingerprint]
+	if rec != nil && !c.Ended.After(rec.completedAt) {
+		return false
+	}
+	if rec == nil {
+		q.makeRoom()
+		rec = &record{crashes: map[string]Crash{}}
+		q.records[c.Fingerprint] = rec
+	}
+	c.ID = rec.crashID(c)
+	if _, known := rec.crashes[c.ID]; known || len(rec.crashes) >= maxCrashesPerRequest {
+		return false
+	}
+	rec.crashes[c.ID] = c
+	if c.Ended.After(rec.lastCrash) {
+		rec.lastCrash = c.Ended
+	}
+	if rec.lastCrash.After(now) {
+		rec.lastCrash = now
 	}
+	return true
 }
 
-// Crashed implements core.Quarantine.
-func (q *Quarantine) Crashed(crashID string, fingerprints []uint64, now time.Time) {
-	q.AddCrash(crashID, fingerprints, now)
+// crashID returns the id under which a crash is recorded. A run that began well
+// after the recorded end of its process has met another process with the same id:
+// the list of servers was out of date.
+func (rec *record) crashID(c Crash) string {
+	id := c.ID
+	for n := 2; ; n++ {
+		known, ok := rec.crashes[id]
+		if !ok || !c.Started.After(known.Ended.Add(minRestartTime)) {
+			return id
+		}
+		id = c.ID + "#" + strconv.Itoa(n)
+	}
 }
 
-// AddCrash records a crash and reports whether its id is new.
-func (q *Quarantine) AddCrash(crashID string, fingerprints []uint64, _ time.Time) bool {
-	if _, known := q.crashes[crashID]; known {
-		return false
+// makeRoom drops records if there are too many: those with the fewest crashes, and
+// of these the ones with the oldest last crash.
+func (q *Quarantine) makeRoom() {
+	if len(q.records) < MaxFingerprints {
+		return
 	}
-	ran := unique(fingerprints)
-	q.recordCrash(crashID, ran)
-	for _, fp := range ran {
-		q.addSuspect(fp, crashID)
+	type candidate struct {
+		fingerprint uint64
+		crashes     int
+		last        time.Time
+	}
+	all := make([]candidate, 0, len(q.records))
+	for fp, rec := range q.records {
+		all = append(all, candidate{fp, len(rec.crashes), rec.lastCrash})
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.last.Compare(b.last), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	for _, c := range all[:max(1, MaxFingerprints/evictedShare)] {
+		delete(q.records, c.fingerprint)
+	}
+}
+
+// Crashed implements core.Quarantine. fingerprints lists all requests that ran on the
+// backend server.
+func (q *Quarantine) Crashed(crashID string, fingerprints []uint64, now time.Time) {
+	if _, known := q.reports[crashID]; known {
+		return
 	}
+	ran := unique(fingerprints)
+	q.addReport(crashID, ran)
 	for _, fp := range ran {
-		if q.shouldBlock(fp) {
-			q.block(fp)
+		if q.Add(Crash{Fingerprint: fp, ID: crashID, Ended: now}, now) {
+			rec := q.records[fp]
+			rec.onlyCommon = rec.onlyCommon || q.isOnlyCommon(fp, rec)
 		}
 	}
-	return true
 }
 
 func unique(fingerprints []uint64) []uint64 {
@@ -74,93 +169,131 @@
 	return out
 }
 
-func (q *Quarantine) recordCrash(id string, ran []uint64) {
-	if len(q.crashOrder) == MaxCrashes {
-		delete(q.crashes, q.crashOrder[0])
-		q.crashOrder = q.crashOrder[1:]
+func (q *Quarantine) addReport(id string, ran []uint64) {
+	if len(q.reportOrder) == MaxCrashes {
+		delete(q.reports, q.reportOrder[0])
+		q.reportOrder = q.reportOrder[1:]
 	}
-	q.crashes[id] = ran
-	q.crashOrder = append(q.crashOrder, id)
+	q.reports[id] = ran
+	q.reportOrder = append(q.reportOrder, id)
 }
 
-func (q *Quarantine) addSuspect(fp uint64, crashID string) {
-	if q.blocked[fp] {
-		return
+// isOnlyCommon reports whether a request with two crashes is the only one that ran
+// on both servers. One crash blocks no request, even if it ran alone: servers also
+// fail by chance, and connections break. Requests that ran together in both crashes
+// cannot be told apart until one of them runs alone.
+func (q *Quarantine) isOnlyCommon(fp uint64, rec *record) bool {
+	if len(rec.crashes) != 2 {
+		return false
 	}
-	if _, known := q.suspects[fp]; !known {
-		q.suspectOrder = append(q.suspectOrder, fp)
+	ran := map[uint64]int{}
+	for id := range rec.crashes {
+		list, known := q.reports[id]
+		if !known {
+			return false
+		}
+		for _, other := range list {
+			ran[other]++
+		}
 	}
-	q.suspects[fp] = append(q.suspects[fp], crashID)
-	for len(q.suspects) > MaxFingerprints {
-		delete(q.suspects, q.suspectOrder[0])
-		q.suspectOrder = q.suspectOrder[1:]
+	for other, n := range ran {
+		if n == 2 && other != fp {
+			return false
+		}
 	}
+	return true
 }
 
-// shouldBlock reports whether the fingerprint has had blockAfterCrashes crashes,
-// or is the only one that ran on both servers of two crashes. One crash blocks no
-// request, even if it ran alone: servers also fail by chance, and connections
-// break. Requests that ran together in both crashes cannot be told apart until
-// one of them runs alone; the third crash blocks all of them, so that no request
-// crashes a fourth server.
-func (q *Quarantine) shouldBlock(fp uint64) bool {
-	ids := q.suspects[fp]
-	if len(ids) >= blockAfterCrashes {
-		return true
-	}
-	return len(ids) == 2 && isOnlyCommon(fp, q.crashes[ids[0]], q.crashes[ids[1]])
-}
+// Completed implements core.Quarantine.
+func (q *Quarantine) Completed(fingerprint uint64, now time.Time) { q.Clear(fingerprint, now) }
 
-// isOnlyCommon reports whether fp is the only fingerprint in both lists.
-func isOnlyCommon(fp uint64, a, b []uint64) bool {
-	in := make(map[uint64]bool, len(a))
-	for _, other := range a {
-		in[other] = other != fp
+// Clear drops the crashes before a run that was served to its end at a time, since a
+// request that crashes servers is never served. It returns the dropped crashes.
+func (q *Quarantine) Clear(fingerprint uint64, at time.Time) []Crash {
+	rec := q.records[fingerprint]
+	if rec == nil {
+		return nil
 	}
-	for _, other := range b {
-		if in[other] {
-			return false
+	var dropped []Crash
+	for id, c := range rec.crashes {
+		if !c.Ended.After(at) {
+			dropped = append(dropped, c)
+			delete(rec.crashes, id)
 		}
 	}
-	return len(a) > 0
+	if at.After(rec.completedAt) {
+		rec.completedAt = at
+	}
+	rec.onlyCommon = false
+	return dropped
 }
 
-func (q *Quarantine) block(fp uint64) {
-	q.clear(fp)
-	if q.blocked[fp] {
-		return
-	}
-	if len(q.blockedOrder) == MaxFingerprints {
-		delete(q.blocked, q.blockedOrder[0])
-		q.blockedOrder = q.blockedOrder[1:]
+// Status implements core.Quarantine.
+func (q *Quarantine) Status(fingerprint uint64, now time.Time) core.QuarantineStatus {
+	rec := q.records[fingerprint]
+	switch {
+	case rec == nil || len(rec.crashes) == 0 || now.Sub(rec.lastCrash) > RecordTTL:
+		return core.QuarantineClear
+	case rec.onlyCommon || len(rec.crashes) >= blockAfterCrashes && rec.separateCrashes() >= minSeparateCrashes:
+		return core.QuarantineBlocked
 	}
-	q.blocked[fp] = true
-	q.blockedOrder = append(q.blockedOrder, fp)
+	return core.QuarantineSuspect
 }
 
-func (q *Quarantine) clear(fp uint64) {
-	if _, known := q.suspects[fp]; !known {
-		return
+// Crashes returns the number of crashes that count against a request.
+func (q *Quarantine) Crashes(fingerprint uint64) int {
+	if rec := q.records[fingerprint]; rec != nil {
+		return len(rec.crashes)
 	}
-	delete(q.suspects, fp)
-	for i, id := range q.suspectOrder {
-		if id == fp {
-			q.suspectOrder = append(q.suspectOrder[:i], q.suspectOrder[i+1:]...)
-			return
+	return 0
+}
+
+// IsAmbiguous reports whether a request has as many crashes as a blocked one, all at
+// the same time. Several copies of a crashing request do that, and so does a loss of
+// power under several copies of any other request. The next run shows which it is.
+func (q *Quarantine) IsAmbiguous(fingerprint uint64, now time.Time) bool {
+	return q.Crashes(fingerprint) >= blockAfterCrashes && q.Status(fingerprint, now) == core.QuarantineSuspect
+}
+
+// separateCrashes returns the largest number of crashes of which each run began
+// after the one before it had ended.
+func (rec *record) separateCrashes() int {
+	list := slices.SortedFunc(maps.Values(rec.crashes), func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
+	n, last := 0, time.Time{}
+	for _, c := range list {
+		if c.Started.IsZero() || c.Started.After(last) {
+			n, last = n+1, c.Ended
 		}
 	}
+	return n
 }
 
-// Completed implements core.Quarantine. A blocked fingerprint stays blocked.
-func (q *Quarantine) Completed(fingerprint uint64, _ time.Time) { q.clear(fingerprint) }
-
-// Status implements core.Quarantine.
-func (q *Quarantine) Status(fingerprint uint64, _ time.Time) core.QuarantineStatus {
-	if q.blocked[fingerprint] {
-		return core.QuarantineBlocked
+// Records returns at most limit records that count, those with the most crashes
+// first.
+func (q *Quarantine) Records(limit int, now time.Time) []Record {
+	var out []Record
+	for fp, rec := range q.records {
+		if now.Sub(rec.lastCrash) > RecordTTL {
+			continue
+		}
+		out = append(out, Record{Fingerprint: fp, Crashes: slices.Collect(maps.Values(rec.crashes)), CompletedAt: rec.completedAt})
 	}
-	if _, known := q.suspects[fingerprint]; known {
-		return core.QuarantineSuspect
+	slices.SortFunc(out, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out[:min(limit, len(out))]
+}
+
+// Expire drops the records whose last crash is older than RecordTTL. It returns
+// their crashes.
+func (q *Quarantine) Expire(now time.Time) []Crash {
+	var dropped []Crash
+	for fp, rec := range q.records {
+		if now.Sub(rec.lastCrash) <= RecordTTL {
+			continue
+		}
+		dropped = slices.AppendSeq(dropped, maps.Values(rec.crashes))
+		delete(q.records, fp)
 	}
-	return core.QuarantineClear
+	return dropped
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -41,6 +41,8 @@
 type attempts struct {
 	*call
 	ctx context.Context
+	// sentAt is when the last send began.
+	sentAt time.Time
 	// sends is the number of sends, serverIDs the servers that were tried.
 	sends           int
 	connectFailures int
@@ -65,7 +67,7 @@
 	if c.route.Kind.Stream() {
 		a.relay = newRelay(g, c)
 	}
-	if g.isQuarantined(c) {
+	if g.isQuarantined(c.fingerprint) {
 		g.refuse(c, refusal{http.StatusServiceUnavailable, "crashes_backend_servers", quarantineRetryAfter})
 		return
 	}
@@ -93,15 +95,6 @@
 	}
 }
 
-// quarantineRetryAfter is the Retry-After of quarantined requests.
-const quarantineRetryAfter = 5 * time.Second
-
-func (g *Gateway) isQuarantined(c *call) bool {
-	quarantined := false
-	g.task.Do(func() { quarantined = g.state.quarantine.contains(c.fingerprint, c.arrived) })
-	return quarantined
-}
-
 // acquireServer waits until the dispatcher has assigned a server or rejected the
 // request. It reports false if the caller has disconnected.
 func (g *Gateway) acquireServer(a *attempts) (dispatch.Decision, bool) {
@@ -233,6 +226,7 @@
 	if a.route.Kind.Repeatable() {
 		defer g.cancelIfUnresponsive(v.Server.ID, cancel)()
 	}
+	a.sentAt = time.Now()
 	reply, err := g.client.Send(ctx, v.Server, backend.Request{
 		ID:         a.fields.RequestID,
 		Method:     a.r.Method,
@@ -279,14 +273,16 @@
 	if a.ctx.Err() != nil {
 		// A server that sent nothing until the caller disconnected or the deadline
 		// passed counts as failed.
+		g.runBroke(a, v.Server, false)
 		return dispatch.OutcomeFailed, g.contextEnded(a)
 	}
 	if unresponsive {
 		g.logAttempt(a, v, "server_silent", 0, err)
+		g.runBroke(a, v.Server, false)
 		return dispatch.OutcomeCancelled, false
 	}
 	g.logAttempt(a, v, "no_reply", 0, err)
-	g.reportCrash(a.fingerprint, v.Server.ID)
+	g.runBroke(a, v.Server, true)
 	return dispatch.OutcomeFailed, false
 }
 
@@ -305,9 +301,6 @@
 	now := time.Now()
 	g.task.Do(func() {
 		g.state.dispatcher.Finished(a.service, v.Server.ID, a.fields.PromptTokens+a.expectedTokens(), o, now)
-		if o == dispatch.OutcomeServed {
-			g.state.quarantine.clear(a.fingerprint)
-		}
 		if g.state.dispatcher.Waiting() > 0 {
 			g.deliver(g.state.dispatcher.DispatchWaiting(now))
 		}
@@ -325,7 +318,7 @@
 		return "attempts", false
 	case a.connectFailures >= maxConnectFailures:
 		return "unreachable", false
-	case g.isQuarantined(a.call):
+	case g.isQuarantined(a.fingerprint):
 		return "crashes_backend_servers", false
 	}
 	if a.sends == 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 	bodyBytes            atomic.Int64
 	nextID               atomic.Uint64
 	refreshServersSignal chan struct{}
+	livenessChecks       chan livenessCheck
 	callerServer         *callerServer
 	cancel               context.CancelFunc
 	wg                   *conc.WaitGroup
@@ -112,7 +113,8 @@
 	sendCancels sendCancels
 	callerAges  callerAges
 	members     *members
-	quarantine  *quarantine
+	quarantine  *retry.Quarantine
+	brokenRuns  *retry.BrokenRuns
 	// behindSince is the time since which another gateway has known a newer
 	// offset of a topic, by topic; zero if none does.
 	behindSince [2]time.Time
@@ -129,6 +131,7 @@
 		wg:                   conc.NewWaitGroup(),
 		done:                 make(chan struct{}),
 		refreshServersSignal: make(chan struct{}, 1),
+		livenessChecks:       make(chan livenessCheck, maxQueuedLivenessChecks),
 	}
 	g.client = backend.New(backend.Config{
 		MaxIdleConnsPerServer: maxIdleConnsPerServer,
@@ -143,7 +146,8 @@
 		sendCancels: sendCancels{},
 		callerAges:  callerAges{},
 		members:     newMembers(cfg.PeerAddress, cfg.Reloadable.Seeds),
-		quarantine:  newQuarantine(),
+		quarantine:  retry.NewQuarantine(),
+		brokenRuns:  retry.NewBrokenRuns(),
 	}
 	g.node = peer.New(peer.Config{
 		Self: &peerpb.Hello{
@@ -208,7 +212,7 @@
 			g.log.Error("peer listener failed", zap.Error(err))
 		}
 	})
-	for _, loop := range []func(context.Context){g.watchOperator, g.watchServers, g.watchMembers, g.tick, g.sendHeartbeats} {
+	for _, loop := range []func(context.Context){g.watchOperator, g.watchServers, g.watchMembers, g.tick, g.sendHeartbeats, g.checkLiveness} {
 		g.wg.Go(func() { loop(run) })
 	}
 	g.log.Info("gateway started", zap.String("id", g.cfg.ID), zap.String("incarnation", g.cfg.Incarnation),
@@ -271,6 +275,7 @@
 					g.serversChanged(now)
 				}
 				g.cancelUnresponsiveSends(now)
+				g.state.brokenRuns.Expire(now)
 				if g.state.dispatcher.Waiting() > 0 {
 					g.deliver(g.state.dispatcher.DispatchWaiting(now))
 				}
--- /dev/null
+++ b/gateway/liveness.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
+
+	"nutmegnotch/core"
+	"nutmegnotch/core/directory"
+	"nutmegnotch/core/retry"
+	"nutmegnotch/io/backend"
+)
+
+// Limits of liveness checks.
+const (
+	livenessTimeout = 100 * time.Millisecond
+	// maxLivenessChecks bounds the checks that run at the same time, and
+	// maxQueuedLivenessChecks those that wait.
+	maxLivenessChecks       = 16
+	maxQueuedLivenessChecks = 1024
+)
+
+// livenessCheck asks whether a server's process has ended after a run broke off
+// there. done is closed when the answer has been applied.
+type livenessCheck struct {
+	server core.BackendServer
+	done   chan struct{}
+}
+
+// runBroke records that a run broke off before its reply was complete, and checks
+// whether the server has ended. If wait is set, it waits for the result, so that the
+// next attempt takes it into account.
+func (g *Gateway) runBroke(a *attempts, server core.BackendServer, wait bool) {
+	quarantineEvents.Add("broken_runs", 1)
+	undecided := false
+	g.task.Do(func() { undecided = g.trackBrokenRun(a, server, time.Now()) })
+	if !undecided {
+		return
+	}
+	check := livenessCheck{server, make(chan struct{})}
+	select {
+	case g.livenessChecks <- check:
+	default:
+		quarantineEvents.Add("liveness_checks_dropped", 1)
+		return
+	}
+	if !wait {
+		return
+	}
+	select {
+	case <-check.done:
+	case <-a.ctx.Done():
+	}
+}
+
+// trackBrokenRun reports whether a connection attempt is needed to find out whether
+// a server has ended. It runs in the task.
+func (g *Gateway) trackBrokenRun(a *attempts, server core.BackendServer, now time.Time) bool {
+	switch g.state.directory.Process(server) {
+	case directory.ProcessLeaving:
+		// It ends as planned.
+		return false
+	case directory.ProcessReplaced:
+		g.serversEnded([]retry.Crash{{Fingerprint: a.fingerprint, ID: retry.ProcessID(server), Started: a.sentAt, Ended: now}}, "new_process")
+		return false
+	}
+	if !g.state.brokenRuns.Add(server, a.fingerprint, a.sentAt, now) {
+		quarantineEvents.Add("broken_runs_dropped", 1)
+		return false
+	}
+	return true
+}
+
+// checkLiveness serves liveness checks until ctx is done.
+func (g *Gateway) checkLiveness(ctx context.Context) {
+	var flights singleflight.Group
+	p := pool.New().WithMaxGoroutines(maxLivenessChecks)
+	defer p.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-g.livenessChecks:
+			p.Go(func() {
+				defer close(c.done)
+				_, _, _ = flights.Do(retry.ProcessID(c.server), func() (any, error) {
+					g.probe(ctx, c.server)
+					return nil, nil
+				})
+			})
+		}
+	}
+}
+
+// probe applies what a connection attempt tells about a server's process.
+func (g *Gateway) probe(ctx context.Context, server core.BackendServer) {
+	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
+	defer cancel()
+	begun := time.Now()
+	result := g.client.Probe(ctx, server)
+	g.log.Info("server checked after a broken run", zap.String("server", server.ID),
+		zap.Int64("server_started_ms", server.StartedUnixMS), zap.Stringer("result", result))
+	g.task.Do(func() {
+		switch result {
+		case backend.LivenessAccepts:
+			g.state.brokenRuns.Alive(retry.ProcessID(server), begun)
+		case backend.LivenessRefuses:
+			g.serversEnded(g.state.brokenRuns.Ended(retry.ProcessID(server), time.Now()), "connection_refused")
+		}
+	})
+}
+
+// checkRegistered counts the broken runs at processes that newer ones have replaced.
+// It runs in the task.
+func (g *Gateway) checkRegistered(now time.Time) {
+	if g.state.brokenRuns.Len() == 0 {
+		return
+	}
+	for _, s := range g.state.directory.Servers() {
+		if !s.Replaced {
+			g.serversEnded(g.state.brokenRuns.Registered(s.BackendServer, now), "new_process")
+		}
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -85,10 +85,8 @@
 		g.task.Do(func() { g.onRecords(from, b.DirectoryRecords, time.Now()) })
 	case *peerpb.Frame_EngineState:
 		g.task.Do(func() { g.onEngineState(b.EngineState, time.Now()) })
-	case *peerpb.Frame_Suspicion:
-		g.task.Do(func() {
-			g.countCrash(b.Suspicion.GetFingerprint(), b.Suspicion.GetServerId(), from.Hello.GetId())
-		})
+	case *peerpb.Frame_CrashRecords:
+		g.task.Do(func() { g.applyCrashRecords(b.CrashRecords, from.Hello.GetId(), time.Now()) })
 	}
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -8,73 +9,19 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/retry"
 	"nutmegnotch/io/peer/peerpb"
 )
 
-// Limits of the quarantine.
+// Retry-After of quarantined requests, and of copies of a request of which another
+// copy has to show first whether it crashes servers.
 const (
-	// quarantineCrashes is the number of servers that have to crash while running
-	// the same request before it is quarantined (RULES, BUDGET: three).
-	quarantineCrashes = 3
-	// crashRecordTTL is how long the crashes of a request count after the last one.
-	crashRecordTTL  = 2 * time.Minute
-	maxCrashRecords = 4096
+	quarantineRetryAfter = 5 * time.Second
+	trialRetryAfter      = time.Second
 )
 
-// quarantine counts the backend servers that crashed while running a request, by
-// the fingerprint of the request. A request that has crashed several servers is
-// rejected, as it would crash more.
-type quarantine struct {
-	byFingerprint map[uint64]*crashRecord
-}
-
-type crashRecord struct {
-	servers   map[string]bool
-	lastCrash time.Time
-}
-
-func newQuarantine() *quarantine { return &quarantine{byFingerprint: map[uint64]*crashRecord{}} }
-
-// addCrash returns the number of servers that have crashed.
-func (q *quarantine) addCrash(fingerprint uint64, serverID string, now time.Time) int {
-	rec := q.byFingerprint[fingerprint]
-	if rec == nil {
-		q.evict(now)
-		rec = &crashRecord{servers: map[string]bool{}}
-		q.byFingerprint[fingerprint] = rec
-	}
-	rec.servers[serverID] = true
-	rec.lastCrash = now
-	return len(rec.servers)
-}
-
-// evict removes expired records if the quarantine is full, and arbitrary ones if it
-// is still full after that.
-func (q *quarantine) evict(now time.Time) {
-	if len(q.byFingerprint) < maxCrashRecords {
-		return
-	}
-	for fp, rec := range q.byFingerprint {
-		if now.Sub(rec.lastCrash) > crashRecordTTL {
-			delete(q.byFingerprint, fp)
-		}
-	}
-	for fp := range q.byFingerprint {
-		if len(q.byFingerprint) < maxCrashRecords {
-			return
-		}
-		delete(q.byFingerprint, fp)
-	}
-}
-
-// clear removes the record of a request that was served.
-func (q *quarantine) clear(fingerprint uint64) { delete(q.byFingerprint, fingerprint) }
-
-// contains reports whether a request is quarantined.
-func (q *quarantine) contains(fingerprint uint64, now time.Time) bool {
-	rec := q.byFingerprint[fingerprint]
-	return rec != nil && len(rec.servers) >= quarantineCrashes && now.Sub(rec.lastCrash) < crashRecordTTL
-}
+// Sources of what is known of a request, besides the ids of peers.
+const sourceSelf = "self"
 
 // fingerprint returns a hash that is the same for repeated sends of a request, by
 // its caller or by gateways.
@@ -94,20 +41,95 @@
 	return zap.String("fingerprint", strconv.FormatUint(fingerprint, 16))
 }
 
-// countCrash counts a crash that this gateway or a peer has seen. It runs in the
-// task.
-func (g *Gateway) countCrash(fingerprint uint64, serverID, source string) {
-	n := g.state.quarantine.addCrash(fingerprint, serverID, time.Now())
+func (g *Gateway) isQuarantined(fingerprint uint64) bool {
+	quarantined := false
+	g.task.Do(func() {
+		quarantined = g.state.quarantine.Status(fingerprint, time.Now()) == core.QuarantineBlocked
+	})
+	return quarantined
+}
+
+// countCrash counts the end of a server's process against the request that it ran.
+// It reports whether the crash was not known before. It runs in the task.
+func (g *Gateway) countCrash(c retry.Crash, source, evidence string) bool {
+	q, now := g.state.quarantine, time.Now()
+	before := q.Status(c.Fingerprint, now)
+	if !q.Add(c, now) {
+		return false
+	}
 	quarantineEvents.Add("crashes_counted", 1)
-	g.log.Info("crash counted", fingerprintField(fingerprint), zap.String("server", serverID),
-		zap.Int("crashes", n), zap.String("source", source))
+	status := q.Status(c.Fingerprint, now)
+	g.log.Info("crash counted", fingerprintField(c.Fingerprint), zap.String("process", c.ID),
+		zap.Int("crashes", q.Crashes(c.Fingerprint)), zap.Bool("quarantined", status == core.QuarantineBlocked),
+		zap.String("source", source), zap.String("evidence", evidence),
+		zap.Duration("run_time", c.Ended.Sub(c.Started)), zap.Duration("age", now.Sub(c.Ended)))
+	if status == core.QuarantineBlocked && before != core.QuarantineBlocked {
+		quarantineEvents.Add("requests_quarantined", 1)
+		g.log.Warn("request is quarantined, since it crashes backend servers", fingerprintField(c.Fingerprint),
+			zap.Int("crashes", q.Crashes(c.Fingerprint)))
+	}
+	return true
+}
+
+// serversEnded counts crashes for which there is evidence, and reports them to the
+// other gateways. It runs in the task.
+func (g *Gateway) serversEnded(crashes []retry.Crash, evidence string) {
+	f := &peerpb.CrashRecords{}
+	now := time.Now()
+	for _, c := range crashes {
+		if g.countCrash(c, sourceSelf, evidence) {
+			f.Crashes = append(f.Crashes, requestCrash(c, now))
+		}
+	}
+	if len(f.Crashes) > 0 {
+		g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_CrashRecords{CrashRecords: f}})
+	}
 }
 
-// reportCrash counts a crash of a server that ran a request, and reports it to the
+func requestCrash(c retry.Crash, now time.Time) *peerpb.RequestCrash {
+	return &peerpb.RequestCrash{Fingerprint: c.Fingerprint, ProcessId: c.ID,
+		StartedMsAgo: now.Sub(c.Started).Milliseconds(), EndedMsAgo: now.Sub(c.Ended).Milliseconds()}
+}
+
+// requestCompleted clears a request that was served to its end, here and at the
 // other gateways.
-func (g *Gateway) reportCrash(fingerprint uint64, serverID string) {
-	g.task.Do(func() { g.countCrash(fingerprint, serverID, "self") })
-	g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_Suspicion{
-		Suspicion: &peerpb.Suspicion{Fingerprint: fingerprint, ServerId: serverID},
-	}})
+func (g *Gateway) requestCompleted(a *attempts, status int) {
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		return
+	}
+	g.task.Do(func() {
+		now := time.Now()
+		g.state.brokenRuns.Completed(a.fingerprint)
+		if !g.clearRequest(a.fingerprint, now, sourceSelf) {
+			return
+		}
+		g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_CrashRecords{
+			CrashRecords: &peerpb.CrashRecords{Served: []*peerpb.ServedRequest{{Fingerprint: a.fingerprint}}},
+		}})
+	})
+}
+
+// clearRequest drops the crashes of a request that was served to its end at a time.
+// It reports whether there were any. It runs in the task.
+func (g *Gateway) clearRequest(fingerprint uint64, at time.Time, source string) bool {
+	dropped := g.state.quarantine.Clear(fingerprint, at)
+	if len(dropped) == 0 {
+		return false
+	}
+	quarantineEvents.Add("requests_cleared", 1)
+	g.log.Info("request cleared, since a backend server has served it", fingerprintField(fingerprint),
+		zap.Int("crashes", len(dropped)), zap.String("source", source))
+	return true
+}
+
+// applyCrashRecords applies what another gateway knows. It runs in the task.
+func (g *Gateway) applyCrashRecords(p *peerpb.CrashRecords, source string, now time.Time) {
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(max(0, ms)) * time.Millisecond) }
+	for _, c := range p.GetCrashes() {
+		g.countCrash(retry.Crash{Fingerprint: c.GetFingerprint(), ID: c.GetProcessId(),
+			Started: ago(c.GetStartedMsAgo()), Ended: ago(c.GetEndedMsAgo())}, source, "report")
+	}
+	for _, r := range p.GetServed() {
+		g.clearRequest(r.GetFingerprint(), ago(r.GetMsAgo()), source)
+	}
 }
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -17,19 +17,13 @@
 	const crashes = 3
 	d := newDeployment(t)
 	d.publish()
-	var runners []*runner.Runner
-	for i := range 6 {
-		r := d.addRunner(runner.Config{ID: fmt.Sprintf("d%d", i), Body: "found"}, "desk")
-		// More faults than the test needs, so that every run crashes a server.
-		r.Fail(slices.Repeat([]runner.Fault{runner.FaultReset}, 10)...)
-		runners = append(runners, r)
-	}
+	d.addServers(6, "desk", runner.ProcessConfig{Config: runner.Config{CrashPoint: runner.CrashBeforeReply}})
 	first, second := d.startReady(), d.startReady()
 	eventually(t, "the gateways are connected", d.connected)
 	runs := func() int {
 		n := 0
-		for _, r := range runners {
-			n += len(r.Runs())
+		for _, s := range d.servers {
+			n += len(s.Runs())
 		}
 		return n
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,9 +68,13 @@
 		g.recordEnd(a, "caller_left")
 		return dispatch.OutcomeCancelled, true
 	case a.ctx.Err() != nil:
+		if a.relay.events == before {
+			g.runBroke(a, v.Server, false)
+		}
 		return dispatch.OutcomeCancelled, g.contextEnded(a)
 	}
 	g.logAttempt(a, v, "stream_broken", reply.Status, fmt.Errorf("after %d events, last id %q: %w", a.relay.events-before, a.relay.lastEventID, err))
+	g.runBroke(a, v.Server, true)
 	return dispatch.OutcomeFailed, false
 }
 
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -28,9 +28,11 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedReplyBytes+1))
 	if err != nil {
 		if a.ctx.Err() != nil {
+			g.runBroke(a, v.Server, false)
 			return dispatch.OutcomeCancelled, g.contextEnded(a)
 		}
 		g.logAttempt(a, v, "reply_cut_short", reply.Status, err)
+		g.runBroke(a, v.Server, true)
 		return dispatch.OutcomeFailed, false
 	}
 	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body}
@@ -81,6 +83,7 @@
 	}
 	if err != nil {
 		g.logAttempt(a, v, "reply_cut_short", head.status, err)
+		g.runBroke(a, v.Server, false)
 		panic(http.ErrAbortHandler)
 	}
 	reply.MarkBodyRead()
@@ -110,6 +113,7 @@
 func (g *Gateway) logServed(a *attempts, status int) {
 	a.outcome = "served_" + strconv.Itoa(status)
 	sendsByOutcome.Add("served", 1)
+	g.requestCompleted(a, status)
 	fields := []zap.Field{zap.String("request_id", a.id()), zap.String("route", a.route.Name),
 		zap.Int("status", status), zap.Strings("servers", a.serverIDs), zap.Int64("version", a.version),
 		zap.Duration("held", time.Since(a.arrived))}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -227,5 +227,6 @@
 	if d.Deployment() != nil && len(list) > 0 && !g.ready.Swap(true) {
 		g.log.Info("gateway is ready", zap.Int64("version", d.Deployment().Version), zap.Int("servers", len(list)))
 	}
+	g.checkRegistered(now)
 	g.broadcastGroupView()
 }
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -183,14 +183,20 @@
 
 // connect returns an idle or a new connection to a server.
 func (c *Client) connect(ctx context.Context, server core.BackendServer, atMostOnce bool) (*conn, error) {
-	key := server.Address + " " + server.ID
-	if k := c.takeIdle(key, atMostOnce); k != nil {
+	if k := c.takeIdle(poolKey(server), atMostOnce); k != nil {
 		return k, nil
 	}
+	return dial(ctx, server)
+}
+
+func dial(ctx context.Context, server core.BackendServer) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", server.Address, err, ErrNotSent)
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes), key: key, maxIdleTime: defaultIdleTimeout}, nil
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes), key: poolKey(server), maxIdleTime: defaultIdleTimeout}, nil
 }
+
+// poolKey returns the key of the idle connections to a server.
+func poolKey(server core.BackendServer) string { return server.Address + " " + server.ID }
