Check the quarantine when a request leaves the queue

What callers saw: copies that were already queued when a request was found to crash servers were sent all the same, one after the other as servers became free.

Cause: the quarantine was asked on arrival, with the time of arrival, and before a retry. It is asked before each send now, at that time.

Of a request whose crashes all came at the same moment, one copy is sent at a time at each gateway; the others are refused as not run, with a Retry-After. The number of crashes kept for one request is bounded, and a later crash is never left out in favour of simultaneous ones, since it decides.

TestQueuedCopiesOfACrashingRequest failed with 12 runs later than 1 s after the third crash and passes.

--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -20,6 +20,15 @@
 	return retry.Crash{Fingerprint: fp, ID: id, Started: at(started), Ended: at(ended)}
 }
 
+// atOnce returns n crashes at the same time.
+func atOnce(n int) []retry.Crash {
+	var out []retry.Crash
+	for i := range n {
+		out = append(out, crash(fmt.Sprintf("at-once-%d", i), 0, 10))
+	}
+	return out
+}
+
 // Guards against a request that is blocked too late, or blocked although its servers
 // may have ended for one other reason.
 func TestCrashesThatBlock(t *testing.T) {
@@ -34,6 +43,7 @@
 		{"three in turn", []retry.Crash{crash("a", 0, 10), crash("b", 20, 30), crash("c", 40, 50)}, core.QuarantineBlocked, false},
 		{"three at once", []retry.Crash{crash("a", 0, 10), crash("b", 1, 10), crash("c", 2, 11)}, core.QuarantineSuspect, true},
 		{"three at once and one later", []retry.Crash{crash("a", 0, 10), crash("b", 1, 10), crash("c", 2, 11), crash("d", 20, 30)}, core.QuarantineBlocked, false},
+		{"many at once and one later", append(atOnce(40), crash("last", 20, 30)), core.QuarantineBlocked, false},
 		{"one process by two gateways", []retry.Crash{crash("a", 0, 10), crash("a", 5, 11), crash("b", 20, 30)}, core.QuarantineSuspect, false},
 		{"an id that is kept, in an outdated list", []retry.Crash{crash("a", 0, 10), crash("a", 1000, 1010), crash("a", 2000, 2010)}, core.QuarantineBlocked, false},
 	}
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -91,17 +91,19 @@
 		q.records[c.Fingerprint] = rec
 	}
 	c.ID = rec.crashID(c)
-	if _, known := rec.crashes[c.ID]; known || len(rec.crashes) >= maxCrashesPerRequest {
+	if _, known := rec.crashes[c.ID]; known {
 		return false
 	}
 	rec.crashes[c.ID] = c
+	rec.dropExcess(c.ID)
 	if c.Ended.After(rec.lastCrash) {
 		rec.lastCrash = c.Ended
 	}
 	if rec.lastCrash.After(now) {
 		rec.lastCrash = now
 	}
-	return true
+	_, kept := rec.crashes[c.ID]
+	return kept
 }
 
 // crashID returns the id under which a crash is recorded. A run that began well
@@ -234,7 +236,7 @@
 	switch {
 	case rec == nil || len(rec.crashes) == 0 || now.Sub(rec.lastCrash) > RecordTTL:
 		return core.QuarantineClear
-	case rec.onlyCommon || len(rec.crashes) >= blockAfterCrashes && rec.separateCrashes() >= minSeparateCrashes:
+	case rec.onlyCommon || len(rec.crashes) >= blockAfterCrashes && len(rec.separateCrashes()) >= minSeparateCrashes:
 		return core.QuarantineBlocked
 	}
 	return core.QuarantineSuspect
@@ -255,17 +257,40 @@
 	return q.Crashes(fingerprint) >= blockAfterCrashes && q.Status(fingerprint, now) == core.QuarantineSuspect
 }
 
-// separateCrashes returns the largest number of crashes of which each run began
-// after the one before it had ended.
-func (rec *record) separateCrashes() int {
+// separateCrashes returns as many crashes as possible of which each run began after
+// the one before it had ended, in order of their ends.
+func (rec *record) separateCrashes() []Crash {
 	list := slices.SortedFunc(maps.Values(rec.crashes), func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
-	n, last := 0, time.Time{}
+	var out []Crash
 	for _, c := range list {
-		if c.Started.IsZero() || c.Started.After(last) {
-			n, last = n+1, c.Ended
+		if len(out) == 0 || c.Started.IsZero() || c.Started.After(out[len(out)-1].Ended) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// dropExcess drops a crash if there are too many: the newest one, if it was at the
+// same time as others, and else one of those or the oldest one.
+func (rec *record) dropExcess(newest string) {
+	if len(rec.crashes) <= maxCrashesPerRequest {
+		return
+	}
+	separate := rec.separateCrashes()
+	spare := func(id string) bool {
+		return !slices.ContainsFunc(separate, func(c Crash) bool { return c.ID == id })
+	}
+	if spare(newest) {
+		delete(rec.crashes, newest)
+		return
+	}
+	for id := range rec.crashes {
+		if spare(id) {
+			delete(rec.crashes, id)
+			return
 		}
 	}
-	return n
+	delete(rec.crashes, separate[0].ID)
 }
 
 // Records returns at most limit records that count, those with the most crashes
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -41,6 +41,8 @@
 type attempts struct {
 	*call
 	ctx context.Context
+	// isTrial is set if no other copy of the request may be sent meanwhile.
+	isTrial bool
 	// sentAt is when the last send began.
 	sentAt time.Time
 	// sends is the number of sends, serverIDs the servers that were tried.
@@ -67,8 +69,9 @@
 	if c.route.Kind.Stream() {
 		a.relay = newRelay(g, c)
 	}
+	defer g.endTrial(a)
 	if g.isQuarantined(c.fingerprint) {
-		g.refuse(c, refusal{http.StatusServiceUnavailable, "crashes_backend_servers", quarantineRetryAfter})
+		g.refuse(c, refusal{http.StatusServiceUnavailable, reasonCrashes, quarantineRetryAfter})
 		return
 	}
 	g.task.Do(func() {
@@ -210,6 +213,11 @@
 		g.giveUp(a, "deadline", g.retryAfter(a.service))
 		return dispatch.OutcomeCancelled, true
 	}
+	// The request may have waited in the queue while other copies crashed servers.
+	if reason, retryAfter := g.beginSend(a); reason != "" {
+		g.giveUp(a, reason, retryAfter)
+		return dispatch.OutcomeCancelled, true
+	}
 	a.serverIDs = append(a.serverIDs, v.Server.ID)
 	fields := core.BackendFields{
 		ServerID:     v.Server.ID,
@@ -319,7 +327,7 @@
 	case a.connectFailures >= maxConnectFailures:
 		return "unreachable", false
 	case g.isQuarantined(a.fingerprint):
-		return "crashes_backend_servers", false
+		return reasonCrashes, false
 	}
 	if a.sends == 0 {
 		return "", true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,8 @@
 	members     *members
 	quarantine  *retry.Quarantine
 	brokenRuns  *retry.BrokenRuns
+	// trials holds the fingerprints of requests of which one copy is being sent.
+	trials map[uint64]bool
 	// behindSince is the time since which another gateway has known a newer
 	// offset of a topic, by topic; zero if none does.
 	behindSince [2]time.Time
@@ -148,6 +150,7 @@
 		members:     newMembers(cfg.PeerAddress, cfg.Reloadable.Seeds),
 		quarantine:  retry.NewQuarantine(),
 		brokenRuns:  retry.NewBrokenRuns(),
+		trials:      map[uint64]bool{},
 	}
 	g.node = peer.New(peer.Config{
 		Self: &peerpb.Hello{
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -49,6 +49,38 @@
 	return quarantined
 }
 
+// Reasons for which a request is not sent to a server.
+const (
+	reasonCrashes      = "crashes_backend_servers"
+	reasonTrialRunning = "another_copy_is_tried"
+)
+
+// beginSend reports whether a request may be sent now, and the reason and the
+// Retry-After if not. Of a request whose crashes are ambiguous, one copy is sent at a
+// time.
+func (g *Gateway) beginSend(a *attempts) (reason string, retryAfter time.Duration) {
+	g.task.Do(func() {
+		q, now := g.state.quarantine, time.Now()
+		switch {
+		case q.Status(a.fingerprint, now) == core.QuarantineBlocked:
+			reason, retryAfter = reasonCrashes, quarantineRetryAfter
+		case a.isTrial || !q.IsAmbiguous(a.fingerprint, now):
+		case g.state.trials[a.fingerprint]:
+			reason, retryAfter = reasonTrialRunning, trialRetryAfter
+		default:
+			g.state.trials[a.fingerprint], a.isTrial = true, true
+		}
+	})
+	return reason, retryAfter
+}
+
+// endTrial allows another copy of the request to be sent.
+func (g *Gateway) endTrial(a *attempts) {
+	if a.isTrial {
+		g.task.Do(func() { delete(g.state.trials, a.fingerprint) })
+	}
+}
+
 // countCrash counts the end of a server's process against the request that it ran.
 // It reports whether the crash was not known before. It runs in the task.
 func (g *Gateway) countCrash(c retry.Crash, source, evidence string) bool {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -393,3 +393,31 @@
 		}
 	})
 }
+
+// Guards against copies that crash one server each because all of them are sent at
+// the same moment, before any crash is known.
+func TestCopiesAtTheSameMoment(t *testing.T) {
+	t.Parallel()
+	const copies = 20
+	d := newDeployment(t)
+	d.publish()
+	d.addServers(24, "desk", runner.ProcessConfig{Config: runner.Config{CrashPoint: runner.CrashBeforeReply, ProcessingTime: 200 * time.Millisecond}})
+	gateways := []*process{d.startReady(), d.startReady()}
+	eventually(t, "the gateways are connected", d.connected)
+	wave := func() {
+		var wg sync.WaitGroup
+		for i := range copies {
+			r := newRequest(gateways[i%2], http.MethodGet, crashTarget, "key-a", "")
+			wg.Go(func() { send(r) })
+		}
+		wg.Wait()
+	}
+	wave()
+	time.Sleep(2 * crashSettleTime)
+	for range 3 {
+		wave()
+	}
+	if all, late := d.crashRuns(); late > crashRetries {
+		t.Errorf("runs later than %v after the third crash: got %d (%d in all), want at most %d", crashSettleTime, late, all, crashRetries)
+	}
+}
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -17,7 +17,8 @@
 	const crashes = 3
 	d := newDeployment(t)
 	d.publish()
-	d.addServers(6, "desk", runner.ProcessConfig{Config: runner.Config{CrashPoint: runner.CrashBeforeReply}})
+	d.addServers(6, "desk", runner.ProcessConfig{ExpiryDelay: 100 * time.Millisecond, RestartDelay: time.Minute,
+		Config: runner.Config{CrashPoint: runner.CrashBeforeReply}})
 	first, second := d.startReady(), d.startReady()
 	eventually(t, "the gateways are connected", d.connected)
 	runs := func() int {
