Exchange crash records whenever gateways meet

What callers saw: a gateway that was added, restarted or had no session at the moment of a crash sent the request on, which crashed two or three servers more at each.

Cause: a crash was broadcast once, and never again. A gateway now sends its records whenever a session with another one comes up, and every 2 s to a random one, which reaches gateways that have no session with the one that saw the crash. A served run is part of the records. Crashes that it has cleared are remembered by id, as a report that was delayed would count again by its time.

--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -104,11 +104,14 @@
 		t.Errorf("dropped crashes: got %d, want %d", got, want)
 	}
 	for _, c := range list {
-		if q.Add(c, at(80)) {
-			t.Errorf("crash of process %s before the served run: got counted, want ignored", c.ID)
+		late := retry.Crash{Fingerprint: fp, ID: c.ID, Started: c.Started.Add(time.Second), Ended: c.Ended.Add(time.Second)}
+		for _, x := range []retry.Crash{c, late} {
+			if q.Add(x, at(2000)) {
+				t.Errorf("crash of process %s before the served run, reported with the end %v: got counted, want ignored", x.ID, x.Ended)
+			}
 		}
 	}
-	if got, want := q.Status(fp, at(80)), core.QuarantineClear; got != want {
+	if got, want := q.Status(fp, at(2000)), core.QuarantineClear; got != want {
 		t.Errorf("status: got %d, want %d", got, want)
 	}
 }
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -20,6 +20,8 @@
 	MaxRequestsPerCrash = 1024
 	// maxCrashesPerRequest bounds the recorded crashes of one request.
 	maxCrashesPerRequest = 16
+	// maxClearedCrashes bounds the ids of cleared crashes of one request.
+	maxClearedCrashes = 64
 	// evictedShare is the part of the records that is dropped when there are
 	// MaxFingerprints.
 	evictedShare = 16
@@ -67,6 +69,9 @@
 	crashes     map[string]Crash
 	completedAt time.Time
 	lastCrash   time.Time
+	// cleared holds the ids of dropped crashes. Other processes may report them
+	// again, with times that are off by the delay of their messages.
+	cleared map[string]bool
 	// onlyCommon is set when the request is the only one that ran on both servers
 	// of two crashes.
 	onlyCommon bool
@@ -82,7 +87,7 @@
 // Add records a crash and reports whether it is new and counts.
 func (q *Quarantine) Add(c Crash, now time.Time) bool {
 	rec := q.records[c.Fingerprint]
-	if rec != nil && !c.Ended.After(rec.completedAt) {
+	if rec != nil && (!c.Ended.After(rec.completedAt) || rec.cleared[c.ID]) {
 		return false
 	}
 	if rec == nil {
@@ -221,6 +226,7 @@
 		if !c.Ended.After(at) {
 			dropped = append(dropped, c)
 			delete(rec.crashes, id)
+			rec.markCleared(id)
 		}
 	}
 	if at.After(rec.completedAt) {
@@ -230,6 +236,13 @@
 	return dropped
 }
 
+func (rec *record) markCleared(id string) {
+	if rec.cleared == nil || len(rec.cleared) >= maxClearedCrashes {
+		rec.cleared = map[string]bool{}
+	}
+	rec.cleared[id] = true
+}
+
 // Status implements core.Quarantine.
 func (q *Quarantine) Status(fingerprint uint64, now time.Time) core.QuarantineStatus {
 	rec := q.records[fingerprint]
--- /dev/null
+++ b/gateway/crash_sync.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"nutmegnotch/core"
+	"nutmegnotch/io/peer"
+	"nutmegnotch/io/peer/peerpb"
+)
+
+// Limits of the exchange of crash records.
+const (
+	// crashSyncInterval is the interval at which a gateway sends its crash records
+	// to another one, chosen at random. It covers gateways that have no session with
+	// the one that saw a crash.
+	crashSyncInterval = 2 * time.Second
+	// maxSyncedRecords bounds the records in one message. Those with the most crashes
+	// go first.
+	maxSyncedRecords = 256
+)
+
+// syncCrashRecords periodically sends the crash records to another gateway.
+func (g *Gateway) syncCrashRecords(ctx context.Context) {
+	t := time.NewTicker(crashSyncInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		var peers []*peer.Session
+		for _, s := range g.node.Sessions() {
+			if s.Hello.GetRole() == core.RoleGateway {
+				peers = append(peers, s)
+			}
+		}
+		if len(peers) > 0 {
+			g.sendCrashRecords(peers[rand.IntN(len(peers))])
+		}
+	}
+}
+
+// sendCrashRecords sends a gateway what this one knows of crashing requests.
+func (g *Gateway) sendCrashRecords(s *peer.Session) {
+	f := &peerpb.CrashRecords{}
+	g.task.Do(func() {
+		now := time.Now()
+		for _, r := range g.state.quarantine.Records(maxSyncedRecords, now) {
+			for _, c := range r.Crashes {
+				f.Crashes = append(f.Crashes, requestCrash(c, now))
+			}
+			if !r.CompletedAt.IsZero() {
+				f.Served = append(f.Served, &peerpb.ServedRequest{Fingerprint: r.Fingerprint, MsAgo: now.Sub(r.CompletedAt).Milliseconds()})
+			}
+		}
+	})
+	if len(f.Crashes)+len(f.Served) > 0 {
+		s.SendControl(&peerpb.Frame{Body: &peerpb.Frame_CrashRecords{CrashRecords: f}})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,7 +215,7 @@
 			g.log.Error("peer listener failed", zap.Error(err))
 		}
 	})
-	for _, loop := range []func(context.Context){g.watchOperator, g.watchServers, g.watchMembers, g.tick, g.sendHeartbeats, g.checkLiveness} {
+	for _, loop := range []func(context.Context){g.watchOperator, g.watchServers, g.watchMembers, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords} {
 		g.wg.Go(func() { loop(run) })
 	}
 	g.log.Info("gateway started", zap.String("id", g.cfg.ID), zap.String("incarnation", g.cfg.Incarnation),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -60,6 +60,7 @@
 	g.log.Info("peer session up", zap.String("peer", s.Hello.GetId()), zap.String("peer_role", s.Hello.GetRole()))
 	if s.Hello.GetRole() == core.RoleGateway {
 		g.task.Do(func() { g.addMember(s.Hello.GetAddress()) })
+		g.sendCrashRecords(s)
 		return
 	}
 	var f *peerpb.Frame
