Keep crash records in the platform's store

What callers saw: when all gateways restarted, or one of them reached the store but no other gateway, a request that had crashed three servers was sent on until it had crashed three more for each of these gateways.

Cause: crashes were known to processes only. Each gateway now saves the crashes that it sees in a topic of their own, one record for each request and server process, so that gateways never overwrite each other's records, and follows the topic. A crash is saved after a second, as most requests that were on a server that ended have been served elsewhere by then, and at once if the request is quarantined. Other gateways save it later if the one that saw it has not. A served run and the end of an hour remove the records. An outage of the store delays the writes only.

--- a/core/deployment.go
+++ b/core/deployment.go
@@ -170,12 +170,14 @@
 type Topic int
 
 // Keyed topics. TopicOperator holds the configuration and the drained failure
-// domains, TopicServers the backend servers, and TopicMembers the processes of
-// nutmegnotch.
+// domains, TopicServers the backend servers, TopicMembers the processes of
+// nutmegnotch, and TopicCrashes the crashes of backend servers that count against
+// requests.
 const (
 	TopicOperator Topic = iota
 	TopicServers
 	TopicMembers
+	TopicCrashes
 )
 
 // RecordKind is the kind of a decoded record.
--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -106,7 +106,7 @@
 	for _, c := range list {
 		late := retry.Crash{Fingerprint: fp, ID: c.ID, Started: c.Started.Add(time.Second), Ended: c.Ended.Add(time.Second)}
 		for _, x := range []retry.Crash{c, late} {
-			if q.Add(x, at(2000)) {
+			if _, counted := q.Add(x, at(2000)); counted {
 				t.Errorf("crash of process %s before the served run, reported with the end %v: got counted, want ignored", x.ID, x.Ended)
 			}
 		}
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -84,11 +84,12 @@
 
 var _ core.Quarantine = (*Quarantine)(nil)
 
-// Add records a crash and reports whether it is new and counts.
-func (q *Quarantine) Add(c Crash, now time.Time) bool {
+// Add records a crash and reports whether it is new and counts. It returns the crash
+// with the id under which it is recorded.
+func (q *Quarantine) Add(c Crash, now time.Time) (Crash, bool) {
 	rec := q.records[c.Fingerprint]
 	if rec != nil && (!c.Ended.After(rec.completedAt) || rec.cleared[c.ID]) {
-		return false
+		return c, false
 	}
 	if rec == nil {
 		q.makeRoom()
@@ -97,7 +98,7 @@
 	}
 	c.ID = rec.crashID(c)
 	if _, known := rec.crashes[c.ID]; known {
-		return false
+		return c, false
 	}
 	rec.crashes[c.ID] = c
 	rec.dropExcess(c.ID)
@@ -108,7 +109,7 @@
 		rec.lastCrash = now
 	}
 	_, kept := rec.crashes[c.ID]
-	return kept
+	return c, kept
 }
 
 // crashID returns the id under which a crash is recorded. A run that began well
@@ -157,7 +158,7 @@
 	ran := unique(fingerprints)
 	q.addReport(crashID, ran)
 	for _, fp := range ran {
-		if q.Add(Crash{Fingerprint: fp, ID: crashID, Ended: now}, now) {
+		if _, counted := q.Add(Crash{Fingerprint: fp, ID: crashID, Ended: now}, now); counted {
 			rec := q.records[fp]
 			rec.onlyCommon = rec.onlyCommon || q.isOnlyCommon(fp, rec)
 		}
@@ -236,6 +237,20 @@
 	return dropped
 }
 
+// Remove drops one crash, which another process has found to be no longer valid.
+func (q *Quarantine) Remove(fingerprint uint64, crashID string) {
+	if rec := q.records[fingerprint]; rec != nil {
+		delete(rec.crashes, crashID)
+		rec.markCleared(crashID)
+	}
+}
+
+// IsCleared reports whether a crash was dropped.
+func (q *Quarantine) IsCleared(fingerprint uint64, crashID string) bool {
+	rec := q.records[fingerprint]
+	return rec != nil && rec.cleared[crashID]
+}
+
 func (rec *record) markCleared(id string) {
 	if rec.cleared == nil || len(rec.cleared) >= maxClearedCrashes {
 		rec.cleared = map[string]bool{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	members     *members
 	quarantine  *retry.Quarantine
 	brokenRuns  *retry.BrokenRuns
+	crashWrites *crashWrites
 	// trials holds the fingerprints of requests of which one copy is being sent.
 	trials map[uint64]bool
 	// behindSince is the time since which another gateway has known a newer
@@ -150,6 +151,7 @@
 		members:     newMembers(cfg.PeerAddress, cfg.Reloadable.Seeds),
 		quarantine:  retry.NewQuarantine(),
 		brokenRuns:  retry.NewBrokenRuns(),
+		crashWrites: newCrashWrites(),
 		trials:      map[uint64]bool{},
 	}
 	g.node = peer.New(peer.Config{
@@ -215,7 +217,8 @@
 			g.log.Error("peer listener failed", zap.Error(err))
 		}
 	})
-	for _, loop := range []func(context.Context){g.watchOperator, g.watchServers, g.watchMembers, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords} {
+	for _, loop := range []func(context.Context){g.watchOperator, g.watchServers, g.watchMembers, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords,
+		g.watchCrashes, g.saveCrashes} {
 		g.wg.Go(func() { loop(run) })
 	}
 	g.log.Info("gateway started", zap.String("id", g.cfg.ID), zap.String("incarnation", g.cfg.Incarnation),
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -21,7 +21,10 @@
 )
 
 // Sources of what is known of a request, besides the ids of peers.
-const sourceSelf = "self"
+const (
+	sourceSelf  = "self"
+	sourceStore = "store"
+)
 
 // fingerprint returns a hash that is the same for repeated sends of a request, by
 // its caller or by gateways.
@@ -86,7 +89,8 @@
 func (g *Gateway) countCrash(c retry.Crash, source, evidence string) bool {
 	q, now := g.state.quarantine, time.Now()
 	before := q.Status(c.Fingerprint, now)
-	if !q.Add(c, now) {
+	c, counted := q.Add(c, now)
+	if !counted {
 		return false
 	}
 	quarantineEvents.Add("crashes_counted", 1)
@@ -99,6 +103,12 @@
 		quarantineEvents.Add("requests_quarantined", 1)
 		g.log.Warn("request is quarantined, since it crashes backend servers", fingerprintField(c.Fingerprint),
 			zap.Int("crashes", q.Crashes(c.Fingerprint)))
+		if source == sourceSelf {
+			g.state.crashWrites.hasten(c.Fingerprint, now)
+		}
+	}
+	if source != sourceStore {
+		g.state.crashWrites.add(c, now.Add(saveDelay(source, status)))
 	}
 	return true
 }
@@ -148,6 +158,9 @@
 	if len(dropped) == 0 {
 		return false
 	}
+	for _, c := range dropped {
+		g.state.crashWrites.remove(c, time.Now().Add(saveDelay(source, core.QuarantineBlocked)))
+	}
 	quarantineEvents.Add("requests_cleared", 1)
 	g.log.Info("request cleared, since a backend server has served it", fingerprintField(fingerprint),
 		zap.Int("crashes", len(dropped)), zap.String("source", source))
