--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -33,7 +33,7 @@
 	// a crash.
 	minRestartTime = 300 * time.Millisecond
 	// RecordTTL is how long the crashes of a request count after the last one.
-	RecordTTL = time.Hour
+	RecordTTL = 24 * time.Hour
 )
 
 // Crash is the end of a backend server's process during a run of a request.
--- a/entry/pipeline.go
+++ b/entry/pipeline.go
@@ -75,7 +75,7 @@
 
 func blockedRefusal() core.Refusal {
 	return core.Refusal{Code: core.CodeCrashesServers, NotRun: true,
-		Message: "this request has crashed backend servers and is refused for good"}
+		Message: "this request has crashed backend servers and is refused"}
 }
 
 // run makes attempts until the request is answered or may not be retried. It
