Send known crash reports to entries that connect later

The entries had the same cause as the gateways: an agent's crash report was sent once to the entries with a session, and forwarded once. An entry that started later, or was cut off at that moment, sent the request on. An entry now sends the latest reports, without cleared requests, to each entry that connects.

TestEntriesLearnOfEarlierCrashes failed with no report in 10 s and passes. The other causes are not there: agents count the end of a process by its incarnation, and the quarantine is asked before each attempt.

--- a/entry/attempt_policy.go
+++ b/entry/attempt_policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"nutmegnotch/core"
@@ -11,9 +12,12 @@
 )
 
 // maxReported bounds the fingerprints that are read from one report of a peer,
-// and the remembered crash ids.
+// and the remembered crash reports.
 const maxReported = 1024
 
+// maxResentReports bounds the crash reports that are sent to an entry that connects.
+const maxResentReports = 64
+
 // attemptPolicy is the task that owns the retry budget and the crash quarantine,
 // which decide whether and how a request may be attempted.
 type attemptPolicy struct {
@@ -23,17 +27,17 @@
 	// active holds the fingerprints of suspects that are running. Each
 	// runs at most once at a time.
 	active map[uint64]bool
-	// seenCrashIDs holds the latest crash ids, and seenCrashOrder the same ids from
-	// oldest to newest.
-	seenCrashIDs   map[string]bool
-	seenCrashOrder []string
-	node           *peer.Node
-	metrics        *metrics
+	// crashReports holds the latest crash reports by id, and crashOrder their ids
+	// from oldest to newest.
+	crashReports map[string]*peerpb.CrashReport
+	crashOrder   []string
+	node         *peer.Node
+	metrics      *metrics
 }
 
 func startAttemptPolicy(ctx context.Context, r core.Retrier, q core.Quarantine, m *metrics) *attemptPolicy {
 	return &attemptPolicy{Task: startTask(ctx), retrier: r, quarantine: q,
-		active: map[uint64]bool{}, seenCrashIDs: map[string]bool{}, metrics: m}
+		active: map[uint64]bool{}, crashReports: map[string]*peerpb.CrashReport{}, metrics: m}
 }
 
 func (s *attemptPolicy) attach(n *peer.Node) { s.Do(func() { s.node = n }) }
@@ -104,10 +108,10 @@
 }
 
 func (s *attemptPolicy) countCrash(c *peerpb.CrashReport, forward bool) {
-	if s.seenCrashIDs[c.GetCrashId()] {
+	if s.crashReports[c.GetCrashId()] != nil {
 		return
 	}
-	s.rememberCrash(c.GetCrashId())
+	s.rememberCrash(c)
 	fps := c.GetFingerprints()
 	if len(fps) > maxReported {
 		fps = fps[:maxReported]
@@ -119,15 +123,38 @@
 	}
 }
 
-// rememberCrash records a crash id, so that its report is counted and forwarded
-// only once.
-func (s *attemptPolicy) rememberCrash(id string) {
-	if len(s.seenCrashOrder) == maxReported {
-		delete(s.seenCrashIDs, s.seenCrashOrder[0])
-		s.seenCrashOrder = s.seenCrashOrder[1:]
+// rememberCrash records a crash report, so that it is counted and forwarded only
+// once, and sent to entries that connect later.
+func (s *attemptPolicy) rememberCrash(c *peerpb.CrashReport) {
+	if len(s.crashOrder) == maxReported {
+		delete(s.crashReports, s.crashOrder[0])
+		s.crashOrder = s.crashOrder[1:]
+	}
+	s.crashReports[c.GetCrashId()] = c
+	s.crashOrder = append(s.crashOrder, c.GetCrashId())
+}
+
+// sendCrashReports sends the latest crash reports to another entry, which may have
+// started or been cut off since they came. Requests that were cleared are left out.
+func (s *attemptPolicy) sendCrashReports(to *peer.Session) {
+	var out []*peerpb.CrashReport
+	s.Do(func() {
+		now := time.Now()
+		for i := len(s.crashOrder) - 1; i >= 0 && len(out) < maxResentReports; i-- {
+			c := &peerpb.CrashReport{CrashId: s.crashOrder[i]}
+			for _, fp := range s.crashReports[c.CrashId].GetFingerprints() {
+				if s.quarantine.Status(fp, now) != core.QuarantineClear {
+					c.Fingerprints = append(c.Fingerprints, fp)
+				}
+			}
+			if len(c.Fingerprints) > 0 {
+				out = append(out, c)
+			}
+		}
+	})
+	for _, c := range slices.Backward(out) {
+		to.SendControl(&peerpb.Frame{Body: &peerpb.Frame_CrashReport{CrashReport: c}})
 	}
-	s.seenCrashIDs[id] = true
-	s.seenCrashOrder = append(s.seenCrashOrder, id)
 }
 
 // completed clears a suspect whose run completed, and tells the other entries.
--- a/entry/status.go
+++ b/entry/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"nutmegnotch/core"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
 )
@@ -52,7 +53,12 @@
 }
 
 // SessionUp handles a new session.
-func (e *Entry) SessionUp(s *peer.Session) { e.views.sessionUp(s) }
+func (e *Entry) SessionUp(s *peer.Session) {
+	e.views.sessionUp(s)
+	if s.Hello.GetRole() == core.RoleEntry {
+		e.attemptPolicy.sendCrashReports(s)
+	}
+}
 
 // SessionDown handles the end of a session.
 func (e *Entry) SessionDown(s *peer.Session) { e.views.sessionDown(s) }
