Do not block a request whose crashes another one explains

A crashing request had ended all servers of its service one after the other within a second. The popular request was running on each of them and was not served in between, so three crashes in turn counted against it as well.

Gateways see their own runs only, so they can't tell which of two requests on a server ended it. A request whose crashes all count against another one too is sent one copy at a time now instead of being blocked: if it is served, it is cleared, and if the server ends, that crash is its own. Five crashes in turn block it anyway, so two crashing requests can't excuse each other. Reports of agents name all requests of a server and suspects run alone there, so nothing changes for them.

--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -61,6 +61,45 @@
 	}
 }
 
+// Guards against a harmless request that is blocked together with the one that crashed
+// its servers, and against two crashing requests that excuse each other.
+func TestCrashesThatAnotherRequestExplains(t *testing.T) {
+	const cause = 2
+	in := func(fingerprint uint64, ids ...int) []retry.Crash {
+		var out []retry.Crash
+		for _, i := range ids {
+			out = append(out, retry.Crash{Fingerprint: fingerprint, ID: fmt.Sprint("process-", i), Started: at(20 * i), Ended: at(20*i + 10)})
+		}
+		return out
+	}
+	cases := []struct {
+		name            string
+		crashes         []retry.Crash
+		want, wantCause core.QuarantineStatus
+	}{
+		{"the cause has one more", append(in(fp, 1, 2, 3), in(cause, 1, 2, 3, 4)...), core.QuarantineSuspect, core.QuarantineBlocked},
+		{"both have the same", append(in(fp, 1, 2, 3), in(cause, 1, 2, 3)...), core.QuarantineSuspect, core.QuarantineSuspect},
+		{"they share two", append(in(fp, 1, 2, 3), in(cause, 2, 3, 4)...), core.QuarantineBlocked, core.QuarantineBlocked},
+		{"both have five", append(in(fp, 1, 2, 3, 4, 5), in(cause, 1, 2, 3, 4, 5)...), core.QuarantineBlocked, core.QuarantineBlocked},
+	}
+	for _, c := range cases {
+		q := retry.NewQuarantine()
+		for _, x := range c.crashes {
+			q.Add(x, at(5000))
+		}
+		if got := q.Status(fp, at(5000)); got != c.want {
+			t.Errorf("%s: got status %d, want %d", c.name, got, c.want)
+		}
+		if got := q.Status(cause, at(5000)); got != c.wantCause {
+			t.Errorf("%s: got status %d of the cause, want %d", c.name, got, c.wantCause)
+		}
+		q.Clear(fp, at(5000))
+		if got, want := q.Status(cause, at(5000)), core.QuarantineBlocked; got != want {
+			t.Errorf("%s, the other request was served: got status %d of the cause, want %d", c.name, got, want)
+		}
+	}
+}
+
 // Guards against processes that reach different results from the same reports, in
 // whichever order and however often they come.
 func TestCrashReportsInAnyOrder(t *testing.T) {
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -26,9 +26,11 @@
 	// MaxFingerprints.
 	evictedShare = 16
 	// blockAfterCrashes is the number of crashes after which a request is blocked,
-	// if minSeparateCrashes of them came one after the other.
+	// if minSeparateCrashes of them came one after the other and no other request
+	// explains them. It is blocked anyway after maxSeparateCrashes.
 	blockAfterCrashes  = 3
 	minSeparateCrashes = 2
+	maxSeparateCrashes = 5
 	// minRestartTime is the least time in which a backend server starts again after
 	// a crash.
 	minRestartTime = 300 * time.Millisecond
@@ -59,6 +61,8 @@
 // id, so reports of the same crash by several processes count once, in any order.
 type Quarantine struct {
 	records map[uint64]*record
+	// byCrash holds the requests against which a crash counts, by its id.
+	byCrash map[string]map[uint64]bool
 	// reports holds the requests of each crash that was reported with a complete
 	// list of them, and reportOrder their ids from oldest to newest.
 	reports     map[string][]uint64
@@ -79,7 +83,7 @@
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{records: map[uint64]*record{}, reports: map[string][]uint64{}}
+	return &Quarantine{records: map[uint64]*record{}, byCrash: map[string]map[uint64]bool{}, reports: map[string][]uint64{}}
 }
 
 var _ core.Quarantine = (*Quarantine)(nil)
@@ -88,7 +92,7 @@
 // with the id under which it is recorded.
 func (q *Quarantine) Add(c Crash, now time.Time) (Crash, bool) {
 	rec := q.records[c.Fingerprint]
-	if rec != nil && (!c.Ended.After(rec.completedAt) || rec.cleared[c.ID]) {
+	if q.IsCleared(c) {
 		return c, false
 	}
 	if rec == nil {
@@ -101,7 +105,13 @@
 		return c, false
 	}
 	rec.crashes[c.ID] = c
-	rec.dropExcess(c.ID)
+	if q.byCrash[c.ID] == nil {
+		q.byCrash[c.ID] = map[uint64]bool{}
+	}
+	q.byCrash[c.ID][c.Fingerprint] = true
+	if id := rec.excess(c.ID); id != "" {
+		q.dropCrash(c.Fingerprint, id)
+	}
 	if c.Ended.After(rec.lastCrash) {
 		rec.lastCrash = c.Ended
 	}
@@ -112,6 +122,25 @@
 	return c, kept
 }
 
+// dropCrash drops one crash of a request.
+func (q *Quarantine) dropCrash(fingerprint uint64, id string) {
+	delete(q.records[fingerprint].crashes, id)
+	delete(q.byCrash[id], fingerprint)
+	if len(q.byCrash[id]) == 0 {
+		delete(q.byCrash, id)
+	}
+}
+
+// drop drops the record of a request and returns its crashes.
+func (q *Quarantine) drop(fingerprint uint64) []Crash {
+	crashes := slices.Collect(maps.Values(q.records[fingerprint].crashes))
+	for _, c := range crashes {
+		q.dropCrash(fingerprint, c.ID)
+	}
+	delete(q.records, fingerprint)
+	return crashes
+}
+
 // crashID returns the id under which a crash is recorded. A run that began well
 // after the recorded end of its process has met another process with the same id:
 // the list of servers was out of date.
@@ -145,7 +174,7 @@
 		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.last.Compare(b.last), cmp.Compare(a.fingerprint, b.fingerprint))
 	})
 	for _, c := range all[:max(1, MaxFingerprints/evictedShare)] {
-		delete(q.records, c.fingerprint)
+		q.drop(c.fingerprint)
 	}
 }
 
@@ -226,7 +255,7 @@
 	for id, c := range rec.crashes {
 		if !c.Ended.After(at) {
 			dropped = append(dropped, c)
-			delete(rec.crashes, id)
+			q.dropCrash(fingerprint, id)
 			rec.markCleared(id)
 		}
 	}
@@ -240,15 +269,15 @@
 // Remove drops one crash, which another process has found to be no longer valid.
 func (q *Quarantine) Remove(fingerprint uint64, crashID string) {
 	if rec := q.records[fingerprint]; rec != nil {
-		delete(rec.crashes, crashID)
+		q.dropCrash(fingerprint, crashID)
 		rec.markCleared(crashID)
 	}
 }
 
-// IsCleared reports whether a crash was dropped.
-func (q *Quarantine) IsCleared(fingerprint uint64, crashID string) bool {
-	rec := q.records[fingerprint]
-	return rec != nil && rec.cleared[crashID]
+// IsCleared reports whether a crash does not count, since its request was served later.
+func (q *Quarantine) IsCleared(c Crash) bool {
+	rec := q.records[c.Fingerprint]
+	return rec != nil && (rec.cleared[c.ID] || !c.Ended.After(rec.completedAt))
 }
 
 func (rec *record) markCleared(id string) {
@@ -264,12 +293,15 @@
 	switch {
 	case rec == nil || len(rec.crashes) == 0 || now.Sub(rec.lastCrash) > RecordTTL:
 		return core.QuarantineClear
-	case rec.onlyCommon || len(rec.crashes) >= blockAfterCrashes && len(rec.separateCrashes()) >= minSeparateCrashes:
+	case rec.onlyCommon || len(rec.crashes) >= blockAfterCrashes && !q.isAmbiguous(fingerprint, rec):
 		return core.QuarantineBlocked
 	}
 	return core.QuarantineSuspect
 }
 
+// HasEnded reports whether the end of a process counts against some request.
+func (q *Quarantine) HasEnded(processID string) bool { return len(q.byCrash[processID]) > 0 }
+
 // Crashes returns the number of crashes that count against a request.
 func (q *Quarantine) Crashes(fingerprint uint64) int {
 	if rec := q.records[fingerprint]; rec != nil {
@@ -278,13 +310,44 @@
 	return 0
 }
 
-// IsAmbiguous reports whether a request has as many crashes as a blocked one, all at
-// the same time. Several copies of a crashing request do that, and so does a loss of
-// power under several copies of any other request. The next run shows which it is.
+// IsAmbiguous reports whether a request has as many crashes as a blocked one, but may
+// not have caused them. The next run shows whether it has.
 func (q *Quarantine) IsAmbiguous(fingerprint uint64, now time.Time) bool {
 	return q.Crashes(fingerprint) >= blockAfterCrashes && q.Status(fingerprint, now) == core.QuarantineSuspect
 }
 
+// isAmbiguous reports whether the crashes of a request have another explanation. If
+// all came at the same time, a loss of power may have hit several of its copies. If
+// another request was running in all of them, that one may be the cause: a request
+// that is sent often is on each server that the cause crashes, until the cause is
+// blocked.
+func (q *Quarantine) isAmbiguous(fingerprint uint64, rec *record) bool {
+	separate := len(rec.separateCrashes())
+	return separate < minSeparateCrashes || separate < maxSeparateCrashes && q.isExplained(fingerprint, rec)
+}
+
+// isExplained reports whether the crashes of a request, as seen by processes that know
+// only their own runs, all count against another request too.
+func (q *Quarantine) isExplained(fingerprint uint64, rec *record) bool {
+	var common map[uint64]bool
+	for id, c := range rec.crashes {
+		if c.Started.IsZero() {
+			return false
+		}
+		others := map[uint64]bool{}
+		for fp := range q.byCrash[id] {
+			if fp != fingerprint && (common == nil || common[fp]) {
+				others[fp] = true
+			}
+		}
+		common = others
+		if len(common) == 0 {
+			return false
+		}
+	}
+	return len(common) > 0
+}
+
 // separateCrashes returns as many crashes as possible of which each run began after
 // the one before it had ended, in order of their ends.
 func (rec *record) separateCrashes() []Crash {
@@ -298,27 +361,26 @@
 	return out
 }
 
-// dropExcess drops a crash if there are too many: the newest one, if it was at the
-// same time as others, and else one of those or the oldest one.
-func (rec *record) dropExcess(newest string) {
+// excess returns the id of a crash to drop if there are too many, or else "": the
+// newest one, if it was at the same time as others, and else one of those or the
+// oldest one.
+func (rec *record) excess(newest string) string {
 	if len(rec.crashes) <= maxCrashesPerRequest {
-		return
+		return ""
 	}
 	separate := rec.separateCrashes()
 	spare := func(id string) bool {
 		return !slices.ContainsFunc(separate, func(c Crash) bool { return c.ID == id })
 	}
 	if spare(newest) {
-		delete(rec.crashes, newest)
-		return
+		return newest
 	}
 	for id := range rec.crashes {
 		if spare(id) {
-			delete(rec.crashes, id)
-			return
+			return id
 		}
 	}
-	delete(rec.crashes, separate[0].ID)
+	return separate[0].ID
 }
 
 // Records returns at most limit records that count, those with the most crashes
@@ -345,8 +407,7 @@
 		if now.Sub(rec.lastCrash) <= RecordTTL {
 			continue
 		}
-		dropped = slices.AppendSeq(dropped, maps.Values(rec.crashes))
-		delete(q.records, fp)
+		dropped = append(dropped, q.drop(fp)...)
 	}
 	return dropped
 }
