Explain the refusal of a crashing request from the logs

The lines about crashes name the fingerprint of the request and not the id, which differs from copy to copy. The command explain prints those before the lines of the request.

--- a/io/cli/explain.go
+++ b/io/cli/explain.go
@@ -18,6 +18,15 @@
 // decisions on. The last one of each before a decision explains it.
 var stateMessages = []string{"configuration changed", "backend servers changed", "store lost", "store regained", "gateway is leaving", "settings reloaded"}
 
+// crashMessages are the log messages about crashes of backend servers that count against
+// a request. They bear the fingerprint of the request instead of an id, since copies of
+// a request have ids of their own.
+var crashMessages = []string{"crash counted", "request is quarantined, since it crashes backend servers",
+	"request cleared, since a backend server has served it"}
+
+// maxCrashLines is the number of latest lines about crashes that explain a request.
+const maxCrashLines = 16
+
 type explainCommand struct {
 	RequestID string   `arg:"" help:"Id of the request."`
 	Files     []string `arg:"" type:"existingfile" help:"Log files of gateways (JSON lines)."`
@@ -61,11 +70,14 @@
 }
 
 // requestLines returns the lines of a log file about a request, preceded by the last line
-// of each state message before the first of them. It skips lines that are not JSON, since
+// of each state message before the first of them, and by those about crashes of equal
+// requests. It skips lines that are not JSON, since
 // other programs may write to the same file.
 func requestLines(name string, r io.Reader, id string) ([]logLine, error) {
 	var found []logLine
+	begun := false
 	lastState := map[string]logLine{}
+	crashes := map[string][]logLine{}
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLogLineBytes)
 	for s.Scan() {
@@ -76,10 +88,18 @@
 		if slices.Contains(stateMessages, l.message) {
 			lastState[l.message] = l
 		}
+		fingerprint, _ := l.fields["fingerprint"].(string)
+		if slices.Contains(crashMessages, l.message) {
+			list := append(crashes[fingerprint], l)
+			crashes[fingerprint] = list[max(0, len(list)-maxCrashLines):]
+		}
 		if l.fields["request_id"] != id {
 			continue
 		}
-		if len(found) == 0 {
+		found = append(found, crashes[fingerprint]...)
+		delete(crashes, fingerprint)
+		if !begun {
+			begun = true
 			for _, state := range lastState {
 				found = append(found, state)
 			}
--- a/io/cli/explain_test.go
+++ b/io/cli/explain_test.go
@@ -41,3 +41,30 @@
 		t.Errorf("exit code for an unknown request: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a refused copy of a crashing request of which the crashes are not shown,
+// and against crashes of other requests that are.
+func TestExplainCrashes(t *testing.T) {
+	const log = `{"level":"info","time":"2026-01-01T10:00:00Z","msg":"crash counted","fingerprint":"a1","process":"s1/5","crashes":1}
+{"level":"info","time":"2026-01-01T10:00:01Z","msg":"crash counted","fingerprint":"b2","process":"s1/5","crashes":1}
+{"level":"info","time":"2026-01-01T10:00:02Z","msg":"request refused","request_id":"r1","fingerprint":"a1","status":503}
+{"level":"info","time":"2026-01-01T10:00:03Z","msg":"crash counted","fingerprint":"a1","process":"s2/6","crashes":2}
+`
+	file := filepath.Join(t.TempDir(), "gateway.log")
+	if err := os.WriteFile(file, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errs bytes.Buffer
+	if got, want := run([]string{"explain", "r1", file}, &out, &errs), ExitOK; got != want {
+		t.Fatalf("exit code: got %d (%s), want %d", got, errs.String(), want)
+	}
+	got := out.String()
+	for _, w := range []string{"s1/5", "request refused"} {
+		if strings.Count(got, w) != 1 {
+			t.Errorf("lines with %q: got %q, want one", w, got)
+		}
+	}
+	if strings.Contains(got, "b2") || strings.Contains(got, "s2/6") {
+		t.Errorf("output: got %q, want nothing of other requests or after the refusal", got)
+	}
+}
