--- a/emulator/metastore/metastore.go
+++ b/emulator/metastore/metastore.go
@@ -173,6 +173,8 @@
 	case FaultReset:
 		panic(http.ErrAbortHandler)
 	case FaultHang:
+		// The end of the connection is noticed only after the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	case FaultLostResponse:
 		if r.Method == http.MethodPost {
--- a/emulator/runner/crash.go
+++ b/emulator/runner/crash.go
@@ -26,6 +26,16 @@
 // Crashed is closed when the process of the Runner has ended.
 func (r *Runner) Crashed() <-chan struct{} { return r.crashed }
 
+// crash ends the process during a run.
+func (r *Runner) crash(run *Run, silently bool) {
+	r.mu.Lock()
+	if !r.ended {
+		r.crashedBy = run.Target
+	}
+	r.mu.Unlock()
+	r.Crash(silently)
+}
+
 // Crash ends the process. It closes the listener and resets all connections, or, if
 // silently is set, leaves them open without an answer.
 func (r *Runner) Crash(silently bool) {
@@ -44,6 +54,12 @@
 	close(r.crashed)
 }
 
+func (r *Runner) causedBy(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashedBy == target
+}
+
 func (r *Runner) isSilent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -59,9 +75,9 @@
 func (r *Runner) crashAtStart(c net.Conn, run *Run) bool {
 	switch {
 	case r.crashesAt(run, CrashBeforeReply):
-		r.Crash(false)
+		r.crash(run, false)
 	case r.crashesAt(run, CrashSilently):
-		r.Crash(true)
+		r.crash(run, true)
 		_, _ = io.Copy(io.Discard, c)
 	default:
 		return false
@@ -70,8 +86,8 @@
 }
 
 // crashAfter sends the first part of a reply and crashes.
-func (r *Runner) crashAfter(c net.Conn, part string) {
+func (r *Runner) crashAfter(c net.Conn, run *Run, part string) {
 	_, _ = io.WriteString(c, part)
 	time.Sleep(partialReplyTime)
-	r.Crash(false)
+	r.crash(run, false)
 }
--- a/emulator/runner/process.go
+++ b/emulator/runner/process.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"nutmegnotch/emulator/loopback"
 	"nutmegnotch/emulator/metastore"
 )
 
@@ -41,6 +42,14 @@
 
 // NewProcess starts a server. Callers must call Close to stop it.
 func NewProcess(cfg ProcessConfig) (*Process, error) {
+	if cfg.Address == "" {
+		// Nothing else may take the address while the server is down.
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		cfg.Address = address
+	}
 	p := &Process{cfg: cfg, done: make(chan struct{})}
 	if err := p.start(cfg.Config); err != nil {
 		return nil, err
@@ -91,7 +100,6 @@
 	p.mu.Unlock()
 	expiry, restart := time.After(p.cfg.ExpiryDelay), time.After(p.cfg.RestartDelay)
 	next := p.cfg.Config
-	next.Address = r.Address()
 	if !p.cfg.KeepID {
 		next.ID = fmt.Sprintf("%s-%d", p.cfg.ID, n)
 	}
@@ -140,6 +148,19 @@
 	return append([]time.Time(nil), p.crashes...)
 }
 
+// CrashesBy returns the times of the crashes that a request with a target has caused.
+func (p *Process) CrashesBy(target string) []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []time.Time
+	for i, at := range p.crashes {
+		if p.runners[i].causedBy(target) {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
 // Close stops the server.
 func (p *Process) Close() {
 	close(p.done)
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -91,6 +91,8 @@
 	// if it has left its connections open.
 	crashed       chan struct{}
 	ended, silent bool
+	// crashedBy is the target of the request that has ended the process.
+	crashedBy string
 }
 
 // New starts a Runner on a loopback address. Callers must call Close to stop it.
@@ -266,10 +268,10 @@
 	partial := head + "Content-Length: " + strconv.Itoa(len(r.cfg.Body)) + "\r\n\r\n"
 	switch {
 	case r.crashesAt(run, CrashAfterHead):
-		r.crashAfter(c, partial)
+		r.crashAfter(c, run, partial)
 		return false
 	case r.crashesAt(run, CrashInBody):
-		r.crashAfter(c, partial+r.cfg.Body[:len(r.cfg.Body)/2])
+		r.crashAfter(c, run, partial+r.cfg.Body[:len(r.cfg.Body)/2])
 		return false
 	}
 	writeReply(c, "200 OK", run.ID, r.cfg.ID, "", r.cfg.Body)
@@ -300,13 +302,13 @@
 		return false
 	}
 	if r.crashesAt(run, CrashAfterHead) {
-		r.crashAfter(c, "")
+		r.crashAfter(c, run, "")
 		return false
 	}
 	for id := lastID + 1; id <= r.cfg.Events; id++ {
 		event := Event(id)
 		if r.crashesAt(run, CrashInBody) && id == lastID+2 {
-			r.crashAfter(c, fmt.Sprintf("%x\r\n%s", len(event), event[:len(event)/2]))
+			r.crashAfter(c, run, fmt.Sprintf("%x\r\n%s", len(event), event[:len(event)/2]))
 			return false
 		}
 		if fault == FaultTruncated && id == lastID+(r.cfg.Events-lastID)/2+1 {
--- a/gateway/crash_store.go
+++ b/gateway/crash_store.go
@@ -28,6 +28,9 @@
 	// save it themselves, unless they end before.
 	peerSaveDelay  = 4 * time.Second
 	peerSaveSpread = 2 * time.Second
+	// clearedRemoveSpread is the time within which a record that another gateway has
+	// saved is removed, if the request was served meanwhile.
+	clearedRemoveSpread = 500 * time.Millisecond
 	// crashExpiryInterval is the interval at which old crashes are dropped. Their
 	// records are removed within that time, by the gateway that comes first.
 	crashExpiryInterval = time.Minute
@@ -166,11 +169,15 @@
 	age := max(0, now.Sub(time.UnixMilli(v.EndedUnixMS)))
 	c.Ended = now.Add(-age)
 	c.Started = c.Ended.Add(-time.Duration(max(0, v.EndedUnixMS-v.StartedUnixMS)) * time.Millisecond)
-	if age > retry.RecordTTL || g.state.quarantine.IsCleared(c.Fingerprint, c.ID) {
+	switch {
+	case age > retry.RecordTTL:
 		g.state.crashWrites.remove(c, now.Add(time.Duration(rand.Int64N(int64(crashExpiryInterval)))))
 		return nil
+	case g.state.quarantine.IsCleared(c):
+		g.state.crashWrites.remove(c, now.Add(time.Duration(rand.Int64N(int64(clearedRemoveSpread)))))
+		return nil
 	}
-	g.countCrash(c, sourceStore, "record")
+	g.countKnownCrash(c, sourceStore, now)
 	return nil
 }
 
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -59,12 +59,19 @@
 // trackBrokenRun reports whether a connection attempt is needed to find out whether
 // a server has ended. It runs in the task.
 func (g *Gateway) trackBrokenRun(a *attempts, server core.BackendServer, now time.Time) bool {
+	evidence := ""
 	switch g.state.directory.Process(server) {
 	case directory.ProcessLeaving:
 		// It ends as planned.
 		return false
 	case directory.ProcessReplaced:
-		g.serversEnded([]retry.Crash{{Fingerprint: a.fingerprint, ID: retry.ProcessID(server), Started: a.sentAt, Ended: now}}, "new_process")
+		evidence = "new_process"
+	}
+	if g.state.quarantine.HasEnded(retry.ProcessID(server)) {
+		evidence = "report"
+	}
+	if evidence != "" {
+		g.serversEnded([]retry.Crash{{Fingerprint: a.fingerprint, ID: retry.ProcessID(server), Started: a.sentAt, Ended: now}}, evidence)
 		return false
 	}
 	if !g.state.brokenRuns.Add(server, a.fingerprint, a.sentAt, now) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -167,12 +167,20 @@
 	return true
 }
 
+// countKnownCrash counts a crash of which a peer or the store tells, and those of this
+// gateway's own runs that broke off at the same process. It runs in the task.
+func (g *Gateway) countKnownCrash(c retry.Crash, source string, now time.Time) {
+	if g.countCrash(c, source, "report") {
+		g.serversEnded(g.state.brokenRuns.Ended(c.ID, now), "report")
+	}
+}
+
 // applyCrashRecords applies what another gateway knows. It runs in the task.
 func (g *Gateway) applyCrashRecords(p *peerpb.CrashRecords, source string, now time.Time) {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(max(0, ms)) * time.Millisecond) }
 	for _, c := range p.GetCrashes() {
-		g.countCrash(retry.Crash{Fingerprint: c.GetFingerprint(), ID: c.GetProcessId(),
-			Started: ago(c.GetStartedMsAgo()), Ended: ago(c.GetEndedMsAgo())}, source, "report")
+		g.countKnownCrash(retry.Crash{Fingerprint: c.GetFingerprint(), ID: c.GetProcessId(),
+			Started: ago(c.GetStartedMsAgo()), Ended: ago(c.GetEndedMsAgo())}, source, now)
 	}
 	for _, r := range p.GetServed() {
 		g.clearRequest(r.GetFingerprint(), ago(r.GetMsAgo()), source)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -54,6 +54,16 @@
 	return out
 }
 
+// crashesBy returns the times of the crashes that a request has caused, in order.
+func (d *deployment) crashesBy(target string) []time.Time {
+	var out []time.Time
+	for _, p := range d.servers {
+		out = append(out, p.CrashesBy(target)...)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
 // crashRuns returns the number of runs of the crashing request, and how many of
 // them began later than crashSettleTime after the third crash.
 func (d *deployment) crashRuns() (all, late int) {
