--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 
 # The slopes of docs/CAPACITY.md, in about 7 minutes.
 bench:
-	go test -run XXX -bench . -benchtime 0.3s ./core/config ./core/claim ./core/rendezvous ./core/admission ./io/configlog ./io/claimlog
+	go test -run XXX -bench . -benchtime 0.3s ./core/retry ./core/config ./core/claim ./core/rendezvous ./core/admission ./io/configlog ./io/claimlog
 	go test -run XXX -bench 'Memory|Choose|Subset' -benchtime 0.3s ./core/share ./core/routing
 	go test -tags measure ./systemtest -run TestMeasure -v -timeout 20m
 
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -386,17 +386,25 @@
 // Records returns at most limit records that count, those with the most crashes
 // first.
 func (q *Quarantine) Records(limit int, now time.Time) []Record {
-	var out []Record
+	type candidate struct {
+		fingerprint uint64
+		crashes     int
+	}
+	var all []candidate
 	for fp, rec := range q.records {
-		if now.Sub(rec.lastCrash) > RecordTTL {
-			continue
+		if now.Sub(rec.lastCrash) <= RecordTTL {
+			all = append(all, candidate{fp, len(rec.crashes)})
 		}
-		out = append(out, Record{Fingerprint: fp, Crashes: slices.Collect(maps.Values(rec.crashes)), CompletedAt: rec.completedAt})
 	}
-	slices.SortFunc(out, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.fingerprint, b.fingerprint))
 	})
-	return out[:min(limit, len(out))]
+	out := make([]Record, 0, min(limit, len(all)))
+	for _, c := range all[:min(limit, len(all))] {
+		rec := q.records[c.fingerprint]
+		out = append(out, Record{Fingerprint: c.fingerprint, Crashes: slices.Collect(maps.Values(rec.crashes)), CompletedAt: rec.completedAt})
+	}
+	return out
 }
 
 // Expire drops the records whose last crash is older than RecordTTL. It returns
--- a/gateway/crash_sync.go
+++ b/gateway/crash_sync.go
@@ -16,9 +16,10 @@
 	// to another one, chosen at random. It covers gateways that have no session with
 	// the one that saw a crash.
 	crashSyncInterval = 2 * time.Second
-	// maxSyncedRecords bounds the records in one message. Those with the most crashes
-	// go first.
+	// maxSyncedRecords and maxSyncedCrashes bound one message. The records with the
+	// most crashes go first.
 	maxSyncedRecords = 256
+	maxSyncedCrashes = 384
 )
 
 // syncCrashRecords periodically sends the crash records to another gateway.
@@ -49,6 +50,9 @@
 	g.task.Do(func() {
 		now := time.Now()
 		for _, r := range g.state.quarantine.Records(maxSyncedRecords, now) {
+			if len(f.Crashes) >= maxSyncedCrashes {
+				break
+			}
 			for _, c := range r.Crashes {
 				f.Crashes = append(f.Crashes, requestCrash(c, now))
 			}
