Keep gateways that restart within the retry budget

What callers saw: servers got 117 arrivals for 60 requests within one window, where 84 are allowed, while three gateways restarted in turn (TestRepeatsStayInTheBudgetOverRestarts, which failed so and passes).

What a gateway has spent of the shared budget was known to its process only, so each start brought its part of the fixed number of retries again, and all of it until the other gateways were heard. Changed settings reset the count as well.

In the first window after its start a gateway uses a tenth of its part of the fixed number, divided by all gateways that it knows of, besides its share of the requests that it sees. The three tenths of the budget that are kept for restarts bear three of all gateways in one window. Changed limits apply to what has been counted.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -30,8 +30,9 @@
 	return &WindowBudget{ratio: ratio, slack: slack, length: length, services: map[string]*windowCounts{}}
 }
 
-// SetSlack sets the fixed number of retries in a window.
-func (w *WindowBudget) SetSlack(n float64) { w.slack = n }
+// SetLimits sets the share of the requests and the fixed number of retries in a
+// window. What has been counted stays counted.
+func (w *WindowBudget) SetLimits(ratio, slack float64) { w.ratio, w.slack = ratio, slack }
 
 // CountRequest counts a request for a service.
 func (w *WindowBudget) CountRequest(service string, now time.Time) {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -333,7 +333,7 @@
 		return "", true
 	}
 	ok := false
-	g.task.Do(func() { ok = g.state.retryBudget.AllowRetry(a.service, time.Now()) })
+	g.task.Do(func() { ok = g.allowRetry(a.service, time.Now()) })
 	return "retry_budget", ok
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,8 @@
 	dispatcher  *dispatch.Dispatcher
 	reloadable  ReloadableConfig
 	retryBudget *retry.WindowBudget
+	// budgetStart is when retryBudget began to count.
+	budgetStart time.Time
 	waiting     map[uint64]chan dispatch.Decision
 	sendCancels sendCancels
 	callerAges  callerAges
@@ -144,7 +146,8 @@
 		directory:   directory.New(cfg.Decoder),
 		dispatcher:  dispatch.New(cfg.FailureDomain, xxhash.Sum64String(cfg.Incarnation)),
 		reloadable:  cfg.Reloadable,
-		retryBudget: newRetryBudget(cfg.Reloadable, 1),
+		retryBudget: newRetryBudget(cfg.Reloadable),
+		budgetStart: time.Now(),
 		waiting:     map[uint64]chan dispatch.Decision{},
 		sendCancels: sendCancels{},
 		callerAges:  callerAges{},
@@ -172,18 +175,14 @@
 	return g
 }
 
-func newRetryBudget(cfg ReloadableConfig, gateways int) *retry.WindowBudget {
-	return retry.NewWindowBudget(cfg.RetryRatio*retryBudgetShare, cfg.RetrySlack*retryBudgetShare/float64(gateways), cfg.RetryWindow)
-}
-
 // Reload applies changed settings. Addresses that are no longer seeds stay known.
 func (g *Gateway) Reload(cfg ReloadableConfig) {
 	g.task.Do(func() {
 		s := g.state
 		old := s.reloadable
 		s.reloadable = cfg
-		if cfg.RetryRatio != old.RetryRatio || cfg.RetrySlack != old.RetrySlack || cfg.RetryWindow != old.RetryWindow {
-			s.retryBudget = newRetryBudget(cfg, s.members.countLive(time.Now()))
+		if cfg.RetryWindow != old.RetryWindow {
+			s.retryBudget, s.budgetStart = newRetryBudget(cfg), time.Now()
 		}
 		for _, a := range cfg.Seeds {
 			g.addMember(a)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -14,11 +14,6 @@
 // live.
 const memberTimeout = 30 * time.Second
 
-// retryBudgetShare is the part of the shared retry budget that gateways use. The
-// rest is for gateways that restart within one window and so start with an empty
-// count; without it, the gateways could exceed the budget together.
-const retryBudgetShare = 0.7
-
 // members holds the other gateways that this gateway knows, by peer address.
 // lastHeard is the time of the last heartbeat of each.
 type members struct {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -109,9 +109,7 @@
 	for _, a := range b.GetGateways() {
 		g.addMember(a)
 	}
-	n := m.countLive(now)
-	g.state.dispatcher.SetGateways(n)
-	g.state.retryBudget.SetSlack(g.state.reloadable.RetrySlack * retryBudgetShare / float64(n))
+	g.state.dispatcher.SetGateways(m.countLive(now))
 	loads := make(map[string]int, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
 		loads[l.GetServerId()] = int(l.GetRequests())
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -81,3 +81,39 @@
 		t.Errorf("arrivals of %d requests at servers that fail: got %d, want %d to %d", requests, arrivals, requests, most)
 	}
 }
+
+// Guards against gateways that spend their part of the shared retry budget anew after
+// each restart.
+func TestRepeatsStayInTheBudgetOverRestarts(t *testing.T) {
+	t.Parallel()
+	const requests, ratio, slack = 60, 0.2, 12
+	d := newDeployment(t)
+	d.reloadable.RetryRatio, d.reloadable.RetrySlack, d.reloadable.Grace = ratio, slack, time.Second
+	d.publish()
+	var runners []*runner.Runner
+	for i := range 4 {
+		r := d.addRunner(runner.Config{ID: fmt.Sprintf("d%d", i), Body: "found"}, "desk")
+		r.Fail(slices.Repeat([]runner.Fault{runner.FaultError}, 2*requests)...)
+		runners = append(runners, r)
+	}
+	for range 3 {
+		d.startReady()
+	}
+	begun := time.Now()
+	for i := range requests {
+		if i%10 == 9 {
+			d.restart(i / 10 % len(d.gateways))
+		}
+		send(newRequest(d.gateways[i%len(d.gateways)], http.MethodGet, fmt.Sprintf("/lookup/%d", i), "key-a", ""))
+	}
+	if took := time.Since(begun); took > d.reloadable.RetryWindow {
+		t.Fatalf("requests took %v, want them within one window of %v", took, d.reloadable.RetryWindow)
+	}
+	arrivals := 0
+	for _, r := range runners {
+		arrivals += len(r.Runs())
+	}
+	if most := requests + int(ratio*requests) + slack; arrivals < requests || arrivals > most {
+		t.Errorf("arrivals of %d requests at servers that fail: got %d, want %d to %d", requests, arrivals, requests, most)
+	}
+}
