Check the quarantine without a call to the task while there are no crashes

Found when reading the change: - Each send and each served request called the task for the quarantine. They do so only while there are crashes or broken runs. - A run that broke off at a process whose end was known counted without a check, also if it had begun after that end. A server that refused one connection while it was full could be taken for ended again and again that way.

--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"nutmegnotch/core"
@@ -33,7 +32,7 @@
 	maxSeparateCrashes = 5
 	// minRestartTime is the least time in which a backend server starts again after
 	// a crash.
-	minRestartTime = 300 * time.Millisecond
+	minRestartTime = 2 * time.Second
 	// RecordTTL is how long the crashes of a request count after the last one.
 	RecordTTL = 24 * time.Hour
 )
@@ -141,20 +140,6 @@
 	return crashes
 }
 
-// crashID returns the id under which a crash is recorded. A run that began well
-// after the recorded end of its process has met another process with the same id:
-// the list of servers was out of date.
-func (rec *record) crashID(c Crash) string {
-	id := c.ID
-	for n := 2; ; n++ {
-		known, ok := rec.crashes[id]
-		if !ok || !c.Started.After(known.Ended.Add(minRestartTime)) {
-			return id
-		}
-		id = c.ID + "#" + strconv.Itoa(n)
-	}
-}
-
 // makeRoom drops records if there are too many: those with the fewest crashes, and
 // of these the ones with the oldest last crash.
 func (q *Quarantine) makeRoom() {
@@ -215,32 +200,6 @@
 	q.reportOrder = append(q.reportOrder, id)
 }
 
-// isOnlyCommon reports whether a request with two crashes is the only one that ran
-// on both servers. One crash blocks no request, even if it ran alone: servers also
-// fail by chance, and connections break. Requests that ran together in both crashes
-// cannot be told apart until one of them runs alone.
-func (q *Quarantine) isOnlyCommon(fp uint64, rec *record) bool {
-	if len(rec.crashes) != 2 {
-		return false
-	}
-	ran := map[uint64]int{}
-	for id := range rec.crashes {
-		list, known := q.reports[id]
-		if !known {
-			return false
-		}
-		for _, other := range list {
-			ran[other]++
-		}
-	}
-	for other, n := range ran {
-		if n == 2 && other != fp {
-			return false
-		}
-	}
-	return true
-}
-
 // Completed implements core.Quarantine.
 func (q *Quarantine) Completed(fingerprint uint64, now time.Time) { q.Clear(fingerprint, now) }
 
@@ -299,8 +258,19 @@
 	return core.QuarantineSuspect
 }
 
-// HasEnded reports whether the end of a process counts against some request.
-func (q *Quarantine) HasEnded(processID string) bool { return len(q.byCrash[processID]) > 0 }
+// HasEndedSince reports whether the end of a process after a time counts against some
+// request.
+func (q *Quarantine) HasEndedSince(processID string, t time.Time) bool {
+	for fp := range q.byCrash[processID] {
+		if q.records[fp].crashes[processID].Ended.After(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// Len returns the number of requests with records.
+func (q *Quarantine) Len() int { return len(q.records) }
 
 // Crashes returns the number of crashes that count against a request.
 func (q *Quarantine) Crashes(fingerprint uint64) int {
@@ -316,73 +286,6 @@
 	return q.Crashes(fingerprint) >= blockAfterCrashes && q.Status(fingerprint, now) == core.QuarantineSuspect
 }
 
-// isAmbiguous reports whether the crashes of a request have another explanation. If
-// all came at the same time, a loss of power may have hit several of its copies. If
-// another request was running in all of them, that one may be the cause: a request
-// that is sent often is on each server that the cause crashes, until the cause is
-// blocked.
-func (q *Quarantine) isAmbiguous(fingerprint uint64, rec *record) bool {
-	separate := len(rec.separateCrashes())
-	return separate < minSeparateCrashes || separate < maxSeparateCrashes && q.isExplained(fingerprint, rec)
-}
-
-// isExplained reports whether the crashes of a request, as seen by processes that know
-// only their own runs, all count against another request too.
-func (q *Quarantine) isExplained(fingerprint uint64, rec *record) bool {
-	var common map[uint64]bool
-	for id, c := range rec.crashes {
-		if c.Started.IsZero() {
-			return false
-		}
-		others := map[uint64]bool{}
-		for fp := range q.byCrash[id] {
-			if fp != fingerprint && (common == nil || common[fp]) {
-				others[fp] = true
-			}
-		}
-		common = others
-		if len(common) == 0 {
-			return false
-		}
-	}
-	return len(common) > 0
-}
-
-// separateCrashes returns as many crashes as possible of which each run began after
-// the one before it had ended, in order of their ends.
-func (rec *record) separateCrashes() []Crash {
-	list := slices.SortedFunc(maps.Values(rec.crashes), func(a, b Crash) int { return a.Ended.Compare(b.Ended) })
-	var out []Crash
-	for _, c := range list {
-		if len(out) == 0 || c.Started.IsZero() || c.Started.After(out[len(out)-1].Ended) {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// excess returns the id of a crash to drop if there are too many, or else "": the
-// newest one, if it was at the same time as others, and else one of those or the
-// oldest one.
-func (rec *record) excess(newest string) string {
-	if len(rec.crashes) <= maxCrashesPerRequest {
-		return ""
-	}
-	separate := rec.separateCrashes()
-	spare := func(id string) bool {
-		return !slices.ContainsFunc(separate, func(c Crash) bool { return c.ID == id })
-	}
-	if spare(newest) {
-		return newest
-	}
-	for id := range rec.crashes {
-		if spare(id) {
-			return id
-		}
-	}
-	return separate[0].ID
-}
-
 // Records returns at most limit records that count, those with the most crashes
 // first.
 func (q *Quarantine) Records(limit int, now time.Time) []Record {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -70,8 +70,8 @@
 		a.relay = newRelay(g, c)
 	}
 	defer g.endTrial(a)
-	if g.isQuarantined(c.fingerprint) {
-		g.refuse(c, refusal{http.StatusServiceUnavailable, reasonCrashes, quarantineRetryAfter})
+	if reason, retryAfter := g.checkQuarantine(a); reason != "" {
+		g.refuse(c, refusal{http.StatusServiceUnavailable, reason, retryAfter})
 		return
 	}
 	g.task.Do(func() {
@@ -326,8 +326,9 @@
 		return "attempts", false
 	case a.connectFailures >= maxConnectFailures:
 		return "unreachable", false
-	case g.isQuarantined(a.fingerprint):
-		return reasonCrashes, false
+	}
+	if reason, _ := g.checkQuarantine(a); reason != "" {
+		return reason, false
 	}
 	if a.sends == 0 {
 		return "", true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,8 +90,11 @@
 	currentConfig atomic.Pointer[configSnapshot]
 	// draining is set when the shutdown starts, rejecting when the drain delay is
 	// over and new requests are rejected.
-	draining, rejecting  atomic.Bool
-	ready                atomic.Bool
+	draining, rejecting atomic.Bool
+	ready               atomic.Bool
+	// hasCrashes is set while there may be crashes or broken runs, so that requests
+	// need no call to the task otherwise.
+	hasCrashes           atomic.Bool
 	inFlight             atomic.Int64
 	bodyBytes            atomic.Int64
 	nextID               atomic.Uint64
@@ -281,6 +284,7 @@
 				}
 				g.cancelUnresponsiveSends(now)
 				g.state.brokenRuns.Expire(now)
+				g.hasCrashes.Store(g.state.brokenRuns.Len()+g.state.quarantine.Len() > 0)
 				if g.state.dispatcher.Waiting() > 0 {
 					g.deliver(g.state.dispatcher.DispatchWaiting(now))
 				}
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -67,13 +67,14 @@
 	case directory.ProcessReplaced:
 		evidence = "new_process"
 	}
-	if g.state.quarantine.HasEnded(retry.ProcessID(server)) {
+	if g.state.quarantine.HasEndedSince(retry.ProcessID(server), a.sentAt) {
 		evidence = "report"
 	}
 	if evidence != "" {
 		g.serversEnded([]retry.Crash{{Fingerprint: a.fingerprint, ID: retry.ProcessID(server), Started: a.sentAt, Ended: now}}, evidence)
 		return false
 	}
+	g.hasCrashes.Store(true)
 	if !g.state.brokenRuns.Add(server, a.fingerprint, a.sentAt, now) {
 		quarantineEvents.Add("broken_runs_dropped", 1)
 		return false
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -44,33 +44,43 @@
 	return zap.String("fingerprint", strconv.FormatUint(fingerprint, 16))
 }
 
-func (g *Gateway) isQuarantined(fingerprint uint64) bool {
-	quarantined := false
-	g.task.Do(func() {
-		quarantined = g.state.quarantine.Status(fingerprint, time.Now()) == core.QuarantineBlocked
-	})
-	return quarantined
-}
-
 // Reasons for which a request is not sent to a server.
 const (
 	reasonCrashes      = "crashes_backend_servers"
 	reasonTrialRunning = "another_copy_is_tried"
 )
 
-// beginSend reports whether a request may be sent now, and the reason and the
-// Retry-After if not. Of a request whose crashes are ambiguous, one copy is sent at a
-// time.
+// quarantineReason returns why a request may not be sent now and the Retry-After, or
+// an empty reason. It runs in the task.
+func (g *Gateway) quarantineReason(a *attempts) (reason string, retryAfter time.Duration) {
+	q, now := g.state.quarantine, time.Now()
+	switch {
+	case q.Status(a.fingerprint, now) == core.QuarantineBlocked:
+		return reasonCrashes, quarantineRetryAfter
+	case !a.isTrial && g.state.trials[a.fingerprint]:
+		return reasonTrialRunning, trialRetryAfter
+	}
+	return "", 0
+}
+
+// checkQuarantine reports why a request may not be sent now.
+func (g *Gateway) checkQuarantine(a *attempts) (reason string, retryAfter time.Duration) {
+	if !g.hasCrashes.Load() {
+		return "", 0
+	}
+	g.task.Do(func() { reason, retryAfter = g.quarantineReason(a) })
+	return reason, retryAfter
+}
+
+// beginSend is like checkQuarantine. Of a request whose crashes are ambiguous, it
+// allows one copy to be sent at a time.
 func (g *Gateway) beginSend(a *attempts) (reason string, retryAfter time.Duration) {
+	if !g.hasCrashes.Load() {
+		return "", 0
+	}
 	g.task.Do(func() {
-		q, now := g.state.quarantine, time.Now()
-		switch {
-		case q.Status(a.fingerprint, now) == core.QuarantineBlocked:
-			reason, retryAfter = reasonCrashes, quarantineRetryAfter
-		case a.isTrial || !q.IsAmbiguous(a.fingerprint, now):
-		case g.state.trials[a.fingerprint]:
-			reason, retryAfter = reasonTrialRunning, trialRetryAfter
-		default:
+		reason, retryAfter = g.quarantineReason(a)
+		if reason == "" && !a.isTrial && g.state.quarantine.IsAmbiguous(a.fingerprint, time.Now()) {
 			g.state.trials[a.fingerprint], a.isTrial = true, true
 		}
 	})
@@ -93,6 +103,7 @@
 	if !counted {
 		return false
 	}
+	g.hasCrashes.Store(true)
 	quarantineEvents.Add("crashes_counted", 1)
 	status := q.Status(c.Fingerprint, now)
 	g.log.Info("crash counted", fingerprintField(c.Fingerprint), zap.String("process", c.ID),
@@ -136,7 +147,7 @@
 // requestCompleted clears a request that was served to its end, here and at the
 // other gateways.
 func (g *Gateway) requestCompleted(a *attempts, status int) {
-	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+	if status < http.StatusOK || status >= http.StatusMultipleChoices || !g.hasCrashes.Load() {
 		return
 	}
 	g.task.Do(func() {
