Block the output before the log writer's test fills its buffer

The test assumed that the writer had not taken lines off the buffer before its output blocked, so sometimes all lines fit.

--- a/io/stdout/stdout_test.go
+++ b/io/stdout/stdout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -11,14 +12,20 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// blockingWriter blocks until release is closed.
+// blockingWriter blocks until release is closed. It closes blocked, if that is not
+// nil, when the first write begins.
 type blockingWriter struct {
 	mu      sync.Mutex
 	b       bytes.Buffer
 	release chan struct{}
+	blocked chan struct{}
+	once    sync.Once
 }
 
 func (w *blockingWriter) Write(b []byte) (int, error) {
+	if w.blocked != nil {
+		w.once.Do(func() { close(w.blocked) })
+	}
 	<-w.release
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -28,9 +35,11 @@
 // Guards against logging calls that block when standard output blocks, and against
 // dropped lines that are not reported.
 func TestLoggingNeverBlocks(t *testing.T) {
-	out := &blockingWriter{release: make(chan struct{})}
+	out := &blockingWriter{release: make(chan struct{}), blocked: make(chan struct{})}
 	w := NewWriter(out)
 	log := zap.New(newCore(w, zapcore.InfoLevel))
+	log.Warn("first line")
+	<-out.blocked
 	begun := time.Now()
 	const lines = maxBufferedLines + 500
 	for range lines {
@@ -43,11 +52,11 @@
 	w.Close()
 	text := out.b.String()
 	written := strings.Count(text, "request failed")
-	if written < maxBufferedLines || written >= lines {
-		t.Errorf("lines written: got %d, want at least %d and less than %d", written, maxBufferedLines, lines)
+	if written != maxBufferedLines {
+		t.Errorf("lines written: got %d, want %d", written, maxBufferedLines)
 	}
-	if !strings.Contains(text, `"msg":"log lines dropped"`) {
-		t.Error("dropped lines: got no line that reports them, want one")
+	if want := fmt.Sprintf(`"msg":"log lines dropped","dropped":%d}`, lines-maxBufferedLines); strings.Count(text, want) != 1 {
+		t.Errorf("dropped lines: got no line or several with %q, want one", want)
 	}
 }
 
