Hold a request whose last servers are silent

Cause: nothing tells that a silent server has ended before its successor registers, and until then nothing counted. A gateway now refuses a request that has broken off at three servers which do not answer connection attempts, counting its crashes too, unless some server has served it since. It connects to such servers again each second, so the hold ends when one answers or registers again, at the latest after 15 s.

Silent servers of the emulator still accepted connections, which no host without power does: their queue of new connections is full now, so attempts time out.

--- a/core/retry/broken_runs.go
+++ b/core/retry/broken_runs.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,8 @@
 	// run broke off. Only a server that had already started again can have ended; its
 	// record arrives within this time.
 	AliveServerTime = time.Second
+	// ReturnedServerTime is the same for a server that did not answer before.
+	ReturnedServerTime = 3 * time.Second
 )
 
 // ProcessID identifies one process of a backend server: a server that starts again
@@ -47,6 +50,8 @@
 type brokenRun struct {
 	crash Crash
 	until time.Time
+	// silent is set while the server does not answer connection attempts.
+	silent bool
 }
 
 // NewBrokenRuns returns an empty set.
@@ -69,23 +74,67 @@
 		b.byProcess[id] = p
 	}
 	c := Crash{Fingerprint: fingerprint, ID: id, Started: started, Ended: ended}
-	p.runs = append(p.runs, brokenRun{c, ended.Add(SilentServerTime)})
+	p.runs = append(p.runs, brokenRun{crash: c, until: ended.Add(SilentServerTime)})
 	b.requests[fingerprint]++
 	b.n++
 	return true
 }
 
-// Alive records that a process accepted a connection at a time.
+// Alive records that a process accepted a connection at a time. If it was silent
+// before, its server may have started again, and its record may come late.
 func (b *BrokenRuns) Alive(processID string, at time.Time) {
 	p := b.byProcess[processID]
 	if p == nil {
 		return
 	}
 	for i, r := range p.runs {
-		if until := at.Add(AliveServerTime); r.crash.Ended.Before(at) && until.Before(r.until) {
+		if !r.crash.Ended.Before(at) {
+			continue
+		}
+		until := at.Add(AliveServerTime)
+		if r.silent {
+			until = at.Add(ReturnedServerTime)
+		}
+		if until.Before(r.until) {
 			p.runs[i].until = until
 		}
+		p.runs[i].silent = false
+	}
+}
+
+// Silent records that a process did not answer a connection attempt.
+func (b *BrokenRuns) Silent(processID string) {
+	if p := b.byProcess[processID]; p != nil {
+		for i := range p.runs {
+			p.runs[i].silent = true
+		}
+	}
+}
+
+// SilentServers returns the servers that did not answer the last connection attempt.
+func (b *BrokenRuns) SilentServers() []core.BackendServer {
+	var out []core.BackendServer
+	for _, p := range b.byProcess {
+		if slices.ContainsFunc(p.runs, func(r brokenRun) bool { return r.silent }) {
+			out = append(out, p.server)
+		}
+	}
+	return out
+}
+
+// CountSilent returns the number of silent servers at which runs of a request broke
+// off.
+func (b *BrokenRuns) CountSilent(fingerprint uint64) int {
+	if b.requests[fingerprint] == 0 {
+		return 0
+	}
+	n := 0
+	for _, p := range b.byProcess {
+		if slices.ContainsFunc(p.runs, func(r brokenRun) bool { return r.silent && r.crash.Fingerprint == fingerprint }) {
+			n++
+		}
 	}
+	return n
 }
 
 // Ended returns the runs that broke off at a process that has ended, and removes
--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -246,6 +246,36 @@
 	}
 }
 
+// Guards against runs at silent servers that are not known as such, and against a
+// server that has answered since and still counts as silent.
+func TestSilentServers(t *testing.T) {
+	b := retry.NewBrokenRuns()
+	for i, id := range []string{"a", "b", "c"} {
+		b.Add(server(id, "addr-"+id, 1), fp, at(0), at(10+i))
+	}
+	b.Add(server("a", "addr-a", 1), fp+1, at(0), at(10))
+	b.Silent("a/1")
+	b.Silent("b/1")
+	b.Silent("a/1")
+	if got, want := b.CountSilent(fp), 2; got != want {
+		t.Errorf("silent servers: got %d, want %d", got, want)
+	}
+	if got, want := len(b.SilentServers()), 2; got != want {
+		t.Errorf("servers to check again: got %d, want %d", got, want)
+	}
+	b.Alive("a/1", at(2000))
+	if got, want := b.CountSilent(fp), 1; got != want {
+		t.Errorf("silent servers after one has answered: got %d, want %d", got, want)
+	}
+	if got, want := len(b.Registered(server("a", "addr-a", 2), at(4500))), 2; got != want {
+		t.Errorf("crashes when the next process registers late: got %d, want %d", got, want)
+	}
+	b.Completed(fp)
+	if got := b.CountSilent(fp); got != 0 {
+		t.Errorf("silent servers after the request was served: got %d, want 0", got)
+	}
+}
+
 // Guards against unbounded memory when runs break off in great numbers.
 func TestBrokenRunsAreBounded(t *testing.T) {
 	b := retry.NewBrokenRuns()
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -280,6 +280,12 @@
 	return 0
 }
 
+// MayReach reports whether further crashes would make as many as a blocked request
+// has.
+func (q *Quarantine) MayReach(fingerprint uint64, further int) bool {
+	return further > 0 && q.Crashes(fingerprint)+further >= blockAfterCrashes
+}
+
 // IsAmbiguous reports whether a request has as many crashes as a blocked one, but may
 // not have caused them. The next run shows whether it has.
 func (q *Quarantine) IsAmbiguous(fingerprint uint64, now time.Time) bool {
--- a/emulator/runner/crash.go
+++ b/emulator/runner/crash.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -11,11 +12,19 @@
 // the reset of a connection discards what the client has not read yet.
 const partialReplyTime = 20 * time.Millisecond
 
+// darkFillers is the largest number of connections that fill the queue of a server that
+// goes dark, and darkDialTimeout the time after which the queue counts as full.
+const (
+	darkFillers     = 4
+	darkDialTimeout = 5 * time.Millisecond
+)
+
 // CrashPoint is the point in a run at which the process of a Runner ends.
 type CrashPoint string
 
-// Crash points. After CrashSilently the Runner keeps its connections open and answers
-// nothing, like a server whose host has lost power.
+// Crash points. After CrashSilently the Runner keeps its connections open, answers
+// nothing and lets connection attempts time out, like a server whose host has lost
+// power.
 const (
 	CrashBeforeReply CrashPoint = "before reply"
 	CrashAfterHead   CrashPoint = "after head"
@@ -45,7 +54,9 @@
 		return
 	}
 	r.ended, r.silent = true, silently
-	if !silently {
+	if silently {
+		r.goDark()
+	} else {
 		r.listener.Close()
 		for c := range r.conns {
 			reset(c)
@@ -54,6 +65,30 @@
 	close(r.crashed)
 }
 
+// goDark makes connection attempts time out: the queue of new connections is made as
+// short as possible and filled, and nothing accepts from it any more. The caller must
+// hold mu.
+func (r *Runner) goDark() {
+	l := r.listener.(*net.TCPListener)
+	if err := l.SetDeadline(time.Now()); err != nil {
+		panic(err)
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		panic(err)
+	}
+	if err := raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }); err != nil {
+		panic(err)
+	}
+	for range darkFillers {
+		c, err := net.DialTimeout("tcp", r.Address(), darkDialTimeout)
+		if err != nil {
+			return
+		}
+		r.conns[c] = true
+	}
+}
+
 func (r *Runner) causedBy(target string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -17,6 +17,9 @@
 // Limits of liveness checks.
 const (
 	livenessTimeout = 100 * time.Millisecond
+	// silentServersInterval is the interval at which servers that did not answer are
+	// checked again.
+	silentServersInterval = time.Second
 	// maxLivenessChecks bounds the checks that run at the same time, and
 	// maxQueuedLivenessChecks those that wait.
 	maxLivenessChecks       = 16
@@ -87,10 +90,14 @@
 	var flights singleflight.Group
 	p := pool.New().WithMaxGoroutines(maxLivenessChecks)
 	defer p.Wait()
+	t := time.NewTicker(silentServersInterval)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.C:
+			g.recheckSilentServers()
 		case c := <-g.livenessChecks:
 			p.Go(func() {
 				defer close(c.done)
@@ -103,6 +110,19 @@
 	}
 }
 
+// recheckSilentServers queues checks of the servers that did not answer the last one.
+func (g *Gateway) recheckSilentServers() {
+	var servers []core.BackendServer
+	g.task.Do(func() { servers = g.state.brokenRuns.SilentServers() })
+	for _, s := range servers {
+		select {
+		case g.livenessChecks <- livenessCheck{s, make(chan struct{})}:
+		default:
+			quarantineEvents.Add("liveness_checks_dropped", 1)
+		}
+	}
+}
+
 // probe applies what a connection attempt tells about a server's process.
 func (g *Gateway) probe(ctx context.Context, server core.BackendServer) {
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
@@ -115,6 +135,8 @@
 		switch result {
 		case backend.LivenessAccepts:
 			g.state.brokenRuns.Alive(retry.ProcessID(server), begun)
+		case backend.LivenessUnknown:
+			g.state.brokenRuns.Silent(retry.ProcessID(server))
 		case backend.LivenessRefuses:
 			g.serversEnded(g.state.brokenRuns.Ended(retry.ProcessID(server), time.Now()), "connection_refused")
 		}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -13,8 +13,8 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
-// Retry-After of quarantined requests, and of copies of a request of which another
-// copy has to show first whether it crashes servers.
+// Retry-After of quarantined requests, and of requests of which it is not known yet
+// whether they crash servers.
 const (
 	quarantineRetryAfter = 5 * time.Second
 	trialRetryAfter      = time.Second
@@ -48,6 +48,9 @@
 const (
 	reasonCrashes      = "crashes_backend_servers"
 	reasonTrialRunning = "another_copy_is_tried"
+	// reasonServersSilent applies until it is known whether the servers to which a
+	// request was sent have ended.
+	reasonServersSilent = "its_servers_are_silent"
 )
 
 // quarantineReason returns why a request may not be sent now and the Retry-After, or
@@ -59,6 +62,8 @@
 		return reasonCrashes, quarantineRetryAfter
 	case !a.isTrial && g.state.trials[a.fingerprint]:
 		return reasonTrialRunning, trialRetryAfter
+	case q.MayReach(a.fingerprint, g.state.brokenRuns.CountSilent(a.fingerprint)):
+		return reasonServersSilent, trialRetryAfter
 	}
 	return "", 0
 }
