Log and count how the ends of replies are marked

The record of the incident cannot tell a reply that ended with its connection from one whose last chunk came inside an event: neither was logged, and lines of served requests are sampled. Forwarded replies now log their framing and the bytes after the last complete event. Those that ended with their connection or inside an event have a message of their own, so that sampling does not drop them among the others. gateway_reply_ends counts them. What is forwarded has not changed.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,8 +19,11 @@
 var (
 	requestsByOutcome = expvar.NewMap("gateway_requests")
 	sendsByOutcome    = expvar.NewMap("gateway_sends")
-	quarantineEvents  = expvar.NewMap("gateway_quarantine")
-	latencies         = &latencyHistograms{byName: map[string]*hdrhistogram.Histogram{}}
+	// replyEnds counts complete replies by their framing, and streams that ended inside
+	// an event.
+	replyEnds        = expvar.NewMap("gateway_reply_ends")
+	quarantineEvents = expvar.NewMap("gateway_quarantine")
+	latencies        = &latencyHistograms{byName: map[string]*hdrhistogram.Histogram{}}
 )
 
 func init() { expvar.Publish("gateway_latency_ms", expvar.Func(latencies.summary)) }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,6 +42,8 @@
 	events      int
 	// longestPause is the longest time between two events.
 	longestPause time.Duration
+	// unfinishedBytes counts the bytes after the last complete event of the last reply.
+	unfinishedBytes int
 }
 
 func newRelay(g *Gateway, c *call) *relay {
@@ -62,7 +64,7 @@
 	case err == nil:
 		reply.MarkBodyRead()
 		a.relay.writeHeader(reply)
-		g.logServed(a, reply.Status)
+		g.logServed(a, reply.Status, reply.Framing)
 		return dispatch.OutcomeServed, true
 	case errors.Is(err, errCallerWrite):
 		g.recordEnd(a, "caller_left")
@@ -121,9 +123,11 @@
 	if !errors.Is(err, io.EOF) {
 		return fmt.Errorf("read stream: %w", err)
 	}
+	r.unfinishedBytes = len(rest)
 	if len(rest) == 0 {
 		return nil
 	}
+	replyEnds.Add("inside_event", 1)
 	r.writeHeader(reply)
 	if _, err := r.call.w.Write(rest); err != nil {
 		return fmt.Errorf("%w: %w", err, errCallerWrite)
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -18,9 +18,10 @@
 
 // bufferedReply is a reply that has been read into memory.
 type bufferedReply struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	body    []byte
+	framing backend.Framing
 }
 
 // attemptUnary forwards a reply that is not a stream.
@@ -35,7 +36,7 @@
 		g.runBroke(a, v.Server, true)
 		return dispatch.OutcomeFailed, false
 	}
-	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body}
+	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body, framing: reply.Framing}
 	sealed := g.cfg.Headers.Reply(reply.Status, reply.Header).Sealed
 	if !sealed {
 		g.logAttempt(a, v, "not_sealed", reply.Status, nil)
@@ -69,7 +70,7 @@
 		g.recordEnd(a, "caller_left")
 		return
 	}
-	g.logServed(a, b.status)
+	g.logServed(a, b.status, b.framing)
 }
 
 // forwardLarge forwards a reply that is too large to buffer. If the reply breaks
@@ -87,7 +88,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	reply.MarkBodyRead()
-	g.logServed(a, head.status)
+	g.logServed(a, head.status, head.framing)
 	return dispatch.OutcomeServed
 }
 
@@ -110,15 +111,22 @@
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 }
 
-func (g *Gateway) logServed(a *attempts, status int) {
+func (g *Gateway) logServed(a *attempts, status int, framing backend.Framing) {
 	a.outcome = "served_" + strconv.Itoa(status)
 	sendsByOutcome.Add("served", 1)
+	replyEnds.Add(framing.String(), 1)
 	g.requestCompleted(a, status)
 	fields := []zap.Field{zap.String("request_id", a.id()), zap.String("route", a.route.Name),
 		zap.Int("status", status), zap.Strings("servers", a.serverIDs), zap.Int64("version", a.version),
-		zap.Duration("held", time.Since(a.arrived))}
+		zap.Duration("held", time.Since(a.arrived)), zap.Stringer("framing", framing)}
 	if a.relay != nil {
-		fields = append(fields, zap.Int("events", a.relay.events), zap.Duration("longest_pause", a.relay.longestPause))
+		fields = append(fields, zap.Int("events", a.relay.events), zap.Duration("longest_pause", a.relay.longestPause),
+			zap.Int("unfinished_bytes", a.relay.unfinishedBytes))
+	}
+	if framing == backend.FramingConnection || (a.relay != nil && a.relay.unfinishedBytes > 0) {
+		// Sampling counts lines by their message, so these are not lost among others.
+		g.log.Info("reply ended with its connection or inside an event", fields...)
+		return
 	}
 	g.log.Info("request served", fields...)
 }
--- a/io/backend/send.go
+++ b/io/backend/send.go
@@ -20,12 +20,10 @@
 
 // Reply is the reply to a request. Close must be called.
 type Reply struct {
-	Status int
-	Header http.Header
-	Body   io.Reader
-	// Framed reports whether the body has a length or chunked encoding, so that its
-	// end differs from a broken connection.
-	Framed bool
+	Status  int
+	Header  http.Header
+	Body    io.Reader
+	Framing Framing
 	// Reused reports whether the connection was used for another request before.
 	Reused bool
 
@@ -110,7 +108,7 @@
 			return nil
 		}
 		rep.skippedReply = true
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if framingOf(resp) == FramingConnection {
 			return fmt.Errorf("unframed reply to request %q: %w", rep.client.cfg.RequestID(resp.Header), ErrReplyMismatch)
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil {
@@ -123,7 +121,7 @@
 func (rep *Reply) accept(resp *http.Response) {
 	rep.resp = resp
 	rep.Status, rep.Header, rep.Body = resp.StatusCode, resp.Header, resp.Body
-	rep.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	rep.Framing = framingOf(resp)
 	if d, ok := idleTimeout(resp.Header); ok {
 		rep.conn.maxIdleTime = time.Duration(float64(d) * idleTimeoutFactor)
 	}
@@ -158,7 +156,7 @@
 }
 
 func (rep *Reply) reusable() bool {
-	if !rep.bodyRead || rep.skippedReply || !rep.Framed || rep.resp.Close || rep.conn.r.Buffered() > 0 {
+	if !rep.bodyRead || rep.skippedReply || rep.Framing == FramingConnection || rep.resp.Close || rep.conn.r.Buffered() > 0 {
 		return false
 	}
 	if rep.written == nil {
