Reproduce broken replies that are framed as complete

The emulated servers can send replies and streams with neither a length nor chunks, whole, closed half-way, reset, closed between events or right after the head, and streams whose last chunk comes inside an event. The emulated desk can do the first three, and a server can end while it sends such a reply.

--- a/emulator/desk/desk.go
+++ b/emulator/desk/desk.go
@@ -43,11 +43,15 @@
 
 // Faults is the body of POST /faults, which replaces all faults. DelayMS delays the
 // response after the effect, DropAnswer breaks the connection after a booking has taken
-// effect, and Fail makes bookings respond 500 without an effect.
+// effect, and Fail makes bookings respond 500 without an effect. CloseDelimited sends
+// responses with neither a length nor chunks, which end with their connection, and Cut
+// closes it in the middle of the body of such a response.
 type Faults struct {
-	DelayMS    int64 `json:"delay_ms"`
-	DropAnswer bool  `json:"drop_answer"`
-	Fail       bool  `json:"fail"`
+	DelayMS        int64 `json:"delay_ms"`
+	DropAnswer     bool  `json:"drop_answer"`
+	Fail           bool  `json:"fail"`
+	CloseDelimited bool  `json:"close_delimited"`
+	Cut            bool  `json:"cut"`
 }
 
 // Desk is the emulated service. It implements http.Handler.
@@ -135,7 +139,7 @@
 	if f.DropAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusCreated, b)
+	f.writeJSON(w, http.StatusCreated, b)
 }
 
 // book makes a booking and records the run.
@@ -172,7 +176,7 @@
 		http.Error(w, "no such booking", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, b)
+	f.writeJSON(w, http.StatusOK, b)
 }
 
 // Runs returns all runs in order of their start.
@@ -207,3 +211,24 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// writeJSON is like the function of that name, with the faults of the framing.
+func (f Faults) writeJSON(w http.ResponseWriter, status int, v any) {
+	if !f.CloseDelimited {
+		writeJSON(w, status, v)
+		return
+	}
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	if f.Cut {
+		body = body[:len(body)/2]
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n\r\n%s", status, http.StatusText(status), body)
+}
--- a/emulator/runner/crash.go
+++ b/emulator/runner/crash.go
@@ -30,6 +30,9 @@
 	CrashAfterHead   CrashPoint = "after head"
 	CrashInBody      CrashPoint = "in body"
 	CrashSilently    CrashPoint = "silently"
+	// CrashInUnframedBody is CrashInBody in a close-delimited reply. Its connection is
+	// closed, not reset, so that the reply ends like a whole one.
+	CrashInUnframedBody CrashPoint = "in unframed body"
 )
 
 // Crashed is closed when the process of the Runner has ended.
@@ -59,7 +62,11 @@
 	} else {
 		r.listener.Close()
 		for c := range r.conns {
-			reset(c)
+			if r.cfg.CrashPoint == CrashInUnframedBody {
+				c.Close()
+			} else {
+				reset(c)
+			}
 		}
 	}
 	close(r.crashed)
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -41,9 +41,6 @@
 	FaultExtraReply Fault = "extra"
 	// FaultStaleReply sends a reply with the id of another request before the reply.
 	FaultStaleReply Fault = "foreign"
-	// FaultCloseDelimited sends a plain reply whose body has no length and ends when the
-	// connection is closed.
-	FaultCloseDelimited Fault = "unframed"
 	// FaultGarbage runs the request and sends bytes that are not an HTTP response.
 	FaultGarbage Fault = "garbage"
 	// FaultError runs the request and responds 500.
@@ -85,6 +82,8 @@
 	mu       sync.Mutex
 	runs     []*Run
 	faults   []Fault
+	// faultsOf is the Runner whose queue of faults this one uses, if not its own.
+	faultsOf *Runner
 	conns    map[net.Conn]bool
 	wg       sync.WaitGroup
 	// crashed is closed when the process has ended, and ended is set. silent is set
@@ -132,6 +131,21 @@
 	r.faults = append(r.faults, faults...)
 }
 
+// Unfail drops the queued faults.
+func (r *Runner) Unfail() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = nil
+}
+
+// ShareFaults makes the Runner take its faults from the queue of another one, so that
+// they apply in the order of the requests to both.
+func (r *Runner) ShareFaults(o *Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faultsOf = o
+}
+
 // Runs returns all requests that were run, in order of their start.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -153,6 +167,10 @@
 // nextFault removes and returns the next queued fault.
 func (r *Runner) nextFault() Fault {
 	r.mu.Lock()
+	if o := r.faultsOf; o != nil {
+		r.mu.Unlock()
+		return o.nextFault()
+	}
 	defer r.mu.Unlock()
 	if len(r.faults) == 0 {
 		return FaultNone
@@ -257,11 +275,13 @@
 // sendPlain sends a plain reply. It reports whether the connection can be used again.
 func (r *Runner) sendPlain(c net.Conn, run *Run, fault Fault) bool {
 	head := "HTTP/1.1 200 OK\r\n" + headerRequestID + ": " + run.ID + "\r\n" + headerSeal + ": seal." + r.cfg.ID + "\r\n"
-	switch fault {
-	case FaultCloseDelimited:
-		_, _ = io.WriteString(c, head+"\r\n"+r.cfg.Body)
+	switch {
+	case r.crashUnframed(c, run, []string{r.cfg.Body}):
+		return false
+	case framingFault(fault):
+		r.sendBadlyFramed(c, run, fault, []string{r.cfg.Body})
 		return false
-	case FaultTruncated:
+	case fault == FaultTruncated:
 		_, _ = io.WriteString(c, head+"Content-Length: "+strconv.Itoa(len(r.cfg.Body))+"\r\n\r\n"+r.cfg.Body[:len(r.cfg.Body)/2])
 		return false
 	}
@@ -295,6 +315,18 @@
 		}
 		lastID = n
 	}
+	var events []string
+	for id := lastID + 1; id <= r.cfg.Events; id++ {
+		events = append(events, Event(id))
+	}
+	switch {
+	case len(events) == 0:
+	case r.crashUnframed(c, run, events):
+		return false
+	case framingFault(fault):
+		r.sendBadlyFramed(c, run, fault, events)
+		return false
+	}
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
 		headerRequestID + ": " + run.ID + "\r\n" + headerSeal + ": seal." + r.cfg.ID + "\r\n\r\n"
 	if _, err := io.WriteString(c, head); err != nil {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -110,11 +110,13 @@
 		{"lookup after the head", http.MethodGet, crashTarget, runner.CrashAfterHead, 6, false},
 		{"lookup in the body", http.MethodGet, crashTarget, runner.CrashInBody, 6, false},
 		{"lookup silently", http.MethodGet, crashTarget, runner.CrashSilently, 14, false},
+		{"lookup in a body without a length", http.MethodGet, crashTarget, runner.CrashInUnframedBody, 6, false},
 		{"booking before the reply", http.MethodPost, "/book/crash", runner.CrashBeforeReply, 6, false},
 		{"booking in the body", http.MethodPost, "/book/crash", runner.CrashInBody, 6, false},
 		{"stream before the reply", http.MethodPost, "/draft/crash", runner.CrashBeforeReply, 6, false},
 		{"stream after the head", http.MethodPost, "/draft/crash", runner.CrashAfterHead, 6, false},
 		{"stream in an event", http.MethodPost, "/draft/crash", runner.CrashInBody, 6, false},
+		{"stream in an event, without chunks", http.MethodPost, "/draft/crash", runner.CrashInUnframedBody, 6, false},
 		{"stream silently", http.MethodPost, "/draft/crash", runner.CrashSilently, 14, false},
 		{"two servers that keep their ids", http.MethodGet, crashTarget, runner.CrashBeforeReply, 2, true},
 	}
@@ -215,6 +217,8 @@
 		{"all broken off", []runner.Fault{runner.FaultTruncated}},
 		{"all without a valid reply", []runner.Fault{runner.FaultGarbage}},
 		{"all without a reply", []runner.Fault{runner.FaultHang}},
+		{"all without a length", []runner.Fault{runner.FaultCloseDelimited}},
+		{"all without a length and broken off", []runner.Fault{runner.FaultCloseDelimitedCut}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
