Treat a stream that ends inside an event as broken off

Callers got half an event followed by the last chunk of the gateway: an answer that is framed as complete and is not. The relay forwarded the bytes after the last complete event whenever the reply ended as its framing says, or with its connection.

A 2xx reply of another media type on a route of streams is forwarded as a plain reply: it has no events that it could end inside of.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -259,7 +259,7 @@
 		return dispatch.OutcomeShed, false
 	}
 	a.mayHaveRun = true
-	if a.relay != nil && reply.Status >= 200 && reply.Status < 300 {
+	if a.relay != nil && reply.Status >= 200 && reply.Status < 300 && isEventStream(reply.Header) {
 		return g.attemptStream(a, v, reply)
 	}
 	return g.attemptUnary(a, v, reply)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +23,7 @@
 const (
 	errCallerWrite  = errors.ConstError("write to caller failed")
 	errInvalidEvent = errors.ConstError("invalid event")
+	errInsideEvent  = errors.ConstError("stream ended inside an event")
 )
 
 // relay forwards the events of a stream to a caller. The events may come from
@@ -42,8 +41,6 @@
 	events      int
 	// longestPause is the longest time between two events.
 	longestPause time.Duration
-	// unfinishedBytes counts the bytes after the last complete event of the last reply.
-	unfinishedBytes int
 }
 
 func newRelay(g *Gateway, c *call) *relay {
@@ -117,17 +114,19 @@
 	}
 }
 
-// finish handles the end of a reply. Bytes after the last complete event are
-// forwarded only if the reply is complete.
+// finish handles the end of a reply. A reply that ends inside an event has been broken
+// off, whatever its framing says.
 func (r *relay) finish(reply *backend.Reply, rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return fmt.Errorf("read stream: %w", err)
 	}
-	r.unfinishedBytes = len(rest)
+	if insideEvent(rest) {
+		replyEnds.Add("inside_event", 1)
+		return fmt.Errorf("%d bytes after the last complete event: %w", len(rest), errInsideEvent)
+	}
 	if len(rest) == 0 {
 		return nil
 	}
-	replyEnds.Add("inside_event", 1)
 	r.writeHeader(reply)
 	if _, err := r.call.w.Write(rest); err != nil {
 		return fmt.Errorf("%w: %w", err, errCallerWrite)
@@ -190,41 +189,3 @@
 	r.lastEventAt = now
 	return true
 }
-
-// isNewerID reports whether an event id follows the last one. Numeric ids increase;
-// other ids only have to differ.
-func isNewerID(id, last string) bool {
-	if last == "" {
-		return true
-	}
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(last, 10, 64)
-	if errA != nil || errB != nil {
-		return id != last
-	}
-	return a > b
-}
-
-// eventEnd returns the length of the first complete event in b, or -1 if there is
-// none.
-func eventEnd(b []byte) int {
-	lf := bytes.Index(b, []byte("\n\n"))
-	crlf := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case lf >= 0 && (crlf < 0 || lf < crlf):
-		return lf + 2
-	case crlf >= 0:
-		return crlf + 4
-	}
-	return -1
-}
-
-// eventID returns the value of the id field of an event.
-func eventID(event []byte) (string, bool) {
-	for _, line := range bytes.Split(event, []byte("\n")) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(v)), true
-		}
-	}
-	return "", false
-}
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -120,12 +120,11 @@
 		zap.Int("status", status), zap.Strings("servers", a.serverIDs), zap.Int64("version", a.version),
 		zap.Duration("held", time.Since(a.arrived)), zap.Stringer("framing", framing)}
 	if a.relay != nil {
-		fields = append(fields, zap.Int("events", a.relay.events), zap.Duration("longest_pause", a.relay.longestPause),
-			zap.Int("unfinished_bytes", a.relay.unfinishedBytes))
+		fields = append(fields, zap.Int("events", a.relay.events), zap.Duration("longest_pause", a.relay.longestPause))
 	}
-	if framing == backend.FramingConnection || (a.relay != nil && a.relay.unfinishedBytes > 0) {
+	if framing == backend.FramingConnection {
 		// Sampling counts lines by their message, so these are not lost among others.
-		g.log.Info("reply ended with its connection or inside an event", fields...)
+		g.log.Info("reply ended with its connection", fields...)
 		return
 	}
 	g.log.Info("request served", fields...)
