Pass on replies that end with their connection the same way

Callers of gateways got a half reply with a Content-Length or a last chunk: framed as complete, and it is not. A reply that has neither a length nor chunks ends with its connection, and the gateway took the end of the connection for the end of the reply. It then framed the reply itself, counted it as served, cleared a crashing request by it and counted it as a success of the server. Nobody can tell such a reply from one whose server has ended or given up half-way.

io/backend now returns ErrUnverifiedEnd instead of io.EOF at the end of such a body, so that no reader can take it for the end of a reply without saying so. The gateway passes the reply on as it came: no length, no chunks, connection closed. A whole reply is thus neither refused nor run again, and a broken one claims nothing. Until such a reply is ended, its connection is reset when it is closed, also by the end of the process, so that a reply that breaks off at the gateway does not look like a whole one; the same holds for callers of HTTP/1.0, which get no chunks. A stream that was begun in chunks and is carried on by such a reply has promised a last chunk that nobody can vouch for: another server is asked for what follows the last event, and marks the end; without one the caller's reply is broken off, and it may resume.

Such a reply has the outcome "unverified": neither a success nor a failure of its server, and it clears no crash. Its server is checked, since it may have ended in the middle.

Replies on the routes of streams are checked for an earlier part before a large one is forwarded, so that a large plain reply is not written into a stream.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -280,7 +280,8 @@
 // Finished records the end of a send to a server.
 func (d *Dispatcher) Finished(name, serverID string, tokens int64, o Outcome, now time.Time) {
 	s := d.service(name)
-	if o == OutcomeServed {
+	replied := o == OutcomeServed || o == OutcomeUnverified
+	if replied {
 		s.completed(now)
 	}
 	sv := s.servers[serverID]
@@ -291,7 +292,7 @@
 	sv.tokens = max(0, sv.tokens-tokens)
 	sv.health.record(o, now)
 	switch {
-	case o == OutcomeServed:
+	case replied:
 		s.outageOf(sv).end()
 	case o == OutcomeShed && s.config.Engine != nil:
 		s.outageOf(sv).rejected(now)
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -62,6 +62,8 @@
 	case OutcomeServed:
 		h.successes++
 		h.include()
+	case OutcomeUnverified:
+		h.include()
 	case OutcomeShed, OutcomeFailed:
 		h.failures++
 	case OutcomeMisdirected:
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -68,6 +68,9 @@
 	OutcomeFailed
 	// OutcomeUnreachable is a failed connection attempt.
 	OutcomeUnreachable
+	// OutcomeUnverified is a reply of which nobody can tell whether it is whole. It
+	// shows that the server can be reached, but is neither a success nor a failure.
+	OutcomeUnverified
 	// OutcomeCancelled is a send that the caller cancelled.
 	OutcomeCancelled
 )
--- a/gateway/broken_reply_test.go
+++ b/gateway/broken_reply_test.go
@@ -122,18 +122,25 @@
 			if c.body == "" {
 				cfg.Events = 6
 			}
-			cfg.ID = "s1"
-			first := d.addRunner(cfg, service)
-			cfg.ID = "s2"
-			second := d.addRunner(cfg, service)
-			second.ShareFaults(first)
-			first.Fail(c.faults...)
+			var servers []*runner.Runner
+			for i := range 3 {
+				cfg.ID = fmt.Sprintf("s%d", i)
+				servers = append(servers, d.addRunner(cfg, service))
+				if i > 0 {
+					servers[i].ShareFaults(servers[0])
+				}
+			}
+			servers[0].Fail(c.faults...)
 			p := d.startReady()
 			if got := sendRaw(t, p, "HTTP/1.1", http.MethodGet, c.path); got != c.want {
 				t.Errorf("reply: got %s, want %s", got, c.want)
 			}
-			if got := len(first.Runs()) + len(second.Runs()); got != c.runs {
-				t.Errorf("runs: got %d, want %d", got, c.runs)
+			runs := 0
+			for _, s := range servers {
+				runs += len(s.Runs())
+			}
+			if runs != c.runs {
+				t.Errorf("runs: got %d, want %d", runs, c.runs)
 			}
 		})
 	}
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/io/caller"
 )
 
 // Limits of callers' connections that apply while the configuration states none.
@@ -116,6 +117,7 @@
 	s := &limitedServer{address: address, log: log, conns: make(chan net.Conn), done: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           handler,
+		ConnContext:       caller.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -52,6 +52,8 @@
 	// callerDeadline is when the caller stops waiting. deadline is the earlier of
 	// callerDeadline and the end of the route's timeout.
 	callerDeadline time.Time
+	// closeDelimited is set if the reply to the caller ends with its connection.
+	closeDelimited bool
 }
 
 // refusal is an error response that the gateway itself sends.
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -34,10 +34,16 @@
 }
 
 // runBroke records that a run broke off before its reply was complete, and checks
-// whether the server has ended. If wait is set, it waits for the result, so that the
-// next attempt takes it into account.
+// whether the server has ended, as checkEnded does.
 func (g *Gateway) runBroke(a *attempts, server core.BackendServer, wait bool) {
 	quarantineEvents.Add("broken_runs", 1)
+	g.checkEnded(a, server, wait)
+}
+
+// checkEnded checks whether a server has ended during a run that broke off or may have.
+// If wait is set, it waits for the result, so that the next attempt takes it into
+// account.
+func (g *Gateway) checkEnded(a *attempts, server core.BackendServer, wait bool) {
 	undecided := false
 	g.task.Do(func() { undecided = g.trackBrokenRun(a, server, time.Now()) })
 	if !undecided {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,12 +57,18 @@
 	before := a.relay.events
 	a.relay.serverID = v.Server.ID
 	err := a.relay.copyEvents(reply)
-	switch {
-	case err == nil:
+	unverified := errors.Is(err, backend.ErrUnverifiedEnd)
+	if err == nil || unverified && !a.relay.promisesLastChunk() {
 		reply.MarkBodyRead()
 		a.relay.writeHeader(reply)
-		g.logServed(a, reply.Status, reply.Framing)
-		return dispatch.OutcomeServed, true
+		if err := g.endReply(a.call); err != nil {
+			g.recordEnd(a, "caller_left")
+		} else {
+			g.logForwarded(a, reply.Status, reply.Framing)
+		}
+		return g.replyEnded(a, v, reply.Framing), true
+	}
+	switch {
 	case errors.Is(err, errCallerWrite):
 		g.recordEnd(a, "caller_left")
 		return dispatch.OutcomeCancelled, true
@@ -71,12 +77,21 @@
 			g.runBroke(a, v.Server, false)
 		}
 		return dispatch.OutcomeCancelled, g.contextEnded(a)
+	case unverified:
+		// The caller was promised a last chunk, which needs a server that marks the end of
+		// its reply.
+		g.logAttempt(a, v, "end_unverified", reply.Status, err)
+		g.checkEnded(a, v.Server, true)
+		return dispatch.OutcomeUnverified, false
 	}
 	g.logAttempt(a, v, "stream_broken", reply.Status, fmt.Errorf("after %d events, last id %q: %w", a.relay.events-before, a.relay.lastEventID, err))
 	g.runBroke(a, v.Server, true)
 	return dispatch.OutcomeFailed, false
 }
 
+// promisesLastChunk reports whether the caller's reply has begun in chunks.
+func (r *relay) promisesLastChunk() bool { return r.started && !r.call.closeDelimited }
+
 // writeHeader sends status and headers of the first reply. It does nothing for
 // replies that resume the stream.
 func (r *relay) writeHeader(reply *backend.Reply) {
@@ -84,12 +99,11 @@
 		return
 	}
 	r.started = true
-	copyReplyHeaders(r.call.w, reply.Header)
-	r.call.w.WriteHeader(reply.Status)
+	r.gateway.beginReply(r.call, reply.Status, reply.Header, reply.Framing, unknownLength)
 }
 
 // copyEvents relays one reply until it ends. A nil error means that the stream is
-// complete.
+// complete, and backend.ErrUnverifiedEnd that it may be.
 func (r *relay) copyEvents(reply *backend.Reply) error {
 	buf := make([]byte, 0, initialBufferBytes)
 	for {
@@ -117,21 +131,23 @@
 // finish handles the end of a reply. A reply that ends inside an event has been broken
 // off, whatever its framing says.
 func (r *relay) finish(reply *backend.Reply, rest []byte, err error) error {
-	if !errors.Is(err, io.EOF) {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, backend.ErrUnverifiedEnd) {
 		return fmt.Errorf("read stream: %w", err)
 	}
 	if insideEvent(rest) {
 		replyEnds.Add("inside_event", 1)
 		return fmt.Errorf("%d bytes after the last complete event: %w", len(rest), errInsideEvent)
 	}
-	if len(rest) == 0 {
-		return nil
+	if len(rest) > 0 {
+		r.writeHeader(reply)
+		if _, err := r.call.w.Write(rest); err != nil {
+			return fmt.Errorf("%w: %w", err, errCallerWrite)
+		}
 	}
-	r.writeHeader(reply)
-	if _, err := r.call.w.Write(rest); err != nil {
-		return fmt.Errorf("%w: %w", err, errCallerWrite)
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("read stream: %w", err)
 }
 
 // forwardEvents sends the complete events in buf to the caller and returns the
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"nutmegnotch/core/dispatch"
 	"nutmegnotch/io/backend"
+	"nutmegnotch/io/caller"
 )
 
 // maxBufferedReplyBytes is the size up to which a reply is buffered before anything
@@ -27,7 +29,7 @@
 // attemptUnary forwards a reply that is not a stream.
 func (g *Gateway) attemptUnary(a *attempts, v dispatch.Decision, reply *backend.Reply) (dispatch.Outcome, bool) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedReplyBytes+1))
-	if err != nil {
+	if err != nil && !errors.Is(err, backend.ErrUnverifiedEnd) {
 		if a.ctx.Err() != nil {
 			g.runBroke(a, v.Server, false)
 			return dispatch.OutcomeCancelled, g.contextEnded(a)
@@ -42,54 +44,102 @@
 		g.logAttempt(a, v, "not_sealed", reply.Status, nil)
 		return dispatch.OutcomeFailed, false
 	}
+	if a.relay != nil && a.relay.started {
+		g.recordEnd(a, "resumed_stream_failed")
+		panic(http.ErrAbortHandler)
+	}
 	if len(body) > maxBufferedReplyBytes {
 		return g.forwardLarge(a, v, buffered, reply), true
 	}
 	reply.MarkBodyRead()
+	outcome := g.replyEnded(a, v, reply.Framing)
 	if reply.Status >= http.StatusInternalServerError && a.route.Kind.Repeatable() && a.relay == nil && a.fallback == nil {
 		a.fallback = buffered
 		g.logAttempt(a, v, "server_error", reply.Status, nil)
-		return dispatch.OutcomeServed, false
-	}
-	if a.relay != nil && a.relay.started {
-		g.recordEnd(a, "resumed_stream_failed")
-		panic(http.ErrAbortHandler)
+		return outcome, false
 	}
 	g.sendBuffered(a, buffered)
-	return dispatch.OutcomeServed, true
+	return outcome, true
+}
+
+// replyEnded returns the outcome of a send whose reply has ended as its framing says. A
+// reply that ended with its connection may have been cut short by the end of its server.
+func (g *Gateway) replyEnded(a *attempts, v dispatch.Decision, framing backend.Framing) dispatch.Outcome {
+	if framing != backend.FramingConnection {
+		return dispatch.OutcomeServed
+	}
+	g.checkEnded(a, v.Server, false)
+	return dispatch.OutcomeUnverified
 }
 
 // sendBuffered sends a buffered reply to the caller.
 func (g *Gateway) sendBuffered(a *attempts, b *bufferedReply) {
-	copyReplyHeaders(a.w, b.header)
-	if a.r.Method != http.MethodHead {
-		a.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
+	length := len(b.body)
+	if a.r.Method == http.MethodHead {
+		length = unknownLength
 	}
-	a.w.WriteHeader(b.status)
-	if _, err := a.w.Write(b.body); err != nil {
+	g.beginReply(a.call, b.status, b.header, b.framing, length)
+	_, err := a.w.Write(b.body)
+	if err == nil {
+		err = g.endReply(a.call)
+	}
+	if err != nil {
 		g.recordEnd(a, "caller_left")
 		return
 	}
-	g.logServed(a, b.status, b.framing)
+	g.logForwarded(a, b.status, b.framing)
 }
 
 // forwardLarge forwards a reply that is too large to buffer. If the reply breaks
 // off, it aborts the caller's connection so that the reply does not look complete.
 func (g *Gateway) forwardLarge(a *attempts, v dispatch.Decision, head *bufferedReply, reply *backend.Reply) dispatch.Outcome {
-	copyReplyHeaders(a.w, head.header)
-	a.w.WriteHeader(head.status)
+	g.beginReply(a.call, head.status, head.header, head.framing, unknownLength)
 	_, err := a.w.Write(head.body)
 	if err == nil {
 		_, err = io.Copy(a.w, reply.Body)
 	}
+	if errors.Is(err, backend.ErrUnverifiedEnd) {
+		err = nil
+	}
+	if err == nil {
+		err = g.endReply(a.call)
+	}
 	if err != nil {
 		g.logAttempt(a, v, "reply_cut_short", head.status, err)
 		g.runBroke(a, v.Server, false)
 		panic(http.ErrAbortHandler)
 	}
 	reply.MarkBodyRead()
-	g.logServed(a, head.status, head.framing)
-	return dispatch.OutcomeServed
+	g.logForwarded(a, head.status, head.framing)
+	return g.replyEnded(a, v, head.framing)
+}
+
+// unknownLength is the length of a body that is not known before its end.
+const unknownLength = -1
+
+// beginReply sends the status and the headers of a server's reply to the caller. A
+// reply that the server ends with its connection ends so for the caller, since nobody
+// can vouch for a length or a last chunk.
+func (g *Gateway) beginReply(c *call, status int, header http.Header, framing backend.Framing, length int) {
+	copyReplyHeaders(c.w, header)
+	switch {
+	case framing == backend.FramingConnection, length == unknownLength && !c.r.ProtoAtLeast(1, 1):
+		c.closeDelimited = true
+		if err := caller.BeginCloseDelimited(c.w, c.r); err != nil {
+			g.log.Warn("the caller will not see whether this reply breaks off", zap.String("request_id", c.id()), zap.Error(err))
+		}
+	case length != unknownLength:
+		c.w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
+	c.w.WriteHeader(status)
+}
+
+// endReply ends a reply that was forwarded to its end.
+func (g *Gateway) endReply(c *call) error {
+	if !c.closeDelimited {
+		return nil
+	}
+	return caller.EndCloseDelimited(c.w, c.r)
 }
 
 // copyReplyHeaders copies the headers of a reply except the hop-by-hop ones.
@@ -111,21 +161,23 @@
 	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 }
 
-func (g *Gateway) logServed(a *attempts, status int, framing backend.Framing) {
-	a.outcome = "served_" + strconv.Itoa(status)
-	sendsByOutcome.Add("served", 1)
+// logForwarded records a reply that was forwarded to its end. One that ended with its
+// connection does not count as served, since it may be incomplete.
+func (g *Gateway) logForwarded(a *attempts, status int, framing backend.Framing) {
+	outcome, message := "served", "request served"
+	if framing == backend.FramingConnection {
+		outcome, message = "unverified", "reply forwarded, but its server did not mark its end"
+	} else {
+		g.requestCompleted(a, status)
+	}
+	a.outcome = outcome + "_" + strconv.Itoa(status)
+	sendsByOutcome.Add(outcome, 1)
 	replyEnds.Add(framing.String(), 1)
-	g.requestCompleted(a, status)
 	fields := []zap.Field{zap.String("request_id", a.id()), zap.String("route", a.route.Name),
 		zap.Int("status", status), zap.Strings("servers", a.serverIDs), zap.Int64("version", a.version),
 		zap.Duration("held", time.Since(a.arrived)), zap.Stringer("framing", framing)}
 	if a.relay != nil {
 		fields = append(fields, zap.Int("events", a.relay.events), zap.Duration("longest_pause", a.relay.longestPause))
 	}
-	if framing == backend.FramingConnection {
-		// Sampling counts lines by their message, so these are not lost among others.
-		g.log.Info("reply ended with its connection", fields...)
-		return
-	}
-	g.log.Info("request served", fields...)
+	g.log.Info(message, fields...)
 }
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -18,13 +18,16 @@
 	"nutmegnotch/core"
 )
 
-// Errors of Client.Send.
+// Errors of Client.Send and of reading a reply.
 const (
 	// ErrNotSent means that no byte of the request was sent to a server.
 	ErrNotSent = errors.ConstError("request was not sent")
 	// ErrReplyMismatch means that the connection carried replies to other requests
 	// and no reply to this one.
 	ErrReplyMismatch = errors.ConstError("reply belongs to another request")
+	// ErrUnverifiedEnd means that a body with neither a length nor chunks has ended with
+	// its connection. It may be whole or cut short.
+	ErrUnverifiedEnd = errors.ConstError("reply ended with its connection")
 )
 
 // Timeouts and limits of connections.
@@ -93,7 +96,6 @@
 	key         string
 	idleSince   time.Time
 	maxIdleTime time.Duration
-	reused      bool
 }
 
 // reset closes the connection and discards unsent data. Otherwise the kernel could
@@ -127,7 +129,6 @@
 		}
 		idle := time.Since(k.idleSince)
 		if idle < k.maxIdleTime && (!atMostOnce || idle < atMostOnceIdleTimeout) && idleConnUsable(k) {
-			k.reused = true
 			return k
 		}
 		k.Close()
--- a/io/backend/framing.go
+++ b/io/backend/framing.go
@@ -1,6 +1,9 @@
 package backend
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+)
 
 // Framing is how the end of a reply's body is marked.
 type Framing int
@@ -35,3 +38,15 @@
 	}
 	return FramingConnection
 }
+
+// closeDelimitedBody is a body with FramingConnection. At its end it returns
+// ErrUnverifiedEnd instead of io.EOF.
+type closeDelimitedBody struct{ io.Reader }
+
+func (b closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = ErrUnverifiedEnd
+	}
+	return n, err
+}
--- a/io/backend/send.go
+++ b/io/backend/send.go
@@ -20,12 +20,12 @@
 
 // Reply is the reply to a request. Close must be called.
 type Reply struct {
-	Status  int
-	Header  http.Header
+	Status int
+	Header http.Header
+	// Body returns ErrUnverifiedEnd instead of io.EOF at the end of a body with
+	// FramingConnection.
 	Body    io.Reader
 	Framing Framing
-	// Reused reports whether the connection was used for another request before.
-	Reused bool
 
 	client *Client
 	conn   *conn
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rep := &Reply{client: c, conn: k, Reused: k.reused}
+	rep := &Reply{client: c, conn: k}
 	rep.stopCancel = context.AfterFunc(ctx, k.reset)
 	if err := rep.write(r); err != nil {
 		rep.discard()
@@ -122,6 +122,9 @@
 	rep.resp = resp
 	rep.Status, rep.Header, rep.Body = resp.StatusCode, resp.Header, resp.Body
 	rep.Framing = framingOf(resp)
+	if rep.Framing == FramingConnection {
+		rep.Body = closeDelimitedBody{resp.Body}
+	}
 	if d, ok := idleTimeout(resp.Header); ok {
 		rep.conn.maxIdleTime = time.Duration(float64(d) * idleTimeoutFactor)
 	}
--- a/systemtest/unframed_test.go
+++ b/systemtest/unframed_test.go
@@ -1,10 +1,15 @@
 package systemtest
 
 import (
+	"bufio"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"nutmegnotch/emulator/desk"
@@ -69,3 +74,65 @@
 		t.Errorf("framing: got length %d and encoding %q, want neither", resp.ContentLength, resp.TransferEncoding)
 	}
 }
+
+// Guards against a reply that looks whole because the gateway that forwarded it, which
+// ends it with its connection, was killed.
+func TestKilledGatewayBreaksOffReplies(t *testing.T) {
+	t.Parallel()
+	g := newGatewayProc(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go streamWithoutEnd(l)
+	g.store.PutJSON("keyed.op", "config", map[string]any{
+		"version": 1, "services": []map[string]any{{"name": "model"}},
+		"routes": []map[string]any{{"name": "a", "host": "a.example", "path_prefix": "/a/", "kind": "streaming", "service": "model", "max_attempts": 1, "timeout_ms": 9000}},
+	})
+	g.store.PutJSON("keyed.servers", "m1", map[string]any{"service": "model", "addr": l.Addr().String(), "zone": "z1", "slots": 2, "state": "ready"})
+	eventually(t, "the gateway is ready", g.isReady)
+	r, err := http.NewRequest(http.MethodGet, "http://"+g.callerAddr+"/a/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Nutmegnotch-Request-Id", "r1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	defer resp.Body.Close()
+	first := make([]byte, len(firstEvent))
+	if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != firstEvent {
+		t.Fatalf("first event: got %q (%v), want %q", first, err, firstEvent)
+	}
+	g.kill()
+	if _, err := io.ReadAll(resp.Body); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("end of the reply: got error %v, want %v", err, syscall.ECONNRESET)
+	}
+}
+
+const firstEvent = "id: 1\ndata: x\n\n"
+
+// streamWithoutEnd answers each request with the first event of a stream that has
+// neither a length nor chunks, and keeps the connection open.
+func streamWithoutEnd(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			br := bufio.NewReader(c)
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nNutmegnotch-Request-Id: %s\r\n"+
+				"Nutmegnotch-Response-Seal: seal\r\n\r\n%s", r.Header.Get("Nutmegnotch-Request-Id"), firstEvent)
+			_, _ = io.Copy(io.Discard, br)
+		}()
+	}
+}
