Mark replies without an end at agents and entries

Callers of entries got replies of plain services in chunks with a last chunk, although the service had sent neither a length nor chunks and closed its connection half-way: the agent reported such a reply as complete. The half reply to a booking was stored and given to every repeat of its key, and it cleared a suspect request.

The agent now marks such a reply in its head (close_delimited), and in what it stores for repeats. The entry passes it on without a length or chunks, resets the caller's connection if the reply breaks off before its end, does not clear suspects by it, and reports it as unverified: whole_replies is then not known, and reply_time if the unverified ones decide it. Callers of HTTP/1.0 get a reset instead of a closed connection when a reply breaks off. The agent checks whether its server has ended; if it lives, the run does not count for a later crash.

A stream of events of a plain service that ends inside an event has been broken off. Only streams of model services need the event [DONE]; before, a whole stream of a plain service without it was cut. The parser of events moves to core/eventstream, for gateways and agents.

Agents of this version with older entries, and the other way round, behave as before: replies without an end are framed as complete.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	go test ./core/config -run XXX -fuzz FuzzDecodeState -fuzztime $(FUZZ_TIME)
 	go test ./core/claim -run XXX -fuzz FuzzRecord -fuzztime $(FUZZ_TIME)
 	go test ./io/peer -run XXX -fuzz FuzzReceive -fuzztime $(FUZZ_TIME)
-	go test ./gateway -run XXX -fuzz FuzzEventEnd -fuzztime $(FUZZ_TIME)
+	go test ./core/eventstream -run XXX -fuzz FuzzEventEnd -fuzztime $(FUZZ_TIME)
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "run gofmt"; exit 1; }
--- a/agent/admission.go
+++ b/agent/admission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"nutmegnotch/core"
@@ -58,8 +59,9 @@
 }
 
 type brokenRun struct {
-	fingerprint uint64
-	at          time.Time
+	reservationID string
+	fingerprint   uint64
+	at            time.Time
 }
 
 // reservation is the capacity that an admitted request holds. Its request's id
@@ -114,12 +116,24 @@
 func (t *admissionTask) markBroken(rsv reservation, now time.Time) {
 	t.do(func(s *admissionState) {
 		if f := s.running[rsv.request.ID]; f != 0 {
-			s.brokenRuns = append(s.brokenRuns, brokenRun{fingerprint: f, at: now})
+			s.brokenRuns = append(s.brokenRuns, brokenRun{reservationID: rsv.request.ID, fingerprint: f, at: now})
 			s.running[rsv.request.ID] = 0
 		}
 	})
 }
 
+// unmarkBroken takes markBroken back. It does nothing if a crash report has named the
+// run meanwhile.
+func (t *admissionTask) unmarkBroken(rsv reservation) {
+	t.do(func(s *admissionState) {
+		i := slices.IndexFunc(s.brokenRuns, func(b brokenRun) bool { return b.reservationID == rsv.request.ID })
+		if i >= 0 {
+			s.running[rsv.request.ID] = s.brokenRuns[i].fingerprint
+			s.brokenRuns = slices.Delete(s.brokenRuns, i, i+1)
+		}
+	})
+}
+
 // requestDone records that the reply of an admitted request was handed over.
 func (t *admissionTask) requestDone() {
 	t.do(func(s *admissionState) {
--- a/agent/at_most_once.go
+++ b/agent/at_most_once.go
@@ -14,6 +14,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/claim"
+	"nutmegnotch/core/eventstream"
 	"nutmegnotch/io/desk"
 	"nutmegnotch/io/peer/peerpb"
 )
@@ -151,10 +152,11 @@
 		return
 	}
 	t.agent.runs.recordReply(c.ClaimId, reply, time.Now())
-	t.freeReservation(core.Outcome{Succeeded: reply.status < http.StatusInternalServerError, Elapsed: time.Since(start)})
-	head := &peerpb.ReplyHead{RequestId: t.head.RequestId, Status: reply.status, Headers: reply.headers}
+	crashed := reply.closeDelimited && t.agent.checkUnverified(t.reservation)
+	t.freeReservation(core.Outcome{Succeeded: reply.status < http.StatusInternalServerError, Crashed: crashed, Elapsed: time.Since(start)})
+	head := &peerpb.ReplyHead{RequestId: t.head.RequestId, Status: reply.status, Headers: reply.headers, CloseDelimited: reply.closeDelimited}
 	if t.send(&peerpb.Frame{Body: &peerpb.Frame_ReplyHead{ReplyHead: head}}) && t.sendBytes(t.callerCtx, reply.body) {
-		t.sendEnd(nil, nil, int64(len(reply.body)), false)
+		t.sendEnd(nil, nil, int64(len(reply.body)), crashed)
 	}
 }
 
@@ -191,5 +193,8 @@
 	if int64(body.Len()) > limit {
 		return storedReply{}, errTooLarge
 	}
-	return storedReply{status: int32(resp.StatusCode), headers: toHeaders(resp.Header), body: body.Bytes()}, nil
+	if eventstream.IsContentType(resp.Header.Get("Content-Type")) && (eventstream.Position{}).Read(body.Bytes()).InsideEvent() {
+		return storedReply{}, errTruncated
+	}
+	return storedReply{status: int32(resp.StatusCode), headers: toHeaders(resp.Header), body: body.Bytes(), closeDelimited: closeDelimited(resp)}, nil
 }
--- a/agent/health.go
+++ b/agent/health.go
@@ -71,6 +71,16 @@
 	return a.health.crashed(rsv.incarnation)
 }
 
+// checkUnverified is like checkCrashed for a run whose reply may be whole. If the
+// backend server lives, the run is not recorded as broken.
+func (a *Agent) checkUnverified(rsv reservation) bool {
+	if a.checkCrashed(rsv) {
+		return true
+	}
+	a.admission.unmarkBroken(rsv)
+	return false
+}
+
 // requestProbe makes the task probe without waiting for the interval. It does
 // not block.
 func (t *healthTask) requestProbe() {
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -32,11 +32,11 @@
 	}
 	defer resp.Body.Close()
 	countdown.restart(t.runTimeout())
-	pipe := newReplyPipe(resp, start, countdown, t.service.MaxReplyBytes)
+	pipe := newReplyPipe(resp, start, countdown, t.service)
 	chunks := bufferChunks(pipe.chunks, t.agent.cfg.ReplyBufferBytes, t.callerCtx.Done())
 	readDone := make(chan bool, 1)
 	go func() { defer close(readDone); readDone <- t.readReply(runCtx, pipe, resp) }()
-	total, sent := t.sendReply(resp, chunks)
+	total, sent := t.sendReply(resp, pipe.unverified, chunks)
 	cancel()
 	crashed := <-readDone
 	if sent {
@@ -51,6 +51,9 @@
 	p.read(runCtx)
 	resp.Body.Close()
 	crashed := p.broken && t.agent.checkCrashed(t.reservation)
+	if p.unverified && p.err == nil {
+		crashed = t.agent.checkUnverified(t.reservation)
+	}
 	o := p.outcome(resp.StatusCode, t.service.Kind)
 	o.Crashed, o.Cancelled = crashed, t.callerCtx.Err() != nil
 	t.freeReservation(o)
@@ -76,11 +79,12 @@
 	t.sendEnd(err, countdown, 0, crashed)
 }
 
-// sendReply sends the reply head and the chunks as the entry grants credit. It
+// sendReply sends the reply head and the chunks as the entry grants credit.
+// unverified is set if the end of the reply will not show whether it is whole. It
 // returns the bytes sent, and false if the stream broke or the caller
 // disconnected.
-func (t *requestTask) sendReply(resp *http.Response, chunks <-chan []byte) (int64, bool) {
-	head := &peerpb.ReplyHead{RequestId: t.head.RequestId, Status: int32(resp.StatusCode), Headers: toHeaders(resp.Header)}
+func (t *requestTask) sendReply(resp *http.Response, unverified bool, chunks <-chan []byte) (int64, bool) {
+	head := &peerpb.ReplyHead{RequestId: t.head.RequestId, Status: int32(resp.StatusCode), Headers: toHeaders(resp.Header), CloseDelimited: unverified}
 	if !t.send(&peerpb.Frame{Body: &peerpb.Frame_ReplyHead{ReplyHead: head}}) {
 		return 0, false
 	}
--- a/agent/reply_pipe.go
+++ b/agent/reply_pipe.go
@@ -6,10 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/eventstream"
 )
 
 // readChunkBytes is the size of one read from the backend server.
@@ -28,16 +28,22 @@
 
 // replyPipe reads a reply from the backend server and passes it on in chunks.
 type replyPipe struct {
-	body        io.Reader
-	chunks      chan []byte
-	countdown   *runCountdown
-	start       time.Time
-	maxBytes    int64
-	eventStream bool
-	totalBytes  int64
-	tokens      int64
-	firstByte   time.Duration
-	lastByte    time.Duration
+	body      io.Reader
+	chunks    chan []byte
+	countdown *runCountdown
+	start     time.Time
+	maxBytes  int64
+	// eventStream is set for a stream of events, and needsDone if its last one must be
+	// doneEvent.
+	eventStream, needsDone bool
+	position               eventstream.Position
+	// unverified reports that the reply ended with its connection and that nothing in it
+	// shows that it is whole.
+	unverified bool
+	totalBytes int64
+	tokens     int64
+	firstByte  time.Duration
+	lastByte   time.Duration
 	// readerStalled reports that a slow caller delayed the run, so that its
 	// times must not be attributed to the backend server.
 	readerStalled bool
@@ -47,14 +53,24 @@
 	broken bool
 }
 
-func newReplyPipe(resp *http.Response, start time.Time, countdown *runCountdown, maxBytes int64) *replyPipe {
+// closeDelimited reports whether a reply has neither a length nor chunks, so that its
+// end looks like that of a broken connection.
+func closeDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+func newReplyPipe(resp *http.Response, start time.Time, countdown *runCountdown, service core.Service) *replyPipe {
+	eventStream := eventstream.IsContentType(resp.Header.Get("Content-Type"))
+	needsDone := eventStream && service.Kind == core.ServiceModel
 	return &replyPipe{
 		body:        resp.Body,
 		chunks:      make(chan []byte, 1),
 		countdown:   countdown,
 		start:       start,
-		maxBytes:    maxBytes,
-		eventStream: strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"),
+		maxBytes:    service.MaxReplyBytes,
+		eventStream: eventStream,
+		needsDone:   needsDone,
+		unverified:  !needsDone && closeDelimited(resp),
 	}
 }
 
@@ -83,9 +99,11 @@
 }
 
 func (p *replyPipe) end(ctx context.Context, err error) {
-	if !errors.Is(err, io.EOF) {
+	switch {
+	case !errors.Is(err, io.EOF):
 		p.err = err
-	} else if p.eventStream && !bytes.Contains(p.tail, []byte(doneEvent)) {
+	case p.needsDone && !bytes.Contains(p.tail, []byte(doneEvent)),
+		p.eventStream && !p.needsDone && p.position.InsideEvent():
 		p.err = errTruncated
 	}
 	p.broken = p.err != nil && ctx.Err() == nil
@@ -102,6 +120,7 @@
 	if !p.eventStream {
 		return
 	}
+	p.position = p.position.Read(data)
 	joined := append(p.tail, data...)
 	p.tokens += int64(bytes.Count(joined, []byte("\n\n")) - bytes.Count(p.tail, []byte("\n\n")))
 	keep := min(len(joined), len(doneEvent)+4)
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -27,11 +27,13 @@
 	runAbandoned
 )
 
-// storedReply is the complete reply to a request that must not run twice.
+// storedReply is the reply to a request that must not run twice. It is complete, unless
+// closeDelimited is set: then nobody can tell.
 type storedReply struct {
-	status  int32
-	headers []*peerpb.Header
-	body    []byte
+	status         int32
+	headers        []*peerpb.Header
+	body           []byte
+	closeDelimited bool
 }
 
 func (r storedReply) size() int64 {
@@ -159,6 +161,7 @@
 		case runStored:
 			result.State = peerpb.LookupResult_STATE_STORED
 			result.Status, result.Headers, result.Body = e.reply.status, e.reply.headers, e.reply.body
+			result.CloseDelimited = e.reply.closeDelimited
 		}
 	})
 	return result
--- a/gateway/events_internal_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -1,9 +1,10 @@
-package gateway
+package eventstream_test
 
 import (
-	"net/http"
 	"strings"
 	"testing"
+
+	"nutmegnotch/core/eventstream"
 )
 
 // Guards against events that are not found, or found too early, whatever the ends of
@@ -23,7 +24,7 @@
 	}
 	for _, c := range cases {
 		got := ""
-		if n := eventEnd([]byte(c.in)); n >= 0 {
+		if n := eventstream.EventEnd([]byte(c.in)); n >= 0 {
 			got = c.in[:n]
 		}
 		if got != c.want {
@@ -33,7 +34,7 @@
 }
 
 // Guards against a broken stream that is taken for a whole one, and the reverse.
-func TestInsideEvent(t *testing.T) {
+func TestEndsInsideEvent(t *testing.T) {
 	cases := []struct {
 		rest string
 		want bool
@@ -51,9 +52,12 @@
 		{"data\n", true},
 	}
 	for _, c := range cases {
-		if got := insideEvent([]byte(c.rest)); got != c.want {
+		if got := eventstream.EndsInside([]byte(c.rest)); got != c.want {
 			t.Errorf("rest %q: got inside an event %t, want %t", c.rest, got, c.want)
 		}
+		if got := (eventstream.Position{}).Read([]byte("id: 0\n\n" + c.rest)).InsideEvent(); got != c.want {
+			t.Errorf("position after %q: got inside an event %t, want %t", c.rest, got, c.want)
+		}
 	}
 }
 
@@ -69,14 +73,14 @@
 		{"data: id: 3\n\n", "", false},
 	}
 	for _, c := range cases {
-		if got, ok := eventID([]byte(c.event)); got != c.want || ok != c.ok {
+		if got, ok := eventstream.EventID([]byte(c.event)); got != c.want || ok != c.ok {
 			t.Errorf("event %q: got id %q, %t, want %q, %t", c.event, got, ok, c.want, c.ok)
 		}
 	}
 }
 
 // Guards against plain replies on the routes of streams that are read as events.
-func TestIsEventStream(t *testing.T) {
+func TestContentType(t *testing.T) {
 	cases := []struct {
 		contentType string
 		want        bool
@@ -87,7 +91,7 @@
 		{"", false},
 	}
 	for _, c := range cases {
-		if got := isEventStream(http.Header{"Content-Type": {c.contentType}}); got != c.want {
+		if got := eventstream.IsContentType(c.contentType); got != c.want {
 			t.Errorf("content type %q: got stream %t, want %t", c.contentType, got, c.want)
 		}
 	}
@@ -106,16 +110,20 @@
 			var buf []byte
 			for _, p := range parts {
 				buf = append(buf, p...)
-				for n := eventEnd(buf); n >= 0; n = eventEnd(buf) {
+				for n := eventstream.EventEnd(buf); n >= 0; n = eventstream.EventEnd(buf) {
 					out.Write(buf[:n])
 					buf = buf[n:]
 				}
 			}
-			return out.String() + string(buf), insideEvent(buf)
+			return out.String() + string(buf), eventstream.EndsInside(buf)
 		}
 		_, want := read(in)
 		if got, inside := read(in[:cut], in[cut:]); got != in || inside != want {
 			t.Errorf("in two pieces: got %q, inside an event %t, want %q, %t", got, inside, in, want)
 		}
+		p := (eventstream.Position{}).Read([]byte(in[:cut])).Read([]byte(in[cut:]))
+		if got := p.InsideEvent(); got != want {
+			t.Errorf("position in two pieces: got inside an event %t, want %t", got, want)
+		}
 	})
 }
--- a/core/report/counter.go
+++ b/core/report/counter.go
@@ -21,6 +21,9 @@
 	EndedCallerGone
 	// EndedRefused is a reply of the system itself instead of a backend server's.
 	EndedRefused
+	// EndedUnverified is a reply of which nobody can tell whether it is whole, since the
+	// backend server did not mark its end.
+	EndedUnverified
 )
 
 // Subject is the contract and the service that an event is counted for. It holds
@@ -117,6 +120,11 @@
 		} else {
 			n.OnTime++
 		}
+	case EndedUnverified:
+		n.Unverified++
+		if late {
+			n.UnverifiedLate++
+		}
 	case EndedCut:
 		n.Cut++
 	case EndedCallerGone:
@@ -173,6 +181,8 @@
 	n.Whole += b.Whole
 	n.OnTime += b.OnTime
 	n.Late += b.Late
+	n.Unverified += b.Unverified
+	n.UnverifiedLate += b.UnverifiedLate
 	n.Cut += b.Cut
 	n.CallerGone += b.CallerGone
 	n.CallerGoneLate += b.CallerGoneLate
--- a/core/report/record.go
+++ b/core/report/record.go
@@ -63,6 +63,8 @@
 	Whole          int64            `json:"whole,omitempty"`
 	OnTime         int64            `json:"on_time,omitempty"`
 	Late           int64            `json:"late,omitempty"`
+	Unverified     int64            `json:"unverified,omitempty"`
+	UnverifiedLate int64            `json:"unverified_late,omitempty"`
 	Cut            int64            `json:"cut,omitempty"`
 	CallerGone     int64            `json:"caller_gone,omitempty"`
 	CallerGoneLate int64            `json:"caller_gone_late,omitempty"`
@@ -135,7 +137,7 @@
 }
 
 func (c Count) valid() bool {
-	for _, n := range []int64{c.Requests, c.Whole, c.OnTime, c.Late, c.Cut, c.CallerGone, c.CallerGoneLate, c.OutcomeUnknown,
+	for _, n := range []int64{c.Requests, c.Whole, c.OnTime, c.Late, c.Unverified, c.UnverifiedLate, c.Cut, c.CallerGone, c.CallerGoneLate, c.OutcomeUnknown,
 		c.PromptTokens, c.OutputTokens, c.ReplyBytes, c.AdmittedRequests, c.AdmittedTokens} {
 		if n < 0 {
 			return false
--- a/core/report/verdict.go
+++ b/core/report/verdict.go
@@ -149,7 +149,7 @@
 // admitted. A request that was refused and not run may have been refused before
 // or after its admission.
 func (n Count) finished() int64 {
-	return n.Whole + n.Cut + n.CallerGone + n.OutcomeUnknown + sumCounts(n.Failed)
+	return n.Whole + n.Unverified + n.Cut + n.CallerGone + n.OutcomeUnknown + sumCounts(n.Failed)
 }
 
 func sumCounts(m map[string]int64) int64 {
@@ -176,28 +176,33 @@
 }
 
 // replyPromises returns the promises on replies. Missing records can hold enough
-// good outcomes to reach a target share, but cannot undo a reply that was cut.
+// good outcomes to reach a target share, but cannot undo a reply that was cut. An
+// unverified reply may have been whole or cut.
 func (n Count) replyPromises(r Refusals, gap bool) []Promise {
-	begun := n.Whole + n.Cut + n.CallerGoneLate + n.OutcomeUnknown + sumCounts(n.Failed)
+	begun := n.Whole + n.Unverified + n.Cut + n.CallerGoneLate + n.OutcomeUnknown + sumCounts(n.Failed)
 	valid := n.Requests - sumCounts(r.OwnLimit) - sumCounts(r.OwnRequest)
 	bad := n.Cut + n.OutcomeUnknown
-	whole := Promise{Name: PromiseWhole, Verdict: verdictOf(bad == 0, gap), Promised: float64(n.Whole + bad), Delivered: float64(n.Whole)}
+	whole := Promise{Name: PromiseWhole, Verdict: verdictOf(bad == 0, gap || n.Unverified > 0), Promised: float64(n.Whole + n.Unverified + bad),
+		Delivered: float64(n.Whole)}
 	if bad > 0 {
 		whole.Verdict = Broken
 	}
 	return []Promise{
-		sharePromise(PromiseAccepted, valid-sumCounts(r.System), valid, gap),
-		sharePromise(PromiseTime, n.OnTime, begun, gap),
+		sharePromise(PromiseAccepted, valid-sumCounts(r.System), 0, valid, gap),
+		sharePromise(PromiseTime, n.OnTime, n.Unverified-n.UnverifiedLate, begun, gap),
 		whole,
 	}
 }
 
-func sharePromise(name string, good, all int64, gap bool) Promise {
-	share := 1.0
+// sharePromise compares a share of good outcomes with the target. maybe counts the
+// outcomes of which it is not known whether they are good.
+func sharePromise(name string, good, maybe, all int64, gap bool) Promise {
+	share, atMost := 1.0, 1.0
 	if all > 0 {
-		share = float64(good) / float64(all)
+		share, atMost = float64(good)/float64(all), float64(good+maybe)/float64(all)
 	}
-	return Promise{Name: name, Promised: TargetShare, Delivered: share, Verdict: verdictOf(share >= TargetShare, gap)}
+	known := share >= TargetShare || atMost < TargetShare
+	return Promise{Name: name, Promised: TargetShare, Delivered: share, Verdict: verdictOf(share >= TargetShare, gap || !known)}
 }
 
 func verdictOf(ok, gap bool) Verdict {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -55,7 +55,9 @@
 		x.close()
 		return c.notAdmitted(ctx, v, err, number)
 	}
-	return c.relay(ctx, x, number, func(end *peerpb.ReplyEnd) { c.handleReplyEnd(end, view, exclusive, number) })
+	return c.relay(ctx, x, number, func(head *peerpb.ReplyHead, end *peerpb.ReplyEnd) {
+		c.handleReplyEnd(head, end, view, exclusive, number)
+	})
 }
 
 // waitVerdict waits for the agent's verdict. After an error it is not known
@@ -134,7 +136,7 @@
 }
 
 // relay forwards the agent's reply to the caller.
-func (c *call) relay(ctx context.Context, x *exchange, number int, onEnd func(*peerpb.ReplyEnd)) attemptResult {
+func (c *call) relay(ctx context.Context, x *exchange, number int, onEnd func(*peerpb.ReplyHead, *peerpb.ReplyEnd)) attemptResult {
 	// The relay enforces its own time limits.
 	_ = x.s.SetDeadline(time.Time{})
 	l := newRelay(x, c.r.ID, c.reservation.Bytes)
@@ -156,7 +158,7 @@
 	for chunk := range l.out {
 		if !c.w.Started() {
 			c.r.ReleaseBody()
-			writeErr = c.w.Start(int(l.head.GetStatus()), fromHeaders(l.head.GetHeaders()))
+			writeErr = c.startReply(l.head)
 		}
 		if writeErr == nil {
 			writeErr = c.w.Write(chunk)
@@ -173,14 +175,31 @@
 	return writeErr
 }
 
+// startReply sends the head of a reply to the caller.
+func (c *call) startReply(h *peerpb.ReplyHead) error {
+	start := c.w.Start
+	if h.GetCloseDelimited() {
+		start = c.w.StartUnverified
+	}
+	return start(int(h.GetStatus()), fromHeaders(h.GetHeaders()))
+}
+
+func (c *call) countReply(unverified bool) {
+	if unverified {
+		c.e.metrics.repliesUnverified.Add(1)
+		return
+	}
+	c.e.metrics.replies.Add(1)
+}
+
 // finishReply completes a reply that the caller got in full.
 func (c *call) finishReply(l *relay) attemptResult {
 	if !c.w.Started() {
-		if err := c.w.Start(int(l.head.GetStatus()), fromHeaders(l.head.GetHeaders())); err != nil {
+		if err := c.startReply(l.head); err != nil {
 			return c.failReply(l, err, 0)
 		}
 	}
-	c.e.metrics.replies.Add(1)
+	c.countReply(l.head.GetCloseDelimited())
 	return attemptResult{done: true}
 }
 
@@ -205,10 +224,10 @@
 
 // handleReplyEnd evaluates the agent's ReplyEnd frame: the load report, a
 // completion that clears a suspect, and a crash during an exclusive run.
-func (c *call) handleReplyEnd(end *peerpb.ReplyEnd, view core.AgentView, exclusive bool, number int) {
+func (c *call) handleReplyEnd(head *peerpb.ReplyHead, end *peerpb.ReplyEnd, view core.AgentView, exclusive bool, number int) {
 	c.e.views.handleLoad(&peerpb.Hello{Id: view.Load.AgentID}, end.GetLoad())
 	switch {
-	case end.GetComplete():
+	case end.GetComplete() && !head.GetCloseDelimited():
 		c.e.attemptPolicy.completed(c.r.Fingerprint)
 	case end.GetCrashed() && exclusive:
 		c.e.attemptPolicy.recordCrash(fmt.Sprintf("request/%s/%d", c.r.ID, number), c.r.Fingerprint)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -218,7 +218,7 @@
 	}
 	srv := &http.Server{
 		Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(e.log), ConnContext: limitSendBuffer,
+		ErrorLog: zap.NewStdLog(e.log), ConnContext: callerConnContext,
 	}
 	failed := make(chan error, 1)
 	var wg conc.WaitGroup
@@ -238,12 +238,12 @@
 	return err
 }
 
-func limitSendBuffer(ctx context.Context, c net.Conn) context.Context {
+func callerConnContext(ctx context.Context, c net.Conn) context.Context {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		// An error means that the connection has already failed.
 		_ = tcp.SetWriteBuffer(callerSendBufferBytes)
 	}
-	return ctx
+	return caller.ConnContext(ctx, c)
 }
 
 func (e *Entry) listen() (net.Listener, error) {
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -41,13 +41,14 @@
 
 // writeStoredReply writes the stored reply to the caller.
 func (c *call) writeStoredReply(found *peerpb.LookupResult) attemptResult {
-	if err := c.w.Start(int(found.GetStatus()), fromHeaders(found.GetHeaders())); err != nil {
+	head := &peerpb.ReplyHead{Status: found.GetStatus(), Headers: found.GetHeaders(), CloseDelimited: found.GetCloseDelimited()}
+	if err := c.startReply(head); err != nil {
 		return attemptResult{final: true, refusal: core.Refusal{Code: core.CodeBackendFailed, Message: "the stored reply is not valid"}}
 	}
 	if err := c.w.Write(found.GetBody()); err != nil {
 		c.w.Abort(core.CodeConnectionBroken)
 	}
-	c.e.metrics.replies.Add(1)
+	c.countReply(found.GetCloseDelimited())
 	return attemptResult{done: true}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,7 +5,7 @@
 // metrics holds the counters and gauges of an entry.
 type metrics struct {
 	all                                                *expvar.Map
-	requests, replies, refusals                        *expvar.Int
+	requests, replies, repliesUnverified, refusals     *expvar.Int
 	repliesCut, retries, crashReports, blockedRefusals *expvar.Int
 	protocolErrors, wrongRequestIDs                    *expvar.Int
 	replyBytesReserved, replyBytesBuffered             *expvar.Int
@@ -19,6 +19,7 @@
 		"requests_total":               &m.requests,
 		"replies_total":                &m.replies,
 		"refusals_total":               &m.refusals,
+		"replies_unverified_total":     &m.repliesUnverified,
 		"replies_cut_total":            &m.repliesCut,
 		"retries_total":                &m.retries,
 		"crash_reports_total":          &m.crashReports,
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -36,7 +36,7 @@
 	metrics     *metrics
 	// onEnd is called when the agent's ReplyEnd frame arrives, which may be before
 	// the caller has read the reply.
-	onEnd func(end *peerpb.ReplyEnd)
+	onEnd func(head *peerpb.ReplyHead, end *peerpb.ReplyEnd)
 
 	// out passes chunks of buf to the writer, which acknowledges each on ack and
 	// must not use it afterwards. out is closed when the reply has ended or
@@ -208,13 +208,13 @@
 		l.err = errWrongID
 	case !e.GetComplete():
 		l.end = e
-		l.onEnd(e)
+		l.onEnd(l.head, e)
 		l.err = fmt.Errorf("agent reports %q: %w", e.GetCode(), errTruncated)
 	case l.head == nil || e.GetTotalBytes() != l.receivedBytes:
 		l.err = errProtocol
 	default:
 		l.end = e
-		l.onEnd(e)
+		l.onEnd(l.head, e)
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -10,6 +10,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/dispatch"
+	"nutmegnotch/core/eventstream"
 	"nutmegnotch/io/backend"
 )
 
@@ -259,7 +260,7 @@
 		return dispatch.OutcomeShed, false
 	}
 	a.mayHaveRun = true
-	if a.relay != nil && reply.Status >= 200 && reply.Status < 300 && isEventStream(reply.Header) {
+	if a.relay != nil && reply.Status >= 200 && reply.Status < 300 && eventstream.IsContentType(reply.Header.Get("Content-Type")) {
 		return g.attemptStream(a, v, reply)
 	}
 	return g.attemptUnary(a, v, reply)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"nutmegnotch/core/dispatch"
+	"nutmegnotch/core/eventstream"
 	"nutmegnotch/io/backend"
 )
 
@@ -134,7 +135,7 @@
 	if !errors.Is(err, io.EOF) && !errors.Is(err, backend.ErrUnverifiedEnd) {
 		return fmt.Errorf("read stream: %w", err)
 	}
-	if insideEvent(rest) {
+	if eventstream.EndsInside(rest) {
 		replyEnds.Add("inside_event", 1)
 		return fmt.Errorf("%d bytes after the last complete event: %w", len(rest), errInsideEvent)
 	}
@@ -156,7 +157,7 @@
 	used := 0
 	var out []byte
 	for {
-		end := eventEnd(buf[used:])
+		end := eventstream.EventEnd(buf[used:])
 		if end < 0 {
 			break
 		}
@@ -183,11 +184,11 @@
 // already has, going by their id, are skipped. Events without an id are always
 // forwarded.
 func (r *relay) accept(event []byte) bool {
-	id, ok := eventID(event)
+	id, ok := eventstream.EventID(event)
 	if !ok {
 		return true
 	}
-	if !isNewerID(id, r.lastEventID) {
+	if !eventstream.IsNewerID(id, r.lastEventID) {
 		return false
 	}
 	r.lastEventID = id
--- a/io/caller/frontend.go
+++ b/io/caller/frontend.go
@@ -128,7 +128,7 @@
 type requestReader func(id identity, w http.ResponseWriter, r *http.Request) (*Request, *core.Refusal)
 
 func (f *Frontend) handle(w http.ResponseWriter, r *http.Request, read requestReader) {
-	reply := newReply(w, uuid.NewString(), f.cfg.StallTimeout)
+	reply := newReply(w, r, uuid.NewString(), f.cfg.StallTimeout)
 	id, refusal := f.identify(r)
 	if refusal != nil {
 		reply.Refuse(*refusal)
@@ -155,6 +155,6 @@
 func (f *Frontend) logRequestEnd(w *Reply, organisation, service string) {
 	f.cfg.Log.Info("request ended",
 		zap.String("request_id", w.id), zap.String("organisation", organisation), zap.String("service", service),
-		zap.Int("status", w.status), zap.String("code", string(w.code)), zap.Bool("cut", w.aborted),
+		zap.Int("status", w.status), zap.String("code", string(w.code)), zap.Bool("cut", w.aborted), zap.Bool("unverified", w.unverified),
 		zap.Int64("reply_bytes", w.writtenBytes), zap.Duration("elapsed", time.Since(w.receivedAt)))
 }
--- a/io/caller/outcome.go
+++ b/io/caller/outcome.go
@@ -40,6 +40,8 @@
 		o.Ending = report.EndedCut
 	case w.sentRefusal != nil:
 		o.Ending, o.NotRun, o.OutcomeUnknown = report.EndedRefused, w.sentRefusal.NotRun, w.sentRefusal.OutcomeUnknown
+	case w.unverified:
+		o.Ending = report.EndedUnverified
 	}
 	f.cfg.OnOutcome(o)
 }
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -15,6 +15,7 @@
 // Reply writes a reply or a refusal to a caller. It is not safe for concurrent use.
 type Reply struct {
 	w            http.ResponseWriter
+	r            *http.Request
 	rc           *http.ResponseController
 	id           string
 	stallTimeout time.Duration
@@ -23,6 +24,9 @@
 	code         core.Code
 	writtenBytes int64
 	aborted      bool
+	// closeDelimited means that the reply ends with the caller's connection, and
+	// unverified that it does so because that of the backend server did.
+	closeDelimited, unverified bool
 	// callerGone means that the caller disconnected before the end of the reply.
 	callerGone bool
 	// sentRefusal is the refusal that the caller was sent, if any.
@@ -31,9 +35,9 @@
 	firstByteAt time.Time
 }
 
-func newReply(w http.ResponseWriter, id string, stallTimeout time.Duration) *Reply {
+func newReply(w http.ResponseWriter, r *http.Request, id string, stallTimeout time.Duration) *Reply {
 	w.Header().Set(RequestIDHeader, id)
-	return &Reply{w: w, rc: http.NewResponseController(w), id: id, stallTimeout: stallTimeout, receivedAt: time.Now()}
+	return &Reply{w: w, r: r, rc: http.NewResponseController(w), id: id, stallTimeout: stallTimeout, receivedAt: time.Now()}
 }
 
 // Started reports whether any part of the reply may have reached the caller.
@@ -47,11 +51,23 @@
 	for name, values := range replyHeader(header) {
 		p.w.Header()[name] = values
 	}
+	if p.closeDelimited = p.unverified || !p.r.ProtoAtLeast(1, 1); p.closeDelimited {
+		if err := BeginCloseDelimited(p.w, p.r); err != nil {
+			return err
+		}
+	}
 	p.status = status
 	p.w.WriteHeader(status)
 	return nil
 }
 
+// StartUnverified is like Start for a reply that the backend server has ended with its
+// connection. It ends so for the caller too, since nobody can tell whether it is whole.
+func (p *Reply) StartUnverified(status int, header http.Header) error {
+	p.unverified = true
+	return p.Start(status, header)
+}
+
 // Write sends a part of the reply's body to the caller and flushes it. It blocks
 // while the caller reads slowly, and fails if a single write of at most
 // MaxWriteBytes takes longer than the stall timeout.
@@ -101,4 +117,11 @@
 	}
 	// The deadline of the last write must not apply to the final chunk.
 	_ = p.rc.SetWriteDeadline(time.Now().Add(p.stallTimeout))
+	if !p.closeDelimited {
+		return
+	}
+	if err := EndCloseDelimited(p.w, p.r); err != nil {
+		// The connection is still reset when it is closed.
+		panic(http.ErrAbortHandler)
+	}
 }
