Keep a leaving agent until the entries know that it leaves

An agent that held no request at SIGTERM told the entries that it leaves and exited at once. An entry that learned it 150 ms later, over a slow link, had sent it requests meanwhile, whose sessions ended without a verdict; of those nobody knows whether they ran. Under load there is mostly an open stream that keeps the agent, so it showed rarely.

Entries now acknowledge that an agent leaves. The agent refuses requests until all of them have, and for 100 ms after the last stream, since an entry may have assigned a request before; for 3 s at most.

TestLeavingAgentWaitsForEntries is new.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -36,6 +36,8 @@
 	admitter core.Admitter
 	limits   admission.Limits
 	leaving  bool
+	// leavingAcks holds the ids of the entries that know that the agent is leaving.
+	leavingAcks map[string]bool
 	// up, incarnation and models are the results of the last health probe of the
 	// backend server.
 	up          bool
@@ -73,7 +75,7 @@
 }
 
 func newAdmissionTask(cfg Config, now time.Time) *admissionTask {
-	s := &admissionState{cfg: cfg, admitter: cfg.Admitter, running: map[string]uint64{}}
+	s := &admissionState{cfg: cfg, admitter: cfg.Admitter, running: map[string]uint64{}, leavingAcks: map[string]bool{}}
 	if s.admitter == nil {
 		s.admitter = admission.New(admission.Limits{}, now)
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -150,20 +150,35 @@
 // Control handles a control frame. A Leaving frame from an entry that names this
 // agent tells the agent to leave. Control does not block.
 func (a *Agent) Control(from *peer.Session, f *peerpb.Frame) {
+	if f.GetLeavingAck().GetIncarnation() == a.cfg.Self.Incarnation {
+		a.admission.do(func(s *admissionState) { s.leavingAcks[from.Hello.GetId()] = true })
+	}
 	l := f.GetLeaving()
 	if l != nil && from.Hello.GetRole() == core.RoleEntry && l.Id == a.cfg.Self.Id {
 		a.Leave()
 	}
 }
 
-// SessionUp sends a load report to a newly connected entry. It can be used as
-// peer.Config.OnSessionUp.
+// SessionUp sends a load report to a newly connected entry, and tells it if the agent
+// is leaving. It can be used as peer.Config.OnSessionUp.
 func (a *Agent) SessionUp(s *peer.Session) {
-	if s.Hello.GetRole() == core.RoleEntry {
-		s.SendControl(loadFrame(a.admission.loadReport(time.Now())))
+	if s.Hello.GetRole() != core.RoleEntry {
+		return
+	}
+	l := a.admission.loadReport(time.Now())
+	s.SendControl(loadFrame(l))
+	if l.State == string(core.AgentLeaving) {
+		s.SendControl(a.leavingFrame())
 	}
 }
 
+func (a *Agent) leavingFrame() *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_Leaving{Leaving: &peerpb.Leaving{
+		Id:          a.cfg.Self.Id,
+		Incarnation: a.cfg.Self.Incarnation,
+	}}}
+}
+
 // Leave starts a graceful shutdown: the agent refuses new requests, completes
 // the admitted ones and stops. Leave does not block.
 func (a *Agent) Leave() {
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -118,6 +118,8 @@
 	stop    context.CancelFunc
 	stopped chan struct{}
 	server  *httptest.Server
+	// deaf makes the entry ignore that the agent is leaving.
+	deaf atomic.Bool
 }
 
 var modelService = core.Service{
@@ -158,7 +160,10 @@
 	go func() { defer close(r.stopped); _ = r.agent.Run(ctx) }()
 	r.entry = peer.New(peer.Config{
 		Self: &peerpb.Hello{Id: "entry-1", Role: core.RoleEntry},
-		OnControl: func(_ *peer.Session, f *peerpb.Frame) {
+		OnControl: func(s *peer.Session, f *peerpb.Frame) {
+			if l := f.GetLeaving(); l != nil && !r.deaf.Load() {
+				s.SendControl(&peerpb.Frame{Body: &peerpb.Frame_LeavingAck{LeavingAck: &peerpb.LeavingAck{Incarnation: l.Incarnation}}})
+			}
 			select {
 			case r.control <- f:
 			default:
@@ -310,3 +315,26 @@
 	t.Cleanup(d.Close)
 	return d
 }
+
+// Guards against an agent without requests that exits before the entries know that it
+// is leaving, so that the outcome of a request on its way is lost.
+func TestLeavingAgentWaitsForEntries(t *testing.T) {
+	for _, deaf := range []bool{false, true} {
+		t.Run(fmt.Sprintf("deaf entry %t", deaf), func(t *testing.T) {
+			r := startHarness(t, deskService, newDesk(t), nil)
+			r.deaf.Store(deaf)
+			left := time.Now()
+			r.agent.Leave()
+			if deaf {
+				time.Sleep(500 * time.Millisecond)
+				if got := r.do(bookingHead("q", "k"), "{}"); core.Code(got.verdict.GetCode()) != core.CodeLeaving || !got.verdict.GetNotRun() {
+					t.Errorf("request at the leaving agent: got %+v, want a refusal as not run", got.verdict)
+				}
+			}
+			<-r.agent.Done()
+			if took := time.Since(left); (took > 2*time.Second) != deaf || took > 4*time.Second {
+				t.Errorf("the agent stopped after %v, want about 3s with a deaf entry and at once without", took)
+			}
+		})
+	}
+}
--- a/agent/load_report.go
+++ b/agent/load_report.go
@@ -86,18 +86,25 @@
 	}
 }
 
-// entrySessions returns the number of sessions with entries, or 0 if the
-// Broadcaster does not list its sessions.
-func (a *Agent) entrySessions() int {
-	n := 0
-	if p := a.peers.Load(); p != nil {
-		if node, ok := (*p).(interface{ Sessions() []*peer.Session }); ok {
-			for _, s := range node.Sessions() {
-				if s.Hello.GetRole() == core.RoleEntry {
-					n++
-				}
-			}
+// entrySessions returns the number of sessions with entries.
+func (a *Agent) entrySessions() int { return len(a.entries()) }
+
+// entries returns the ids of the entries with a session, or none if the Broadcaster
+// does not list its sessions.
+func (a *Agent) entries() []string {
+	p := a.peers.Load()
+	if p == nil {
+		return nil
+	}
+	node, ok := (*p).(interface{ Sessions() []*peer.Session })
+	if !ok {
+		return nil
+	}
+	var ids []string
+	for _, s := range node.Sessions() {
+		if s.Hello.GetRole() == core.RoleEntry {
+			ids = append(ids, s.Hello.GetId())
 		}
 	}
-	return n
+	return ids
 }
--- a/agent/status.go
+++ b/agent/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,11 +18,14 @@
 	// maxReleaseWait bounds how long a leaving agent waits for claim releases.
 	maxReleaseWait = 5 * time.Second
 	lookupTimeout  = 5 * time.Second
-	// streamCloseTimeout bounds the wait for an entry to read the end of a reply.
-	// The entry has reserved memory for the reply, so only a stalled entry needs
-	// longer.
+	// streamCloseTimeout bounds the wait for the entries to know that the agent is
+	// leaving and to read the end of a reply. An entry has reserved memory for the
+	// reply, so only a stalled entry needs longer.
 	streamCloseTimeout      = 3 * time.Second
 	streamClosePollInterval = 10 * time.Millisecond
+	// lateStreamTime covers the time from the choice of an agent to the first frame of
+	// the request on a loaded host.
+	lateStreamTime = 100 * time.Millisecond
 )
 
 // Status is the state of an agent for operators.
@@ -94,24 +98,36 @@
 func (a *Agent) shutdown() {
 	idle := a.admission.startLeaving()
 	a.log.Info("agent is leaving")
-	a.broadcast(&peerpb.Frame{Body: &peerpb.Frame_Leaving{Leaving: &peerpb.Leaving{
-		Id:          a.cfg.Self.Id,
-		Incarnation: a.cfg.Self.Incarnation,
-	}}})
+	a.broadcast(a.leavingFrame())
 	<-idle
 	a.releases.waitReleased(maxReleaseWait)
-	a.waitStreamsClosed()
+	a.waitUnused()
 	a.log.Info("agent has completed its requests")
 }
 
-// waitStreamsClosed waits until the entries have read the last replies, because
-// the caller of Run closes the sessions next.
-func (a *Agent) waitStreamsClosed() {
-	for end := time.Now().Add(streamCloseTimeout); a.openStreams.Load() > 0 && time.Now().Before(end); {
+// waitUnused waits until the entries know that the agent is leaving and have read the
+// last replies, because the caller of Run closes the sessions next. An entry may open a
+// stream for a request that it had assigned before, so the agent stays for
+// lateStreamTime after the last stream.
+func (a *Agent) waitUnused() {
+	unusedSince := time.Now()
+	for end := time.Now().Add(streamCloseTimeout); time.Now().Before(end) && time.Since(unusedSince) < lateStreamTime; {
+		if a.openStreams.Load() > 0 || !a.leavingKnown() {
+			unusedSince = time.Now()
+		}
 		time.Sleep(streamClosePollInterval)
 	}
 }
 
+// leavingKnown reports whether all entries have acknowledged that the agent is leaving.
+func (a *Agent) leavingKnown() bool {
+	entries, known := a.entries(), false
+	a.admission.do(func(s *admissionState) {
+		known = !slices.ContainsFunc(entries, func(id string) bool { return !s.leavingAcks[id] })
+	})
+	return known
+}
+
 // ServeLookup serves one lookup stream, on which an entry asks for the state of a
 // claim.
 func (a *Agent) ServeLookup(_ context.Context, s *peer.Stream) {
--- a/entry/status.go
+++ b/entry/status.go
@@ -45,6 +45,7 @@
 		e.views.handleLoad(from.Hello, b.Load)
 	case *peerpb.Frame_Leaving:
 		e.views.handleLeaving(from.Hello, b.Leaving)
+		from.SendControl(&peerpb.Frame{Body: &peerpb.Frame_LeavingAck{LeavingAck: &peerpb.LeavingAck{Incarnation: b.Leaving.GetIncarnation()}}})
 	case *peerpb.Frame_CrashReport:
 		e.attemptPolicy.handleCrashReport(from.Hello, b.CrashReport)
 	case *peerpb.Frame_CompletionReport:
--- a/systemtest/rolling_test.go
+++ b/systemtest/rolling_test.go
@@ -91,3 +91,37 @@
 	}
 	return nil
 }
+
+// Guards against requests whose outcome is lost because an agent that holds none
+// exits before the entries know that it leaves.
+func TestIdleAgentRefusesUntilEntriesKnow(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, clusterConfig{entries: 1, desks: 1})
+	c.waitReady()
+	l, p := c.client("trails"), c.desks[0].agent
+	for restart := range 3 {
+		for _, link := range c.linksOf(p.id) {
+			link.setDelay(toClient, linkDelay)
+		}
+		stopped := make(chan struct{})
+		go func() { defer close(stopped); p.stopGracefully() }()
+		var wg sync.WaitGroup
+		for i := range 20 {
+			time.Sleep(10 * time.Millisecond)
+			wg.Go(func() {
+				if a := l.book(c.entries[0], fmt.Sprintf("idle-%d-%d", restart, i)); a.result != resultOK && a.result != resultNotRun {
+					t.Errorf("booking %d ms after SIGTERM: got %+v, want a booking or a refusal as not run", 10*(i+1), a)
+				}
+			})
+		}
+		wg.Wait()
+		<-stopped
+		for _, link := range c.linksOf(p.id) {
+			link.heal()
+		}
+		p.start()
+		eventually(t, p.id+" is ready again", p.ready)
+		eventually(t, "the entry uses it again", func() bool { return l.lookup(c.entries[0]).result == resultOK })
+	}
+	checkAll(t, c.collect())
+}
