Give the ranks of emulated groups addresses of their own

Ranks now get addresses as all other emulated servers do, and processes keep apart by more bits of their id. The tests print the log lines of the agents when they fail.

--- a/emulator/lockstep/lockstep.go
+++ b/emulator/lockstep/lockstep.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"nutmegnotch/emulator/loopback"
 )
 
 // Config configures a group. Sets is the number of expert sets and Experts the number
@@ -71,7 +73,7 @@
 	g := &Group{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 3)), epoch: 0, usedMaps: map[string]bool{}, stop: make(chan struct{})}
 	for i := range cfg.Ranks {
 		r := &rank{choiceCounts: make([]int64, cfg.Sets*cfg.Experts), startedUnixMS: time.Now().UnixMilli()}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", i+1))
+		l, err := listen()
 		if err != nil {
 			g.Close()
 			return nil, fmt.Errorf("listen for rank %d: %w", i, err)
@@ -92,6 +94,16 @@
 	return g, nil
 }
 
+// listen listens on an address whose IP address no other rank has, since agents use the
+// same port on all hosts.
+func listen() (net.Listener, error) {
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	return net.Listen("tcp", address)
+}
+
 // Address returns the address on which the engine of a rank listens.
 func (g *Group) Address(i int) string { return g.ranks[i].address }
 
--- a/emulator/loopback/loopback.go
+++ b/emulator/loopback/loopback.go
@@ -9,6 +9,14 @@
 	"sync/atomic"
 )
 
+// A process uses addresses of one of networks, and there of a block of blockSize
+// networks, so that two processes rarely meet.
+const (
+	firstNetwork, networks  = 60, 60
+	blocks, blockSize       = 16, 16
+	addressesPerBlockMember = 250
+)
+
 // allocated is the number of addresses that were allocated.
 var allocated atomic.Int32
 
@@ -16,8 +24,9 @@
 // Each address has an IP address of its own, because a free port on a shared one may be
 // taken before the caller listens on it.
 func FreeAddress() (string, error) {
-	n := int(allocated.Add(1))
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 60+os.Getpid()%60, n/250, n%250+1))
+	n, pid := int(allocated.Add(1)), os.Getpid()
+	third := pid/networks%blocks*blockSize + n/addressesPerBlockMember%blockSize
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", firstNetwork+pid%networks, third, n%addressesPerBlockMember+1))
 	if err != nil {
 		return "", fmt.Errorf("find a free address: %w", err)
 	}
--- a/rankagent/agent_test.go
+++ b/rankagent/agent_test.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"nutmegnotch/emulator/lockstep"
 	"nutmegnotch/emulator/loopback"
@@ -40,6 +41,9 @@
 	stops    []context.CancelFunc
 	dones    []chan struct{}
 	started  int
+	// logs holds the log lines of all agents, which a failed test prints.
+	logs *observer.ObservedLogs
+	log  *zap.Logger
 }
 
 func newGroup(t *testing.T, cfg lockstep.Config) *group {
@@ -67,6 +71,9 @@
 		t.Fatalf("start group: %v", err)
 	}
 	g := &group{t: t, engines: engines, stops: make([]context.CancelFunc, ranks), dones: make([]chan struct{}, ranks)}
+	observed, logs := observer.New(zap.InfoLevel)
+	g.logs, g.log = logs, zap.New(observed)
+	t.Cleanup(g.printLogs)
 	t.Cleanup(g.close)
 	g.cleanups = append(g.cleanups, engines.Close)
 	g.startGateway()
@@ -81,6 +88,16 @@
 	return g
 }
 
+// printLogs prints the log lines of the agents if the test has failed.
+func (g *group) printLogs() {
+	if !g.t.Failed() {
+		return
+	}
+	for _, l := range g.logs.All() {
+		g.t.Logf("%s %s %v", l.Time.Format("05.000"), l.Message, l.ContextMap())
+	}
+}
+
 func (g *group) startGateway() {
 	m := metastore.New()
 	s := httptest.NewServer(m)
@@ -140,7 +157,7 @@
 	a, err := rankagent.New(rankagent.Config{
 		ID: fmt.Sprintf("agent-%d", i), Incarnation: fmt.Sprintf("agent-%d-%d", i, g.started), Deployment: "test",
 		PeerAddress: net.JoinHostPort(host, peerPort), EngineAddress: g.engines.Address(i), Gateways: []string{g.gateway},
-		Engine: engine, Logger: zap.NewNop(),
+		Engine: engine, Logger: g.log.With(zap.Int("rank_agent", i)),
 	})
 	if err != nil {
 		g.t.Fatalf("make agent: %v", err)
