Order what the store holds by its eras

The users' store may come back from a copy some seconds old: what was written since is gone, offsets go back and are given out again, and its answers state a higher era. Gateways compared offsets only. They would have taken records at offsets that were given out again for known ones, waited for offsets that no longer exist, and left lost what they had written.

A position is (era, offset) now, one immutable type in core, in records, batches and messages between gateways. A new era, seen in an answer of the store or at another gateway, ends long reads and makes all topics be read anew. A process that leaves never becomes ready again. Gateways register again and save the crash records that the new era lacks. Answers of an earlier era change nothing.

Two faults of the exchange between gateways were found by the search: a peer that had read a topic later than a removal did not pass the removal on, and a late full answer brought removed keys back. A peer now gets all records when the other one does not know all removals, and keys that were removed before a full read stay removed.

The client of the product's own log refuses to go on with a stream that has lost acknowledged records.

TestBookingWhenTheLogLosesClaims passes before and after: batchers keep what they have read.

--- a/core/deployment.go
+++ b/core/deployment.go
@@ -147,23 +147,27 @@
 	// StartedUnixMS changes with each restart of a backend server that keeps its
 	// id.
 	StartedUnixMS int64
-	Place         RankPlace
+	// ReportNumber counts the reports of the process, so that a later one has a higher
+	// number; 0 means not stated.
+	ReportNumber int64
+	Place        RankPlace
 }
 
 // KeyedRecord is the newest record of one key of a keyed topic. Deleted reports
-// that the key was removed at this offset.
+// that the key was removed at this position.
 type KeyedRecord struct {
-	Key     string
-	Value   []byte
-	Offset  int64
-	Deleted bool
+	Key      string
+	Value    []byte
+	Position Position
+	Deleted  bool
 }
 
-// KeyedBatch holds records in order of their offsets. NextOffset is the offset
-// of the next append.
+// KeyedBatch holds records of one era in order of their offsets. Next is the position
+// that follows them. AtEnd reports that there are no further records.
 type KeyedBatch struct {
-	Records    []KeyedRecord
-	NextOffset int64
+	Records []KeyedRecord
+	Next    Position
+	AtEnd   bool
 }
 
 // Topic names a keyed topic of the platform's store.
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -35,16 +35,22 @@
 	topics     [2]topic
 	drained    map[string]bool
 	servers    map[string]*serverEntry
+	processes  processes
 	// outage is true while the store does not answer. outageEndedAt is when the
 	// store answered again after the last outage.
 	outage        bool
 	outageEndedAt time.Time
 }
 
-// topic holds the newest record of each key.
+// topic holds the newest record of each key. next is the position that follows the
+// applied records.
 type topic struct {
-	records    map[string]core.KeyedRecord
-	nextOffset int64
+	records map[string]core.KeyedRecord
+	next    core.Position
+	// completeFrom is the position from which records include all removals.
+	completeFrom core.Position
+	// settleAt is when records of earlier eras are dropped, or zero if there are none.
+	settleAt time.Time
 }
 
 // serverEntry is a backend server. The record of a lapsed server was removed
@@ -52,16 +58,16 @@
 // until LapseGracePeriod has passed.
 type serverEntry struct {
 	server core.BackendServer
-	// offset is the offset of the newest record.
-	offset int64
-	lapsed bool
+	// position is that of the newest record.
+	position core.Position
+	lapsed   bool
 	// coldUntil is when the server stops being cold.
 	coldUntil time.Time
 }
 
 // New returns an empty directory.
 func New(decoder core.RecordDecoder) *Directory {
-	d := &Directory{decoder: decoder, drained: map[string]bool{}, servers: map[string]*serverEntry{}}
+	d := &Directory{decoder: decoder, drained: map[string]bool{}, servers: map[string]*serverEntry{}, processes: processes{byID: map[string]process{}}}
 	for i := range d.topics {
 		d.topics[i].records = map[string]core.KeyedRecord{}
 	}
@@ -75,8 +81,8 @@
 // Drained reports whether a failure domain is drained.
 func (d *Directory) Drained(domain string) bool { return d.drained[domain] }
 
-// NextOffset returns the first offset of a topic that is not applied.
-func (d *Directory) NextOffset(t core.Topic) int64 { return d.topics[t].nextOffset }
+// Next returns the first position of a topic that is not applied.
+func (d *Directory) Next(t core.Topic) core.Position { return d.topics[t].next }
 
 // StoreFailed records that the store does not answer.
 func (d *Directory) StoreFailed() { d.outage = true }
@@ -88,21 +94,55 @@
 	}
 }
 
-// Advance records that all records of a topic below the offset next are applied.
-func (d *Directory) Advance(t core.Topic, next int64) {
-	d.topics[t].nextOffset = max(d.topics[t].nextOffset, next)
+// Append applies a batch that follows the applied records. A batch of another era has
+// no effect, since its records do not follow them: a later era is read from its
+// beginning and passed to Replace.
+func (d *Directory) Append(t core.Topic, b core.KeyedBatch, now time.Time) ([]Change, error) {
+	if b.Next.Era != d.topics[t].next.Era {
+		return nil, nil
+	}
+	changes, err := d.applyAll(t, b.Records, now)
+	d.advance(t, b.Next)
+	return changes, err
+}
+
+func (d *Directory) advance(t core.Topic, next core.Position) {
+	if d.topics[t].next.Before(next) {
+		d.topics[t].next = next
+	}
+}
+
+// applyAll applies records. It returns the changes and the first error.
+func (d *Directory) applyAll(t core.Topic, records []core.KeyedRecord, now time.Time) ([]Change, error) {
+	var changes []Change
+	var firstErr error
+	for _, r := range records {
+		c, err := d.apply(t, r, now)
+		if err != nil && firstErr == nil {
+			firstErr = err
+		}
+		if c != ChangeNone {
+			changes = append(changes, c)
+		}
+	}
+	return changes, firstErr
 }
 
-// Apply applies one record. A record that is not newer than the known one of its
-// key has no effect. A record that cannot be decoded returns an error and counts
-// as removed: the server of its key is no longer used, and the deployment stays
-// as it is, since no earlier version may replace it.
-func (d *Directory) Apply(t core.Topic, r core.KeyedRecord, now time.Time) (Change, error) {
-	known, ok := d.topics[t].records[r.Key]
-	if ok && known.Offset >= r.Offset {
+// apply applies one record. A record that is not newer than the known one of its
+// key, or of an earlier era, has no effect. A record that cannot be decoded returns
+// an error and counts as removed: the server of its key is no longer used, and the
+// deployment stays as it is, since no earlier version may replace it.
+func (d *Directory) apply(t core.Topic, r core.KeyedRecord, now time.Time) (Change, error) {
+	topic := &d.topics[t]
+	known, ok := topic.records[r.Key]
+	switch {
+	case r.Position.Era < topic.next.Era,
+		ok && !known.Position.Before(r.Position),
+		// The key was removed before all keys of this era were read.
+		(!ok || known.Position.Era < r.Position.Era) && r.Position.Before(topic.completeFrom):
 		return ChangeNone, nil
 	}
-	d.topics[t].records[r.Key] = r
+	topic.records[r.Key] = r
 	decoded, err := d.decoder.Decode(t, r)
 	switch decoded.Kind {
 	case core.RecordDeployment:
@@ -142,20 +182,20 @@
 func (d *Directory) applyServer(r core.KeyedRecord, s *core.BackendServer, now time.Time) Change {
 	id := r.Key
 	if s == nil {
-		if _, known := d.servers[id]; !known {
-			return ChangeNone
-		}
-		delete(d.servers, id)
-		return ChangeServers
+		return d.dropServer(id, now)
 	}
+	if d.processes.isOutdated(s, r.Position.Era) {
+		return ChangeNone
+	}
+	known := d.processes.report(s, r.Position.Era)
 	old := d.servers[id]
-	e := &serverEntry{server: *s, offset: r.Offset, coldUntil: now.Add(s.ColdLeft)}
+	e := &serverEntry{server: known, position: r.Position, coldUntil: now.Add(s.ColdLeft)}
 	d.servers[id] = e
 	if old == nil || old.lapsed {
 		return ChangeServers
 	}
 	a, b := old.server, e.server
-	a.ColdLeft, b.ColdLeft = 0, 0
+	a.ColdLeft, b.ColdLeft, a.ReportNumber, b.ReportNumber = 0, 0, 0, 0
 	if a == b && (old.coldUntil.After(now) == e.coldUntil.After(now)) {
 		return ChangeNone
 	}
@@ -174,53 +214,62 @@
 		e.lapsed = true
 		return ChangeNone
 	}
+	return d.dropServer(id, now)
+}
+
+// dropServer stops the use of a server.
+func (d *Directory) dropServer(id string, now time.Time) Change {
+	e := d.servers[id]
+	if e == nil {
+		return ChangeNone
+	}
 	delete(d.servers, id)
+	d.processes.ended(id, now)
 	return ChangeServers
 }
 
 // Expire removes lapsed servers once LapseGracePeriod has passed since the end of
 // the outage.
 func (d *Directory) Expire(now time.Time) Change {
+	d.processes.expire(now)
 	if d.outage || now.Before(d.outageEndedAt.Add(LapseGracePeriod)) {
 		return ChangeNone
 	}
 	changed := ChangeNone
 	for id, e := range d.servers {
 		if e.lapsed {
-			delete(d.servers, id)
-			changed = ChangeServers
+			changed = d.dropServer(id, now)
 		}
 	}
 	return changed
 }
 
 // Replace applies a batch with the newest records of all keys of a topic. It
-// removes each known key that is missing from the batch and whose record is
-// older than the batch.
+// removes each known key that is missing from the batch and whose record is older
+// than the batch. Records of an earlier era stay in force until Settle.
+// A batch of an earlier era has no effect.
 func (d *Directory) Replace(t core.Topic, b core.KeyedBatch, now time.Time) ([]Change, error) {
-	var changes []Change
-	var firstErr error
-	apply := func(r core.KeyedRecord) {
-		c, err := d.Apply(t, r, now)
-		if err != nil && firstErr == nil {
-			firstErr = err
-		}
-		if c != ChangeNone {
-			changes = append(changes, c)
-		}
+	if b.Next.Era < d.topics[t].next.Era {
+		return nil, nil
 	}
+	d.beginEra(t, b.Next.Era, now)
 	present := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
 		present[r.Key] = true
-		apply(r)
 	}
+	records := b.Records
+	last := b.Next.WithOffset(b.Next.Offset - 1)
 	for key, r := range d.topics[t].records {
-		if !present[key] && !r.Deleted && r.Offset < b.NextOffset-1 {
-			apply(core.KeyedRecord{Key: key, Offset: b.NextOffset - 1, Deleted: true})
+		if !present[key] && !r.Deleted && r.Position.Era == last.Era && r.Position.Before(last) {
+			records = append(records[:len(records):len(records)], core.KeyedRecord{Key: key, Position: last, Deleted: true})
 		}
 	}
-	d.Advance(t, b.NextOffset)
-	return changes, firstErr
+	changes, err := d.applyAll(t, records, now)
+	d.advance(t, b.Next)
+	if d.topics[t].completeFrom.Before(b.Next) {
+		d.topics[t].completeFrom = b.Next
+	}
+	return changes, err
 }
 
 // ProcessState is what the records tell about one process of a backend server.
@@ -242,7 +291,7 @@
 		return ProcessReplaced
 	}
 	for id, e := range d.servers {
-		if id != s.ID && e.server.Address == s.Address && (own == nil || e.offset > own.offset) {
+		if id != s.ID && e.server.Address == s.Address && (own == nil || own.position.Before(e.position)) {
 			return ProcessReplaced
 		}
 	}
@@ -255,17 +304,19 @@
 	return ProcessReady
 }
 
-// Records returns the newest record of each key, from an offset on and sorted by
-// offset.
-func (d *Directory) Records(t core.Topic, from int64) []core.KeyedRecord {
-	var out []core.KeyedRecord
-	for _, r := range d.topics[t].records {
-		if r.Offset >= from {
-			out = append(out, r)
+// Since returns what a peer needs that has applied the records before a position. If
+// full is set, the batch holds the newest records of all keys, for Replace, since this
+// directory does not know all removals since that position.
+func (d *Directory) Since(t core.Topic, from core.Position) (b core.KeyedBatch, full bool) {
+	topic := &d.topics[t]
+	b.Next, full = topic.next, from.Before(topic.completeFrom)
+	for _, r := range topic.records {
+		if r.Position.Era == topic.next.Era && (full || !r.Position.Before(from)) {
+			b.Records = append(b.Records, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b core.KeyedRecord) int { return int(a.Offset - b.Offset) })
-	return out
+	slices.SortFunc(b.Records, func(a, b core.KeyedRecord) int { return a.Position.Compare(b.Position) })
+	return b, full
 }
 
 // Server is a backend server with its current state in the directory.
@@ -285,12 +336,14 @@
 // Servers returns all known backend servers, sorted by id.
 func (d *Directory) Servers() []Server {
 	out := make([]Server, 0, len(d.servers))
-	newest := map[string]int64{}
+	newest := map[string]core.Position{}
 	for _, e := range d.servers {
-		newest[e.server.Address] = max(newest[e.server.Address], e.offset)
+		if newest[e.server.Address].Before(e.position) {
+			newest[e.server.Address] = e.position
+		}
 	}
 	for _, e := range d.servers {
-		replaced := e.offset < newest[e.server.Address]
+		replaced := e.position.Before(newest[e.server.Address])
 		out = append(out, Server{
 			BackendServer: e.server,
 			ColdUntil:     e.coldUntil,
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -14,7 +14,8 @@
 var now = time.Unix(1_000_000, 0)
 
 // decoder decodes the value of the key config as a version, and the values of
-// servers as "state" or "state address". All other keys are drained domains.
+// servers as "state", "state address" or "state address started number". All other keys
+// are drained domains.
 type decoder struct{}
 
 func (decoder) Decode(t core.Topic, r core.KeyedRecord) (core.DecodedRecord, error) {
@@ -32,6 +33,11 @@
 			address = "address of " + r.Key
 		}
 		decoded.Server = &core.BackendServer{ID: r.Key, Service: "s", Domain: "z1", Address: address}
+		if f := strings.Fields(address); len(f) == 3 {
+			decoded.Server.Address = f[0] + r.Key
+			decoded.Server.StartedUnixMS, _ = strconv.ParseInt(f[1], 10, 64)
+			decoded.Server.ReportNumber, _ = strconv.ParseInt(f[2], 10, 64)
+		}
 		if state == "leaving" {
 			decoded.Server.State = core.BackendLeaving
 		}
@@ -44,7 +50,12 @@
 }
 
 func rec(key, value string, offset int64) core.KeyedRecord {
-	return core.KeyedRecord{Key: key, Value: []byte(value), Offset: offset, Deleted: value == ""}
+	return core.KeyedRecord{Key: key, Value: []byte(value), Position: core.Position{Offset: offset}, Deleted: value == ""}
+}
+
+// batch returns a batch of one record.
+func batch(r core.KeyedRecord) core.KeyedBatch {
+	return core.KeyedBatch{Records: []core.KeyedRecord{r}, Next: r.Position.WithOffset(r.Position.Offset + 1)}
 }
 
 func usable(d *directory.Directory) string {
@@ -72,7 +83,7 @@
 		{rec("a", "", 5), "b c"},
 	}
 	for i, s := range steps {
-		if _, err := d.Apply(core.TopicServers, s.r, time.Unix(1000, 0)); err != nil {
+		if _, err := d.Append(core.TopicServers, batch(s.r), time.Unix(1000, 0)); err != nil {
 			t.Fatalf("apply record %d: %v", i, err)
 		}
 		if got := usable(d); got != s.want {
@@ -90,7 +101,7 @@
 		version string
 		want    int64
 	}{{5, "3", 3}, {4, "9", 3}, {6, "2", 3}, {7, "", 3}, {8, "10", 10}, {8, "11", 10}} {
-		if _, err := d.Apply(core.TopicOperator, rec("config", c.version, c.offset), now); err != nil && c.version != "" {
+		if _, err := d.Append(core.TopicOperator, batch(rec("config", c.version, c.offset)), now); err != nil && c.version != "" {
 			t.Fatalf("apply: %v", err)
 		}
 		if got := d.Deployment().Version; got != c.want {
@@ -141,7 +152,7 @@
 
 func apply(t *testing.T, d *directory.Directory, r core.KeyedRecord, at time.Duration) {
 	t.Helper()
-	if _, err := d.Apply(core.TopicServers, r, now.Add(at)); err != nil {
+	if _, err := d.Append(core.TopicServers, batch(r), now.Add(at)); err != nil {
 		t.Fatalf("apply %s: %v", r.Key, err)
 	}
 }
@@ -153,32 +164,32 @@
 	d := directory.New(decoder{})
 	apply(t, d, rec("a", "ready", 1), 0)
 	apply(t, d, rec("b", "ready", 2), 0)
-	if _, err := d.Apply(core.TopicOperator, rec("out/z1", "{}", 1), now); err != nil {
+	if _, err := d.Append(core.TopicOperator, batch(rec("out/z1", "{}", 1)), now); err != nil {
 		t.Fatalf("apply: %v", err)
 	}
 	if got := usable(d); got != "" {
 		t.Errorf("drained: got %q, want none", got)
 	}
-	if _, err := d.Replace(core.TopicOperator, core.KeyedBatch{NextOffset: 9}, now); err != nil {
+	if _, err := d.Replace(core.TopicOperator, core.KeyedBatch{Next: core.Position{Offset: 9}}, now); err != nil {
 		t.Fatalf("replace: %v", err)
 	}
 	if got, want := usable(d), "a b"; got != want {
 		t.Errorf("after a batch without the drained domain: got %q, want %q", got, want)
 	}
 	// A batch that is older than the known records removes no newer ones.
-	if _, err := d.Replace(core.TopicServers, core.KeyedBatch{Records: []core.KeyedRecord{rec("a", "ready", 1)}, NextOffset: 2}, now); err != nil {
+	if _, err := d.Replace(core.TopicServers, core.KeyedBatch{Records: []core.KeyedRecord{rec("a", "ready", 1)}, Next: core.Position{Offset: 2}}, now); err != nil {
 		t.Fatalf("replace: %v", err)
 	}
 	if got, want := usable(d), "a b"; got != want {
 		t.Errorf("after an older batch: got %q, want %q", got, want)
 	}
-	if _, err := d.Replace(core.TopicServers, core.KeyedBatch{Records: []core.KeyedRecord{rec("b", "ready", 2)}, NextOffset: 8}, now); err != nil {
+	if _, err := d.Replace(core.TopicServers, core.KeyedBatch{Records: []core.KeyedRecord{rec("b", "ready", 2)}, Next: core.Position{Offset: 8}}, now); err != nil {
 		t.Fatalf("replace: %v", err)
 	}
 	if got, want := usable(d), "b"; got != want {
 		t.Errorf("after a batch without a server: got %q, want %q", got, want)
 	}
-	if _, err := d.Apply(core.TopicServers, rec("b", "bad", 9), now); err == nil {
+	if _, err := d.Append(core.TopicServers, batch(rec("b", "bad", 9)), now); err == nil {
 		t.Error("unreadable record: got no error, want one")
 	}
 	if got := usable(d); got != "" {
@@ -193,9 +204,9 @@
 	apply(t, a, rec("x", "ready", 1), 0)
 	apply(t, a, rec("y", "ready", 2), 0)
 	apply(t, a, rec("x", "", 5), 0)
-	a.Advance(core.TopicServers, 6)
-	for _, r := range a.Records(core.TopicServers, b.NextOffset(core.TopicServers)) {
-		apply(t, b, r, 0)
+	news, full := a.Since(core.TopicServers, b.Next(core.TopicServers))
+	if _, err := b.Append(core.TopicServers, news, now); err != nil || full {
+		t.Fatalf("append: got full batch %t and error %v, want neither", full, err)
 	}
 	if got, want := usable(b), usable(a); got != want {
 		t.Errorf("servers of the peer: got %q, want %q", got, want)
@@ -252,7 +263,7 @@
 	for _, c := range cases {
 		d := directory.New(decoder{})
 		for _, r := range c.records {
-			if _, err := d.Apply(core.TopicServers, r, now); err != nil {
+			if _, err := d.Append(core.TopicServers, batch(r), now); err != nil {
 				t.Fatalf("%s: %v", c.name, err)
 			}
 		}
@@ -261,7 +272,7 @@
 		}
 	}
 	d := directory.New(decoder{})
-	if _, err := d.Apply(core.TopicServers, rec("a", "ready x", 1), now); err != nil {
+	if _, err := d.Append(core.TopicServers, batch(rec("a", "ready x", 1)), now); err != nil {
 		t.Fatal(err)
 	}
 	if got, want := d.Process(core.BackendServer{ID: "a", Address: "x", StartedUnixMS: 7}), directory.ProcessReplaced; got != want {
--- a/core/errors.go
+++ b/core/errors.go
@@ -9,6 +9,9 @@
 	// ErrUnavailable reports that a peer or the log did not answer. The effect
 	// of the call is unknown.
 	ErrUnavailable = errors.ConstError("service unavailable")
+	// ErrRecordsLost reports a log that no longer has records that it had acknowledged.
+	// It is returned together with ErrUnavailable.
+	ErrRecordsLost = errors.ConstError("log has lost acknowledged records")
 	// ErrNotAppended reports an append that did not reach the log and had no
 	// effect. It is returned together with ErrUnavailable.
 	ErrNotAppended = errors.ConstError("record was not appended")
--- a/core/store.go
+++ b/core/store.go
@@ -7,15 +7,17 @@
 )
 
 // KeyedStore accesses the keyed topics of the platform's store. Methods return
-// ErrUnavailable when the store does not answer, ErrRateLimited when it rejects
-// the call, and ErrExpired when the records from an offset on are no longer
-// retained.
+// ErrUnavailable when the store does not answer or answers from an earlier era than
+// before, ErrRateLimited when it rejects the call, and ErrExpired when it does not have
+// the records from a position on, because they are no longer retained or because it has
+// come back from an older copy.
 type KeyedStore interface {
 	// Newest returns the newest record of each key. Records that are appended
 	// while the pages are being read may be missing.
 	Newest(ctx context.Context, t Topic) (KeyedBatch, error)
-	// Read returns the records from an offset on. It waits up to wait for one.
-	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (KeyedBatch, error)
+	// Read returns the records from a position on. It waits up to wait for one. The batch
+	// may be of a later era; then it does not follow from.
+	Read(ctx context.Context, t Topic, from Position, wait time.Duration) (KeyedBatch, error)
 	// Put appends a record for a key; a nil value removes the key.
 	Put(ctx context.Context, t Topic, key string, value []byte) error
 }
--- a/emulator/metastore/metastore.go
+++ b/emulator/metastore/metastore.go
@@ -55,18 +55,22 @@
 	changed chan struct{}
 	router  *httprouter.Router
 	calls   int
+	// era is the number of times that the store has begun, from a copy or empty.
+	era int64
 }
 
 // topic holds the records of a topic in the order in which they were appended. first is
 // the offset of the first one that a read may return.
 type topic struct {
 	records [][]byte
+	// written holds the time of each record.
+	written []time.Time
 	first   int
 }
 
 // New returns an empty store.
 func New() *Store {
-	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{}), router: httprouter.New()}
+	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{}), router: httprouter.New(), era: 1}
 	s.router.POST("/log-append", s.append)
 	s.router.GET("/log-read", s.read)
 	s.router.GET("/log-newest", s.newest)
@@ -137,11 +141,37 @@
 // add appends a record and returns its offset. The caller must hold mu.
 func (s *Store) add(name string, record []byte) int {
 	t := s.topic(name)
-	t.records = append(t.records, record)
+	t.records, t.written = append(t.records, record), append(t.written, time.Now())
 	s.notifyReaders()
 	return len(t.records) - 1
 }
 
+// newest returns the newest record of each key that is not deleted.
+func (t *topic) newest() map[string]item {
+	out := map[string]item{}
+	for i, rec := range t.records {
+		n := int(rec[0])
+		key, value := string(rec[1:1+n]), rec[1+n:]
+		if len(value) == 0 {
+			delete(out, key)
+		} else {
+			out[key] = item{Key: key, Value: value, Offset: i}
+		}
+	}
+	return out
+}
+
+// Newest returns the newest value of each key of a topic.
+func (s *Store) Newest(name string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string][]byte{}
+	for key, i := range s.topic(name).newest() {
+		out[key] = i.Value
+	}
+	return out
+}
+
 // notifyReaders makes waiting reads check again. The caller must hold mu.
 func (s *Store) notifyReaders() {
 	close(s.changed)
@@ -150,6 +180,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerEra, strconv.FormatInt(s.Era(), 10))
 	if s.injectFault(w, r) {
 		return
 	}
@@ -223,12 +254,15 @@
 	timeout := time.After(min(maxReadWait, time.Duration(wait)*time.Millisecond))
 	for {
 		s.mu.Lock()
+		// The store may have come back from a copy while the read waited.
+		w.Header().Set(headerEra, strconv.FormatInt(s.era, 10))
 		t := s.topic(q.Get("topic"))
 		end, first, changed := len(t.records), t.first, s.changed
 		records := t.records[min(max(from, 0), end):]
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
+			_ = json.NewEncoder(w).Encode(map[string]int{"first_offset": first})
 			return
 		}
 		if len(records) > 0 || wait == 0 {
@@ -279,17 +313,7 @@
 func (s *Store) newest(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	s.mu.Lock()
 	t := s.topic(r.URL.Query().Get("topic"))
-	end := len(t.records)
-	newest := map[string]item{}
-	for i, rec := range t.records {
-		n := int(rec[0])
-		key, value := string(rec[1:1+n]), rec[1+n:]
-		if len(value) == 0 {
-			delete(newest, key)
-		} else {
-			newest[key] = item{Key: key, Value: value, Offset: i}
-		}
-	}
+	end, newest := len(t.records), t.newest()
 	s.mu.Unlock()
 	items := make([]item, 0, len(newest))
 	for _, i := range newest {
--- a/emulator/platformlog/faults.go
+++ b/emulator/platformlog/faults.go
@@ -31,6 +31,10 @@
 	// of ExpireStream is "config".
 	ExpireBefore int64  `json:"expire_before,omitempty"`
 	ExpireStream string `json:"expire_stream,omitempty"`
+	// LoseFrom drops the records of LostStream from an offset on, once, and gives out
+	// their offsets again.
+	LoseFrom   int64  `json:"lose_from,omitempty"`
+	LostStream string `json:"lost_stream,omitempty"`
 }
 
 // SetFaults replaces the faults.
@@ -43,6 +47,9 @@
 			}
 			st.stream(name).dropBefore(f.ExpireBefore)
 		}
+		if f.LostStream != "" {
+			st.stream(f.LostStream).dropFrom(f.LoseFrom)
+		}
 		st.faults = f
 		close(st.faultsChanged)
 		st.faultsChanged = make(chan struct{})
--- a/emulator/platformlog/store.go
+++ b/emulator/platformlog/store.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// dropFrom drops the records from an offset on, as a log does that comes back from an
+// older copy.
+func (s *stream) dropFrom(offset int64) {
+	if n := max(offset, s.first) - s.first; n < int64(len(s.records)) {
+		s.records = s.records[:n:n]
+	}
+}
+
 // store is owned by the server's task.
 type store struct {
 	cfg     Config
--- a/gateway/crash_sharing_test.go
+++ b/gateway/crash_sharing_test.go
@@ -29,7 +29,7 @@
 	return b, err
 }
 
-func (s *isolation) Read(ctx context.Context, t core.Topic, from int64, wait time.Duration) (core.KeyedBatch, error) {
+func (s *isolation) Read(ctx context.Context, t core.Topic, from core.Position, wait time.Duration) (core.KeyedBatch, error) {
 	if s.cut.Load() {
 		return core.KeyedBatch{}, core.ErrUnavailable
 	}
--- a/gateway/crash_store.go
+++ b/gateway/crash_store.go
@@ -46,12 +46,19 @@
 	return crashSaveDelay
 }
 
+// saveAgainDelay is the delay after which a crash that the store has lost is saved again.
+// All gateways hold it, and the first one to save it spares the others the call.
+func saveAgainDelay() time.Duration { return time.Duration(rand.Int64N(int64(peerSaveSpread))) }
+
 // crashWrites holds what has to be written to the topic of crashes. It is owned by
 // the gateway's task.
 type crashWrites struct {
 	pending map[string]crashWrite
-	// stored holds the keys of the crashes that are known to be in the store.
+	// stored holds the keys of the crashes that are known to be in the store, in an era
+	// of it. loaded is set after the first read.
 	stored map[string]bool
+	era    int64
+	loaded bool
 }
 
 // crashWrite adds or removes the record of one crash.
@@ -136,18 +143,29 @@
 	return retry.Crash{Fingerprint: fp, ID: id}, nil
 }
 
-// watchCrashes reads the crash records of all gateways.
-func (g *Gateway) watchCrashes(ctx context.Context) {
-	w := &topicWatcher{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, apply: func(b core.KeyedBatch, _ bool) {
-		g.task.Do(func() {
-			for _, r := range b.Records {
-				if err := g.applyCrashRecord(r, time.Now()); err != nil {
-					g.log.Warn("invalid record", zap.String("source", sourceStore), zap.Error(err))
-				}
+// applyCrashes applies crash records from the store. A full list of a new era lacks what
+// was written after the copy from which the store has come back, so that is saved again.
+func (g *Gateway) applyCrashes(read topicRead) {
+	g.task.Do(func() {
+		now, w := time.Now(), g.state.crashWrites
+		lost := read.full && w.loaded && read.Next.Era > w.era
+		if read.full {
+			w.loaded, w.era, w.stored = true, read.Next.Era, map[string]bool{}
+		}
+		for _, r := range read.Records {
+			if err := g.applyCrashRecord(r, now); err != nil {
+				g.log.Warn("invalid record", zap.String("source", sourceStore), zap.Error(err))
 			}
-		})
-	}}
-	w.run(ctx)
+		}
+		if !lost {
+			return
+		}
+		for _, r := range g.state.quarantine.Records(retry.MaxFingerprints, now) {
+			for _, c := range r.Crashes {
+				w.add(c, now.Add(saveAgainDelay()))
+			}
+		}
+	})
 }
 
 // applyCrashRecord applies one record of the topic of crashes. It runs in the task.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,11 +99,15 @@
 	bodyBytes            atomic.Int64
 	nextID               atomic.Uint64
 	refreshServersSignal chan struct{}
-	livenessChecks       chan livenessCheck
-	callerServer         *callerServer
-	cancel               context.CancelFunc
-	wg                   *conc.WaitGroup
-	done                 chan struct{}
+	registerSignal       chan struct{}
+	watchers             []*topicWatcher
+	// era is the latest known era of the store, or noEra.
+	era            atomic.Int64
+	livenessChecks chan livenessCheck
+	callerServer   *callerServer
+	cancel         context.CancelFunc
+	wg             *conc.WaitGroup
+	done           chan struct{}
 }
 
 // state is owned by the gateway's task.
@@ -139,8 +143,11 @@
 		wg:                   conc.NewWaitGroup(),
 		done:                 make(chan struct{}),
 		refreshServersSignal: make(chan struct{}, 1),
+		registerSignal:       make(chan struct{}, 1),
 		livenessChecks:       make(chan livenessCheck, maxQueuedLivenessChecks),
 	}
+	g.era.Store(noEra)
+	g.watchers = g.newWatchers()
 	g.client = backend.New(backend.Config{
 		MaxIdleConnsPerServer: maxIdleConnsPerServer,
 		RequestID:             func(h http.Header) string { return cfg.Headers.Reply(0, h).RequestID },
@@ -219,8 +226,12 @@
 			g.log.Error("peer listener failed", zap.Error(err))
 		}
 	})
-	for _, loop := range []func(context.Context){g.watchOperator, g.watchServers, g.watchMembers, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords,
-		g.watchCrashes, g.saveCrashes} {
+	g.dialSeeds()
+	loops := []func(context.Context){g.registerMember, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords, g.saveCrashes}
+	for _, w := range g.watchers {
+		loops = append(loops, w.run)
+	}
+	for _, loop := range loops {
 		g.wg.Go(func() { loop(run) })
 	}
 	g.log.Info("gateway started", zap.String("id", g.cfg.ID), zap.String("incarnation", g.cfg.Incarnation),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -44,6 +44,8 @@
 	links      func(core.KeyedStore) core.KeyedStore
 	isolations []*isolation
 	version    int
+	// reports is the number of reports of all servers.
+	reports    int
 	routes     []map[string]any
 	keys       []string
 	limits     map[string]any
@@ -120,8 +122,9 @@
 }
 
 func (d *deployment) announce(id, service, state string) {
+	d.reports++
 	d.store.PutJSON("keyed.servers", id, map[string]any{
-		"service": service, "addr": d.runners[id].Address(), "zone": "z1", "slots": 4, "state": state, "born": 1,
+		"service": service, "addr": d.runners[id].Address(), "zone": "z1", "slots": 4, "state": state, "born": 1, "seq": d.reports,
 	})
 }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -67,33 +67,50 @@
 	}
 }
 
-// watchMembers registers this gateway in the store and then watches the store for
-// other gateways.
-func (g *Gateway) watchMembers(ctx context.Context) {
+// dialSeeds dials the gateways that are known at the start.
+func (g *Gateway) dialSeeds() {
 	g.task.Do(func() {
 		for a := range g.state.members.known {
 			g.node.KeepConnected(a)
 		}
 	})
-	for ctx.Err() == nil {
-		err := g.cfg.Store.Put(ctx, core.TopicMembers, g.cfg.ID, []byte(g.cfg.PeerAddress))
-		if err == nil {
-			break
+}
+
+// applyMembers adds the gateways that the store lists. If a full list lacks this one, as
+// after its start and when the store has come back from an older copy, it is registered.
+func (g *Gateway) applyMembers(read topicRead) {
+	listed := false
+	g.task.Do(func() {
+		for _, r := range read.Records {
+			listed = listed || r.Key == g.cfg.ID && string(r.Value) == g.cfg.PeerAddress
+			if !r.Deleted {
+				g.addMember(string(r.Value))
+			}
 		}
-		g.log.Warn("registering the gateway in the store failed; retrying", zap.Error(err))
+	})
+	if read.full && !listed {
+		signal(g.registerSignal)
+	}
+}
+
+// registerMember registers this gateway in the store whenever it is not listed.
+func (g *Gateway) registerMember(ctx context.Context) {
+	for {
 		select {
-		case <-time.After(maxBackoff):
+		case <-g.registerSignal:
 		case <-ctx.Done():
+			return
 		}
-	}
-	w := &topicWatcher{gateway: g, topic: core.TopicMembers, wait: membersReadWait, apply: func(b core.KeyedBatch, _ bool) {
-		g.task.Do(func() {
-			for _, r := range b.Records {
-				if !r.Deleted {
-					g.addMember(string(r.Value))
-				}
+		for ctx.Err() == nil {
+			err := g.cfg.Store.Put(ctx, core.TopicMembers, g.cfg.ID, []byte(g.cfg.PeerAddress))
+			if err == nil {
+				break
 			}
-		})
-	}}
-	w.run(ctx)
+			g.log.Warn("registering the gateway in the store failed; retrying", zap.Error(err))
+			select {
+			case <-time.After(maxBackoff):
+			case <-ctx.Done():
+			}
+		}
+	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -46,8 +46,10 @@
 func (g *Gateway) heartbeatFrame() *peerpb.Frame {
 	d := g.state.directory
 	b := &peerpb.DirectoryBeat{
-		OperatorNextOffset: d.NextOffset(core.TopicOperator),
-		ServersNextOffset:  d.NextOffset(core.TopicServers),
+		OperatorNextOffset: d.Next(core.TopicOperator).Offset,
+		OperatorEra:        d.Next(core.TopicOperator).Era,
+		ServersNextOffset:  d.Next(core.TopicServers).Offset,
+		ServersEra:         d.Next(core.TopicServers).Era,
 		Gateways:           g.state.members.addresses(),
 	}
 	for id, n := range g.state.dispatcher.LocalLoad() {
@@ -115,11 +117,15 @@
 		loads[l.GetServerId()] = int(l.GetRequests())
 	}
 	g.state.dispatcher.SetPeerLoad(from.Hello.GetId(), loads, now)
-	next := [2]int64{b.GetOperatorNextOffset(), b.GetServersNextOffset()}
+	next := [2]core.Position{
+		{Era: b.GetOperatorEra(), Offset: b.GetOperatorNextOffset()},
+		{Era: b.GetServersEra(), Offset: b.GetServersNextOffset()},
+	}
 	for t, theirs := range next {
 		topic := core.Topic(t)
-		ours := g.state.directory.NextOffset(topic)
-		if theirs <= ours {
+		g.seeEra(theirs.Era, from.Hello.GetId())
+		ours := g.state.directory.Next(topic)
+		if !ours.Before(theirs) {
 			g.state.behindSince[t] = time.Time{}
 			continue
 		}
@@ -132,26 +138,26 @@
 		}
 		if now.Sub(g.state.behindSince[t]) >= delay {
 			from.SendControl(&peerpb.Frame{Body: &peerpb.Frame_DirectoryPull{
-				DirectoryPull: &peerpb.DirectoryPull{Topic: int32(t), FromOffset: ours},
+				DirectoryPull: &peerpb.DirectoryPull{Topic: int32(t), FromOffset: ours.Offset, Era: ours.Era},
 			}})
 		}
 	}
 }
 
-// onPull sends a peer the records of a topic from an offset on. It runs in the
-// task.
-func (g *Gateway) onPull(from *peer.Session, p *peerpb.DirectoryPull) {
+// onPull sends a peer the records of a topic from a position on, or all of them if it
+// cannot tell what the peer has missed. It runs in the task.
+func (g *Gateway) onPull(to *peer.Session, p *peerpb.DirectoryPull) {
 	t := core.Topic(p.GetTopic())
 	if t != core.TopicOperator && t != core.TopicServers {
-		g.log.Warn("peer requested records of an unknown topic", zap.String("peer", from.Hello.GetId()), zap.Int32("topic", p.GetTopic()))
+		g.log.Warn("peer requested records of an unknown topic", zap.String("peer", to.Hello.GetId()), zap.Int32("topic", p.GetTopic()))
 		return
 	}
-	d := g.state.directory
-	out := &peerpb.DirectoryRecords{Topic: p.GetTopic(), NextOffset: d.NextOffset(t)}
-	for _, r := range d.Records(t, p.GetFromOffset()) {
-		out.Records = append(out.Records, &peerpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Offset, Deleted: r.Deleted})
+	b, full := g.state.directory.Since(t, core.Position{Era: p.GetEra(), Offset: p.GetFromOffset()})
+	out := &peerpb.DirectoryRecords{Topic: p.GetTopic(), NextOffset: b.Next.Offset, Era: b.Next.Era, Full: full}
+	for _, r := range b.Records {
+		out.Records = append(out.Records, &peerpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Position.Offset, Deleted: r.Deleted})
 	}
-	from.SendControl(&peerpb.Frame{Body: &peerpb.Frame_DirectoryRecords{DirectoryRecords: out}})
+	to.SendControl(&peerpb.Frame{Body: &peerpb.Frame_DirectoryRecords{DirectoryRecords: out}})
 }
 
 // onRecords applies records that were pulled from a peer. It runs in the task.
@@ -160,11 +166,11 @@
 	if t != core.TopicOperator && t != core.TopicServers {
 		return
 	}
-	b := core.KeyedBatch{NextOffset: p.GetNextOffset()}
+	b := core.KeyedBatch{Next: core.Position{Era: p.GetEra(), Offset: p.GetNextOffset()}}
 	for _, r := range p.GetRecords() {
-		b.Records = append(b.Records, core.KeyedRecord{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset(), Deleted: r.GetDeleted()})
+		b.Records = append(b.Records, core.KeyedRecord{Key: r.GetKey(), Value: r.GetValue(), Position: b.Next.WithOffset(r.GetOffset()), Deleted: r.GetDeleted()})
 	}
-	g.applyRecords(t, b, false, from.Hello.GetId(), now)
+	g.applyRecords(t, b, p.GetFull(), from.Hello.GetId(), now)
 }
 
 // broadcastGroupView sends the group view to all rank agents if it has changed. It
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
@@ -25,19 +27,28 @@
 	maxBackoff         = 800 * time.Millisecond
 )
 
-// topicWatcher reads one topic of the store and passes its records to apply. full
-// is set for the newest records of all keys, which the first read returns.
+// topicRead is the result of a read of the store. full is set for the newest records of
+// all keys, which the first read of an era returns. begun is when the read began.
+type topicRead struct {
+	core.KeyedBatch
+	full  bool
+	begun time.Time
+}
+
+// topicWatcher reads one topic of the store and passes what it reads to apply.
 type topicWatcher struct {
 	gateway  *Gateway
 	topic    core.Topic
 	wait     time.Duration
 	interval time.Duration
-	apply    func(b core.KeyedBatch, full bool)
+	apply    func(r topicRead)
 	// refresh ends the wait between two reads early; it may be nil.
-	refresh    <-chan struct{}
-	nextOffset int64
-	loaded     bool
-	failed     bool
+	refresh <-chan struct{}
+	next    core.Position
+	loaded  bool
+	failed  bool
+	// cancelRead ends the read in progress early.
+	cancelRead atomic.Pointer[context.CancelFunc]
 }
 
 // run reads until ctx is done. It retries failed reads with exponential backoff and
@@ -45,7 +56,10 @@
 func (w *topicWatcher) run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := w.read(ctx)
+		err := w.readOnce(ctx)
+		if errors.Is(err, errNewEra) {
+			continue
+		}
 		if err == nil {
 			backoff = minBackoff
 			w.sleep(ctx, min(w.interval, minServersInterval))
@@ -88,36 +102,89 @@
 
 // refreshServers requests an early read of the list of backend servers, after a
 // server was not found at its listed address. It does not block.
-func (g *Gateway) refreshServers() {
+func (g *Gateway) refreshServers() { signal(g.refreshServersSignal) }
+
+// signal sends to a channel with a buffer of one, unless it is full.
+func signal(ch chan<- struct{}) {
 	select {
-	case g.refreshServersSignal <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
 
-// read reads the newest records of all keys at first, and after that the records
-// that follow.
+// errNewEra ends a read when the store has begun a new era, which has to be read from
+// its beginning.
+const errNewEra = errors.ConstError("store has begun a new era")
+
+// readOnce makes one read, which newEra ends early.
+func (w *topicWatcher) readOnce(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.cancelRead.Store(&cancel)
+	era := w.gateway.era.Load()
+	err := w.read(ctx)
+	if err != nil && w.gateway.era.Load() > era {
+		return errNewEra
+	}
+	return err
+}
+
+// read reads the newest records of all keys at first and after each new era, and after
+// that the records that follow.
 func (w *topicWatcher) read(ctx context.Context) error {
-	if !w.loaded {
+	begun := time.Now()
+	if !w.loaded || w.next.Era < w.gateway.era.Load() {
 		b, err := w.gateway.cfg.Store.Newest(ctx, w.topic)
+		if known := w.gateway.era.Load(); err == nil && b.Next.Era < known {
+			err = fmt.Errorf("store answers from era %d, a gateway has seen era %d: %w", b.Next.Era, known, core.ErrUnavailable)
+		}
 		if err != nil {
 			return err
 		}
-		w.loaded, w.nextOffset = true, b.NextOffset
+		w.loaded, w.next = true, b.Next
 		w.readSucceeded()
-		w.apply(b, true)
+		w.gateway.seeEra(b.Next.Era, sourceStore)
+		w.apply(topicRead{b, true, begun})
 		return nil
 	}
-	b, err := w.gateway.cfg.Store.Read(ctx, w.topic, w.nextOffset, w.wait)
+	b, err := w.gateway.cfg.Store.Read(ctx, w.topic, w.next, w.wait)
 	if err != nil {
 		return err
 	}
 	w.readSucceeded()
-	w.nextOffset = b.NextOffset
-	w.apply(b, false)
+	if b.Next.Era != w.next.Era {
+		w.gateway.seeEra(b.Next.Era, sourceStore)
+		return errNewEra
+	}
+	w.next = b.Next
+	w.apply(topicRead{b, false, begun})
 	return nil
 }
 
+// noEra is the era before the first answer of the store.
+const noEra = -1
+
+// seeEra records an era of the store. A new one makes all watchers read their topics
+// anew.
+func (g *Gateway) seeEra(era int64, source string) {
+	for known := g.era.Load(); era > known; known = g.era.Load() {
+		if !g.era.CompareAndSwap(known, era) {
+			continue
+		}
+		if known == noEra {
+			return
+		}
+		g.log.Warn("the store has come back from a copy; reading it anew", zap.Int64("era", era), zap.Int64("before", known),
+			zap.String("source", source))
+		for _, w := range g.watchers {
+			if cancel := w.cancelRead.Load(); cancel != nil {
+				(*cancel)()
+			}
+		}
+		return
+	}
+}
+
 func (w *topicWatcher) readFailed(err error) {
 	if !w.failed {
 		w.gateway.log.Warn("store lost", zap.Int("topic", int(w.topic)), zap.Error(err))
@@ -133,32 +200,35 @@
 
 func (w *topicWatcher) readSucceeded() {
 	if w.failed {
-		w.gateway.log.Info("store regained", zap.Int("topic", int(w.topic)), zap.Int64("next_offset", w.nextOffset))
+		w.gateway.log.Info("store regained", zap.Int("topic", int(w.topic)), zap.Int64("next_offset", w.next.Offset))
 	}
 	w.failed = false
 }
 
-func (g *Gateway) watchOperator(ctx context.Context) {
-	w := &topicWatcher{gateway: g, topic: core.TopicOperator, wait: operatorReadWait, apply: g.applyFunc(core.TopicOperator)}
-	w.run(ctx)
-}
-
-func (g *Gateway) watchServers(ctx context.Context) {
-	w := &topicWatcher{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, refresh: g.refreshServersSignal,
-		apply: g.applyFunc(core.TopicServers)}
-	w.run(ctx)
+// newWatchers returns the watchers of all topics.
+func (g *Gateway) newWatchers() []*topicWatcher {
+	return []*topicWatcher{
+		{gateway: g, topic: core.TopicOperator, wait: operatorReadWait, apply: g.applyFunc(core.TopicOperator)},
+		{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, refresh: g.refreshServersSignal, apply: g.applyFunc(core.TopicServers)},
+		{gateway: g, topic: core.TopicMembers, wait: membersReadWait, apply: g.applyMembers},
+		{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, apply: g.applyCrashes},
+	}
 }
 
 // applyFunc returns the function that applies the records of a topic that were
 // read from the store.
-func (g *Gateway) applyFunc(t core.Topic) func(core.KeyedBatch, bool) {
-	return func(b core.KeyedBatch, full bool) {
+func (g *Gateway) applyFunc(t core.Topic) func(topicRead) {
+	return func(r topicRead) {
 		now := time.Now()
 		g.task.Do(func() {
 			if t == core.TopicServers {
 				g.state.directory.StoreAnswered(now)
 			}
-			g.applyRecords(t, b, full, "store", now)
+			g.applyRecords(t, r.KeyedBatch, r.full, sourceStore, now)
+			if r.AtEnd && g.state.directory.Settle(t, r.begun, now) == directory.ChangeServers {
+				g.logServers(sourceStore)
+				g.serversChanged(now)
+			}
 		})
 	}
 }
@@ -172,14 +242,7 @@
 	if full {
 		changes, err = d.Replace(t, b, now)
 	} else {
-		for _, r := range b.Records {
-			c, e := d.Apply(t, r, now)
-			if e != nil {
-				err = e
-			}
-			changes = append(changes, c)
-		}
-		d.Advance(t, b.NextOffset)
+		changes, err = d.Append(t, b, now)
 	}
 	if err != nil {
 		g.log.Warn("invalid record", zap.String("source", source), zap.Error(err))
@@ -214,7 +277,7 @@
 		}
 	}
 	g.log.Info("backend servers changed", zap.String("source", source), zap.Int("known", len(list)),
-		zap.Int("usable", usable), zap.Int64("next_offset", g.state.directory.NextOffset(core.TopicServers)))
+		zap.Int("usable", usable), zap.Int64("next_offset", g.state.directory.Next(core.TopicServers).Offset))
 }
 
 // serversChanged passes the current servers to the dispatcher and to rank agents.
--- a/io/platformlog/client.go
+++ b/io/platformlog/client.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"nutmegnotch/core"
@@ -30,6 +31,15 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	mu      sync.Mutex
+	streams map[string]streamState
+}
+
+// streamState is what the log has stated of a stream: the highest next offset, and
+// whether a later answer had a lower one.
+type streamState struct {
+	next int64
+	lost bool
 }
 
 var _ core.Log = (*Client)(nil)
@@ -55,7 +65,7 @@
 // NewWithTransport returns a client that uses the given transport. base is an HTTP
 // URL, and the timeout has no default.
 func NewWithTransport(base string, timeout time.Duration, t http.RoundTripper) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), timeout: timeout, http: &http.Client{Transport: t}}
+	return &Client{base: strings.TrimSuffix(base, "/"), timeout: timeout, http: &http.Client{Transport: t}, streams: map[string]streamState{}}
 }
 
 // Close closes idle connections.
@@ -85,7 +95,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("append to stream %q: %w: %w", stream, err, core.ErrInvalid)
 	}
-	a, err := c.call(req)
+	a, err := c.call(req, stream)
 	if err != nil {
 		return 0, fmt.Errorf("append to stream %q: %w", stream, err)
 	}
@@ -109,7 +119,7 @@
 	if err != nil {
 		return core.Batch{}, fmt.Errorf("read stream %q: %w: %w", stream, err, core.ErrInvalid)
 	}
-	a, err := c.call(req)
+	a, err := c.call(req, stream)
 	b := core.Batch{FirstOffset: a.FirstOffset, NextOffset: a.NextOffset}
 	if err != nil {
 		return b, fmt.Errorf("read stream %q from %d: %w", stream, from, err)
@@ -128,7 +138,7 @@
 	if err != nil {
 		return core.Batch{}, fmt.Errorf("read offsets of stream %q: %w: %w", stream, err, core.ErrInvalid)
 	}
-	a, err := c.call(req)
+	a, err := c.call(req, stream)
 	if err != nil {
 		return core.Batch{}, fmt.Errorf("read offsets of stream %q: %w", stream, err)
 	}
@@ -139,9 +149,14 @@
 	return c.base + "/streams/" + url.PathEscape(stream) + rest
 }
 
-// call sends a request and decodes the response. A response with status 410 is
-// decoded and returned together with ErrExpired.
-func (c *Client) call(req *http.Request) (response, error) {
+// call sends a request about a stream and decodes the response. A response with status
+// 410 is decoded and returned together with ErrExpired. Once the log has lost records of
+// the stream, all calls fail: what was decided by the lost records would be decided again.
+func (c *Client) call(req *http.Request, stream string) (response, error) {
+	before, err := c.known(stream)
+	if err != nil {
+		return response{}, err
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return response{}, transportError(err)
@@ -158,12 +173,52 @@
 	if err := json.Unmarshal(body, &a); err != nil {
 		return response{}, fmt.Errorf("decode answer: %w: %w", err, core.ErrUnavailable)
 	}
+	if err := c.checkNext(stream, before, a); err != nil {
+		return response{}, err
+	}
 	if resp.StatusCode == http.StatusGone {
 		return a, fmt.Errorf("first offset is %d: %w", a.FirstOffset, core.ErrExpired)
 	}
 	return a, nil
 }
 
+// known returns the highest next offset that the log has stated, or an error if it has
+// lost records since.
+func (c *Client) known(stream string) (int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.streams[stream]
+	if s.lost {
+		return 0, recordsLost(stream)
+	}
+	return s.next, nil
+}
+
+// checkNext compares an answer with the next offset that was known when it was asked.
+// Answers to concurrent calls may arrive in any order.
+func (c *Client) checkNext(stream string, before int64, a response) error {
+	next := a.NextOffset
+	if a.Offset != nil {
+		next = *a.Offset + 1
+		before++
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.streams[stream]
+	s.lost = s.lost || next < before
+	s.next = max(s.next, next)
+	c.streams[stream] = s
+	if s.lost {
+		return recordsLost(stream)
+	}
+	return nil
+}
+
+func recordsLost(stream string) error {
+	return fmt.Errorf("stream %q: %w: restore the log, or restart all processes once the claim window has passed: %w",
+		stream, core.ErrRecordsLost, core.ErrUnavailable)
+}
+
 // transportError adds ErrNotAppended if no connection was established, so that the
 // log cannot have received the request.
 func transportError(err error) error {
--- a/io/platformlog/client_test.go
+++ b/io/platformlog/client_test.go
@@ -131,3 +131,34 @@
 	expired("by age", 5)
 	log.SetFaults(emulator.Faults{})
 }
+
+// Guards against a client that goes on with a log that has lost acknowledged records and
+// gives out their offsets again.
+func TestLogThatLosesRecords(t *testing.T) {
+	log, c, _ := start(t, emulator.Config{})
+	ctx := context.Background()
+	for _, stream := range []string{"a", "b"} {
+		for range 3 {
+			if _, err := c.Append(ctx, stream, []byte("x")); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	log.SetFaults(emulator.Faults{LostStream: "a", LoseFrom: 1})
+	calls := []struct {
+		name string
+		call func() error
+	}{
+		{"append", func() error { _, err := c.Append(ctx, "a", []byte("y")); return err }},
+		{"read", func() error { _, err := c.Read(ctx, "a", 3, 1, 0); return err }},
+		{"offsets", func() error { _, err := c.Offsets(ctx, "a"); return err }},
+	}
+	for _, call := range calls {
+		if err := call.call(); !errors.Is(err, core.ErrRecordsLost) || !errors.Is(err, core.ErrUnavailable) {
+			t.Errorf("%s: got %v, want %v", call.name, err, core.ErrRecordsLost)
+		}
+	}
+	if _, err := c.Append(ctx, "b", []byte("y")); err != nil {
+		t.Errorf("append to another stream: got %v, want no error", err)
+	}
+}
--- a/systemtest/idempotency_test.go
+++ b/systemtest/idempotency_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"nutmegnotch/core/claim"
 	"nutmegnotch/emulator/desk"
 	"nutmegnotch/emulator/platformlog"
 )
@@ -285,3 +286,33 @@
 	}
 	return list
 }
+
+// Guards against a second run of a booking whose claim the log has lost, because it has
+// come back from an older copy and gives out the offsets again.
+func TestBookingWhenTheLogLosesClaims(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, clusterConfig{entries: 2, desks: 2})
+	c.waitReady()
+	l := c.client("trails")
+	const keys = 8
+	for i := range keys {
+		if a := l.book(c.entries[i%2], fmt.Sprintf("lost-%d", i)); a.result != resultOK {
+			t.Fatalf("booking %d: got %+v, want a booking", i, a)
+		}
+	}
+	// The settings of the processes leave claims.partitions at its default.
+	for p := range 4 {
+		c.log.SetFaults(platformlog.Faults{LostStream: claim.Stream(p)})
+	}
+	for i := range keys {
+		for _, e := range c.entries {
+			if a := l.book(e, fmt.Sprintf("lost-%d", i)); a.result == resultUnknown {
+				t.Logf("repeat of booking %d at %s: %+v", i, e.id, a)
+			}
+		}
+	}
+	if n := len(c.bookings()); n != keys {
+		t.Errorf("bookings: got %d, want %d", n, keys)
+	}
+	checkAll(t, c.collect())
+}
