Heed servers that say they leave or ask for a pause

Gateways knew neither: they went on sending to both.

A process that says it leaves is out of placing at once, here and at the other gateways, and stays so whatever the store says until a new process has its id. A paused server gets nothing from this gateway for the time, of 10 minutes at most, and then one request at a time and twice as many after each reply; a rejection by a pause is no failure. Other gateways learn of it as a hint for placing. While all servers are paused, requests wait if one opens in time, and are refused at once with the time at which one opens if not. Both spellings of the first header are taken.

Evidence: TestServerThatSaysItLeaves, TestStreamOfALeavingServerGoesOn, TestServerThatAsksForAPause and TestCallersOfPausedServers fail without the statements being read, and pass now.

--- a/core/directory/era.go
+++ b/core/directory/era.go
@@ -105,6 +105,38 @@
 	return known
 }
 
+// MarkLeaving records that a process has said that it leaves, in whichever way. It counts
+// whatever its records say until it ends.
+func (d *Directory) MarkLeaving(id string, startedUnixMS int64, now time.Time) Change {
+	p, known := d.processes.byID[id]
+	if known && p.startedUnixMS != startedUnixMS {
+		return ChangeNone
+	}
+	e := d.servers[id]
+	p.startedUnixMS, p.leaving = startedUnixMS, true
+	d.processes.byID[id] = p
+	if e == nil {
+		d.processes.ended(id, now)
+		return ChangeNone
+	}
+	if e.server.State == core.BackendLeaving {
+		return ChangeNone
+	}
+	e.server.State = core.BackendLeaving
+	return ChangeServers
+}
+
+// Leaving returns the servers that leave.
+func (d *Directory) Leaving() []core.BackendServer {
+	var out []core.BackendServer
+	for _, e := range d.servers {
+		if e.server.State == core.BackendLeaving {
+			out = append(out, e.server)
+		}
+	}
+	return out
+}
+
 // ended records that a process is no longer listed.
 func (ps *processes) ended(id string, now time.Time) {
 	p := ps.byID[id]
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -57,6 +57,7 @@
 	// ownOutage is the outage of a server without a group.
 	ownOutage outage
 	cold      coldLimit
+	pause     pause
 	// lastEvent is the time of the last stream event of a server with requests,
 	// or of its first request.
 	lastEvent time.Time
@@ -225,9 +226,10 @@
 	return g
 }
 
-// choose returns the server for a request, or nil. full reports that some
-// servers could take it later.
-func (d *Dispatcher) choose(s *service, r Request, now time.Time) (best *server, full bool) {
+// choose returns the server for a request, or nil. full reports that some servers could
+// take it later. opens is when the first pause of a server ends that could take it then,
+// or zero if there is none.
+func (d *Dispatcher) choose(s *service, r Request, now time.Time) (best *server, full bool, opens time.Time) {
 	var fullGroups map[string]bool
 	if !r.Resumed {
 		fullGroups = s.fullGroups(d.engines, now)
@@ -240,12 +242,18 @@
 		if !sv.health.available(now) || !s.outageOf(sv).admits(r, now) {
 			continue
 		}
+		if sv.pause.active(now) {
+			if opens.IsZero() || sv.pause.until.Before(opens) {
+				opens = sv.pause.until
+			}
+			continue
+		}
 		load := sv.load(now)
-		if fullGroups[sv.Place.Group] || load >= s.limit(sv) || !sv.cold.allows(sv.ColdUntil, s.config.ColdRequestsPerSecond/float64(d.gateways), now) {
+		if sv.pause.full(sv.requests) || fullGroups[sv.Place.Group] || load >= s.limit(sv) || !sv.cold.allows(sv.ColdUntil, s.config.ColdRequestsPerSecond/float64(d.gateways), now) {
 			full = true
 			continue
 		}
-		score := float64(load+1)/float64(sv.Slots)*d.engines.slowdown(sv.Address, now) + sv.health.penalty(now) + tieBreakWeight*d.rnd.Float64()
+		score := float64(load+1)/float64(sv.Slots)*d.engines.slowdown(sv.Address, now) + sv.health.penalty(now) + sv.pause.penalty(now) + tieBreakWeight*d.rnd.Float64()
 		if sv.Domain != d.domain {
 			score += domainPenalty
 		}
@@ -254,7 +262,7 @@
 			best, bestScore = sv, score
 		}
 	}
-	return best, full || best != nil
+	return best, full || best != nil, opens
 }
 
 // Weights of the score; 1 is the load of a full server.
@@ -294,16 +302,20 @@
 	switch {
 	case replied:
 		s.outageOf(sv).end()
+		sv.pause.replied(sv.Slots, now)
 	case o == OutcomeShed && s.config.Engine != nil:
 		s.outageOf(sv).rejected(now)
 	}
 }
 
 // RetryAfter returns the Retry-After for a request that no server has served.
-// It is short while some server serves. It is long when all are out of service,
-// since callers retry only a few times.
-func (d *Dispatcher) RetryAfter(name string) time.Duration {
+// It is short while some server serves. When all are paused, it ends with the first
+// pause. It is long when all are out of service, since callers retry only a few times.
+func (d *Dispatcher) RetryAfter(name string, now time.Time) time.Duration {
 	s := d.service(name)
+	if opens := s.opensAt(now); !opens.IsZero() {
+		return max(minRetryAfter, opens.Sub(now))
+	}
 	for _, sv := range s.serverList {
 		if sv.Usable && !sv.health.excluded() && !s.outageOf(sv).active() {
 			return shedRetryAfter
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -271,7 +271,7 @@
 	if v.Rejected != dispatch.ReasonNoServer || v.RetryAfter < 2*time.Second {
 		t.Errorf("decision after 100 rejections: got %+v, want %s with a long Retry-After", v, dispatch.ReasonNoServer)
 	}
-	if got := d.RetryAfter("s"); got < 2*time.Second {
+	if got := d.RetryAfter("s", start); got < 2*time.Second {
 		t.Errorf("Retry-After after a rejection by the group: got %v, want at least 2s", got)
 	}
 	sent := 0
@@ -309,7 +309,7 @@
 	if v, _ = d.Offer(request(2, 0), start); v.Rejected != "" {
 		t.Errorf("request after one rejection: got %s, want a server", v.Rejected)
 	}
-	if got := d.RetryAfter("s"); got > time.Second {
+	if got := d.RetryAfter("s", start); got > time.Second {
 		t.Errorf("Retry-After after one rejection: got %v, want at most 1s", got)
 	}
 }
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -62,7 +62,7 @@
 	case OutcomeServed:
 		h.successes++
 		h.include()
-	case OutcomeUnverified:
+	case OutcomeUnverified, OutcomePaused:
 		h.include()
 	case OutcomeShed, OutcomeFailed:
 		h.failures++
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -11,14 +11,18 @@
 	s := d.service(r.Service)
 	allOut := s.allInOutage()
 	if len(s.queue) == 0 || !s.queuedBefore(r, now) || allOut {
-		if sv, full := d.choose(s, r, now); sv != nil {
+		sv, full, opens := d.choose(s, r, now)
+		switch {
+		case sv != nil:
 			return d.assign(s, sv, r, now), true
-		} else if !full && !s.waitsForRecovery(r) {
+		case !full && !opens.IsZero() && opens.After(r.QueueDeadline):
+			return s.reject(r, ReasonPaused, now), true
+		case !full && opens.IsZero() && !s.waitsForRecovery(r):
 			return s.reject(r, ReasonNoServer, now), true
 		}
 	}
-	// During an outage the completion rate says nothing about the wait.
-	if wait := s.expectedWait(len(s.queue)+1, now); !allOut && now.Add(wait).After(r.QueueDeadline) {
+	// During an outage or a pause the completion rate says nothing about the wait.
+	if wait := s.expectedWait(len(s.queue)+1, now); !allOut && s.opensAt(now).IsZero() && now.Add(wait).After(r.QueueDeadline) {
 		return s.reject(r, ReasonTooLate, now), true
 	}
 	if len(s.queue) >= s.maxQueueLength(d.gateways) {
@@ -124,11 +128,13 @@
 				kept = append(kept, r)
 				continue
 			}
-			sv, full := d.choose(s, r, now)
+			sv, full, opens := d.choose(s, r, now)
 			switch {
 			case sv != nil:
 				out = append(out, d.assign(s, sv, r, now))
-			case !full && !s.waitsForRecovery(r):
+			case !full && !opens.IsZero() && opens.After(r.QueueDeadline):
+				out = append(out, s.reject(r, ReasonPaused, now))
+			case !full && opens.IsZero() && !s.waitsForRecovery(r):
 				out = append(out, s.reject(r, ReasonNoServer, now))
 			default:
 				kept = append(kept, r)
@@ -163,7 +169,10 @@
 
 func (s *service) reject(r Request, reason Reason, now time.Time) Decision {
 	wait := min(maxRetryAfter, max(minRetryAfter, s.expectedWait(len(s.queue)+1, now)))
-	if reason == ReasonNoServer {
+	switch opens := s.opensAt(now); {
+	case !opens.IsZero():
+		wait = max(minRetryAfter, opens.Sub(now))
+	case reason == ReasonNoServer:
 		wait = maxRetryAfter
 	}
 	return Decision{RequestID: r.ID, Rejected: reason, RetryAfter: wait, Waiting: len(s.queue)}
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -37,6 +37,7 @@
 	ReasonTooLate   Reason = "wait_exceeds_deadline"
 	ReasonBudget    Reason = "retry_budget"
 	ReasonLeaving   Reason = "leaving"
+	ReasonPaused    Reason = "servers_paused"
 )
 
 // Decision is the result for one request: a server, or the reason of its
@@ -71,6 +72,8 @@
 	// OutcomeUnverified is a reply of which nobody can tell whether it is whole. It
 	// shows that the server can be reached, but is neither a success nor a failure.
 	OutcomeUnverified
+	// OutcomePaused is a rejection by a server that wants no requests for a time.
+	OutcomePaused
 	// OutcomeCancelled is a send that the caller cancelled.
 	OutcomeCancelled
 )
--- a/core/store.go
+++ b/core/store.go
@@ -63,6 +63,13 @@
 	// Misdirected reports that the reply comes from a different backend server
 	// than the addressed one.
 	Misdirected bool
+	// Leaving reports that the server will end.
+	Leaving bool
+	// Pause is how long the server, which has rejected the request, wants no requests
+	// from this host; 0 means not stated. InvalidPause is a statement that cannot be
+	// used.
+	Pause        time.Duration
+	InvalidPause string
 	// Sealed reports that the reply has the seal of a backend server.
 	Sealed bool
 	// Running, Waiting and Slots are the load of the server. They are valid if
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -21,6 +21,8 @@
 	headerExpectInstance = "Nutmegnotch-Expect-Instance"
 	headerSeal           = "Nutmegnotch-Response-Seal"
 	headerNotRun         = "Nutmegnotch-Not-Run"
+	headerLeaving        = "Server-Leaving"
+	headerRetryAfter     = "Retry-After"
 )
 
 // Fault is a fault of one request.
@@ -85,6 +87,13 @@
 	// faultsOf is the Runner whose queue of faults this one uses, if not its own.
 	faultsOf *Runner
 	conns    map[net.Conn]bool
+	// leaving makes all replies say that the Runner leaves.
+	leaving bool
+	// pausedUntil is until when requests are rejected, with pauseHeader as Retry-After.
+	pausedUntil time.Time
+	pauseHeader string
+	// rejected holds the times of the requests that were rejected by a pause.
+	rejected []time.Time
 	wg       sync.WaitGroup
 	// crashed is closed when the process has ended, and ended is set. silent is set
 	// if it has left its connections open.
@@ -227,12 +236,15 @@
 	}
 	id := req.Header.Get(headerRequestID)
 	if want := req.Header.Get(headerExpectInstance); want != r.cfg.ID {
-		writeReply(c, "421 Misdirected Request", id, "", "", "")
+		writeReply(c, "421 Misdirected Request", id, "", r.stateHeaders(), "")
+		return true
+	}
+	if r.rejectPaused(c, id) {
 		return true
 	}
 	fault := r.nextFault()
 	if fault == FaultNotRun {
-		writeReply(c, "503 Service Unavailable", id, "", headerNotRun+": 1\r\n", "")
+		writeReply(c, "503 Service Unavailable", id, "", headerNotRun+": 1\r\n"+r.stateHeaders(), "")
 		return true
 	}
 	run := &Run{ID: id, Method: req.Method, Target: req.RequestURI, Host: req.Host, Body: body, Header: req.Header, At: time.Now()}
@@ -247,7 +259,7 @@
 		_, _ = io.WriteString(c, "\x00\x01 this is no reply\r\n\r\n")
 		return false
 	case FaultError:
-		writeReply(c, "500 Internal Server Error", id, r.cfg.ID, "", "failed")
+		writeReply(c, "500 Internal Server Error", id, r.cfg.ID, r.stateHeaders(), "failed")
 		return true
 	case FaultStaleReply:
 		writeReply(c, "200 OK", "another-request", r.cfg.ID, "", "not yours")
@@ -294,7 +306,7 @@
 		r.crashAfter(c, run, partial+r.cfg.Body[:len(r.cfg.Body)/2])
 		return false
 	}
-	writeReply(c, "200 OK", run.ID, r.cfg.ID, "", r.cfg.Body)
+	writeReply(c, "200 OK", run.ID, r.cfg.ID, r.stateHeaders(), r.cfg.Body)
 	if fault == FaultExtraReply {
 		writeReply(c, "200 OK", "another-request", r.cfg.ID, "", "not yours")
 	}
@@ -328,7 +340,7 @@
 		return false
 	}
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
-		headerRequestID + ": " + run.ID + "\r\n" + headerSeal + ": seal." + r.cfg.ID + "\r\n\r\n"
+		headerRequestID + ": " + run.ID + "\r\n" + headerSeal + ": seal." + r.cfg.ID + "\r\n" + r.stateHeaders() + "\r\n"
 	if _, err := io.WriteString(c, head); err != nil {
 		r.markCancelled(run)
 		return false
--- /dev/null
+++ b/emulator/runner/state.go
@@ -0,0 +1,53 @@
+package runner
+
+import (
+	"net"
+	"time"
+)
+
+// Leave makes all further replies say that the Runner leaves.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// Pause makes the Runner reject all requests for a time. retryAfter is the value of the
+// header that asks for it.
+func (r *Runner) Pause(length time.Duration, retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausedUntil, r.pauseHeader = time.Now().Add(length), retryAfter
+}
+
+// Rejected returns the times of the requests that were rejected by a pause.
+func (r *Runner) Rejected() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.rejected...)
+}
+
+// stateHeaders returns the header lines about the Runner itself.
+func (r *Runner) stateHeaders() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		return headerLeaving + ": 1\r\n"
+	}
+	return ""
+}
+
+// rejectPaused rejects a request during a pause. It reports whether it did.
+func (r *Runner) rejectPaused(c net.Conn, id string) bool {
+	r.mu.Lock()
+	now := time.Now()
+	paused, header := now.Before(r.pausedUntil), r.pauseHeader
+	if paused {
+		r.rejected = append(r.rejected, now)
+	}
+	r.mu.Unlock()
+	if paused {
+		writeReply(c, "503 Service Unavailable", id, "", headerNotRun+": 1\r\n"+headerRetryAfter+": "+header+"\r\n"+r.stateHeaders(), "")
+	}
+	return paused
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -138,7 +138,7 @@
 // retryAfter returns the Retry-After for requests to a service.
 func (g *Gateway) retryAfter(service string) time.Duration {
 	var after time.Duration
-	g.task.Do(func() { after = g.state.dispatcher.RetryAfter(service) })
+	g.task.Do(func() { after = g.state.dispatcher.RetryAfter(service, time.Now()) })
 	return after
 }
 
@@ -250,11 +250,16 @@
 	}
 	defer reply.Close()
 	a.sends++
-	switch r := g.cfg.Headers.Reply(reply.Status, reply.Header); {
+	r := g.cfg.Headers.Reply(reply.Status, reply.Header)
+	g.observeServer(v.Server, r)
+	switch {
 	case r.Misdirected:
 		g.logAttempt(a, v, "misdirected", reply.Status, nil)
 		g.refreshServers()
 		return dispatch.OutcomeMisdirected, false
+	case r.NotRun && r.Pause > 0:
+		g.logAttempt(a, v, "paused", reply.Status, nil)
+		return dispatch.OutcomePaused, false
 	case r.NotRun:
 		g.logAttempt(a, v, "not_run", reply.Status, nil)
 		return dispatch.OutcomeShed, false
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -63,6 +63,7 @@
 	if s.Hello.GetRole() == core.RoleGateway {
 		g.task.Do(func() { g.addMember(s.Hello.GetAddress()) })
 		g.sendCrashRecords(s)
+		g.sendLeaving(s)
 		return
 	}
 	var f *peerpb.Frame
@@ -88,6 +89,8 @@
 		g.task.Do(func() { g.onRecords(from, b.DirectoryRecords, time.Now()) })
 	case *peerpb.Frame_EngineState:
 		g.task.Do(func() { g.onEngineState(b.EngineState, time.Now()) })
+	case *peerpb.Frame_ServerStates:
+		g.task.Do(func() { g.onServerStates(from, b.ServerStates, time.Now()) })
 	case *peerpb.Frame_CrashRecords:
 		g.task.Do(func() { g.applyCrashRecords(b.CrashRecords, from.Hello.GetId(), time.Now()) })
 	}
