--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -32,10 +32,12 @@
 type Directory struct {
 	decoder    core.RecordDecoder
 	deployment *core.Deployment
-	topics     [2]topic
-	drained    map[string]bool
-	servers    map[string]*serverEntry
-	processes  processes
+	// deploymentRecord is the record of deployment.
+	deploymentRecord core.KeyedRecord
+	topics           [2]topic
+	drained          map[string]bool
+	servers          map[string]*serverEntry
+	processes        processes
 	// outage is true while the store does not answer. outageEndedAt is when the
 	// store answered again after the last outage.
 	outage        bool
@@ -78,6 +80,9 @@
 // if none is known.
 func (d *Directory) Deployment() *core.Deployment { return d.deployment }
 
+// DeploymentRecord returns the record of the deployment. It may be of an earlier era.
+func (d *Directory) DeploymentRecord() core.KeyedRecord { return d.deploymentRecord }
+
 // Drained reports whether a failure domain is drained.
 func (d *Directory) Drained(domain string) bool { return d.drained[domain] }
 
@@ -129,15 +134,21 @@
 }
 
 // apply applies one record. A record that is not newer than the known one of its
-// key, or of an earlier era, has no effect. A record that cannot be decoded returns
-// an error and counts as removed: the server of its key is no longer used, and the
-// deployment stays as it is, since no earlier version may replace it.
+// key, or of an earlier era, has no effect, unless it is a deployment with a higher
+// version. A record that cannot be decoded returns an error and counts as removed: the
+// server of its key is no longer used, and the deployment stays as it is, since no
+// earlier version may replace it.
 func (d *Directory) apply(t core.Topic, r core.KeyedRecord, now time.Time) (Change, error) {
 	topic := &d.topics[t]
 	known, ok := topic.records[r.Key]
 	switch {
-	case r.Position.Era < topic.next.Era,
-		ok && !known.Position.Before(r.Position),
+	case r.Position.Era < topic.next.Era:
+		decoded, err := d.decoder.Decode(t, r)
+		if decoded.Kind != core.RecordDeployment {
+			return ChangeNone, nil
+		}
+		return d.applyDeployment(decoded, r), err
+	case ok && !known.Position.Before(r.Position),
 		// The key was removed before all keys of this era were read.
 		(!ok || known.Position.Era < r.Position.Era) && r.Position.Before(topic.completeFrom):
 		return ChangeNone, nil
@@ -163,7 +174,7 @@
 	if r.Deleted || decoded.Deployment == nil || d.deployment != nil && decoded.Deployment.Version <= d.deployment.Version {
 		return ChangeNone
 	}
-	d.deployment = decoded.Deployment
+	d.deployment, d.deploymentRecord = decoded.Deployment, r
 	return ChangeDeployment
 }
 
--- a/core/directory/era_test.go
+++ b/core/directory/era_test.go
@@ -164,6 +164,18 @@
 	listed  map[string]int64
 }
 
+func newView() *view {
+	return &view{d: directory.New(decoder{}), left: map[string]bool{}, drained: map[string]bool{}, removed: map[string]int64{}, listed: map[string]int64{}}
+}
+
+// version returns the version of a directory's deployment, or 0.
+func version(d *directory.Directory) int64 {
+	if d.Deployment() == nil {
+		return 0
+	}
+	return d.Deployment().Version
+}
+
 type answer struct {
 	topic core.Topic
 	b     core.KeyedBatch
@@ -281,15 +293,18 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &storeModel{t: t, now: now, era: 1, truth: [2]map[string]string{{}, {}}, numbers: map[string]int{}}
 		for range 2 {
-			m.views = append(m.views, &view{d: directory.New(decoder{}), left: map[string]bool{}, drained: map[string]bool{}, removed: map[string]int64{}, listed: map[string]int64{}})
+			m.views = append(m.views, newView())
 		}
-		version := 0
+		published := 0
 		servers := []string{"s1", "s2", "s3"}
 		pick := func() *view { return m.views[rapid.IntRange(0, 1).Draw(t, "view")] }
 		topic := func() core.Topic { return core.Topic(rapid.IntRange(0, 1).Draw(t, "topic")) }
 		state := func(id string) string { s, _, _ := strings.Cut(m.truth[core.TopicServers][id], " "); return s }
 		t.Repeat(map[string]func(*rapid.T){
-			"publish": func(*rapid.T) { version++; m.write(int(core.TopicOperator), "config", strconv.Itoa(version)) },
+			"publish": func(*rapid.T) {
+				published++
+				m.write(int(core.TopicOperator), "config", strconv.Itoa(published))
+			},
 			"drain": func(*rapid.T) {
 				m.domains = append(m.domains, fmt.Sprintf("z%d", 10+len(m.domains)))
 				m.write(int(core.TopicOperator), "out/"+m.domains[len(m.domains)-1], "{}")
@@ -336,9 +351,10 @@
 				}
 				m.now = m.now.Add(d)
 			},
-			"read":  func(*rapid.T) { v, k := pick(), topic(); m.apply(v, m.ask(v, k)) },
-			"ask":   func(*rapid.T) { v, k := pick(), topic(); v.late = append(v.late, m.ask(v, k)) },
-			"reads": func(*rapid.T) { v, k := pick(), topic(); m.apply(v, m.read(k, core.Position{}, true)) },
+			"restart": func(t *rapid.T) { m.views[rapid.IntRange(0, 1).Draw(t, "view")] = newView() },
+			"read":    func(*rapid.T) { v, k := pick(), topic(); m.apply(v, m.ask(v, k)) },
+			"ask":     func(*rapid.T) { v, k := pick(), topic(); v.late = append(v.late, m.ask(v, k)) },
+			"reads":   func(*rapid.T) { v, k := pick(), topic(); m.apply(v, m.read(k, core.Position{}, true)) },
 			"arrive": func(t *rapid.T) {
 				v := pick()
 				if len(v.late) == 0 {
@@ -354,9 +370,16 @@
 				if rapid.Bool().Draw(t, "other way") {
 					to, from = from, to
 				}
-				if to.d.Next(k).Before(from.d.Next(k)) {
+				newer := k == core.TopicOperator && version(from.d) > version(to.d)
+				if to.d.Next(k).Before(from.d.Next(k)) || newer {
 					b, full := from.d.Since(k, to.d.Next(k))
+					if newer {
+						b.Records = append(b.Records, from.d.DeploymentRecord())
+					}
 					m.apply(to, answer{topic: k, b: b, full: full})
+					if k == core.TopicOperator && to.d.Next(k).Era == from.d.Next(k).Era && version(to.d) < version(from.d) {
+						t.Fatalf("version after a pull: got %d, the peer has %d", version(to.d), version(from.d))
+					}
 				}
 			},
 			"": func(*rapid.T) {
--- a/emulator/cli/cli.go
+++ b/emulator/cli/cli.go
@@ -21,6 +21,8 @@
 
 	Load LoadCommand `cmd:"" help:"Send requests and report what became of them."`
 
+	Day DayCommand `cmd:"" help:"Play days of gateways with returns of the store from copies, and servers that leave and pause."`
+
 	Experiment ExperimentCommand `cmd:"" help:"Compare policies with their baselines in simulated time."`
 }
 
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -92,8 +92,8 @@
 	// pausedUntil is until when requests are rejected, with pauseHeader as Retry-After.
 	pausedUntil time.Time
 	pauseHeader string
-	// rejected holds the times of the requests that were rejected by a pause.
-	rejected []time.Time
+	// rejected holds the requests that were rejected by a pause.
+	rejected []Rejection
 	wg       sync.WaitGroup
 	// crashed is closed when the process has ended, and ended is set. silent is set
 	// if it has left its connections open.
--- a/emulator/runner/state.go
+++ b/emulator/runner/state.go
@@ -20,11 +20,17 @@
 	r.pausedUntil, r.pauseHeader = time.Now().Add(length), retryAfter
 }
 
-// Rejected returns the times of the requests that were rejected by a pause.
-func (r *Runner) Rejected() []time.Time {
+// Rejection is a request that was rejected by a pause.
+type Rejection struct {
+	ID string
+	At time.Time
+}
+
+// Rejected returns the requests that were rejected by a pause.
+func (r *Runner) Rejected() []Rejection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]time.Time(nil), r.rejected...)
+	return append([]Rejection(nil), r.rejected...)
 }
 
 // stateHeaders returns the header lines about the Runner itself.
@@ -43,7 +49,7 @@
 	now := time.Now()
 	paused, header := now.Before(r.pausedUntil), r.pauseHeader
 	if paused {
-		r.rejected = append(r.rejected, now)
+		r.rejected = append(r.rejected, Rejection{id, now})
 	}
 	r.mu.Unlock()
 	if paused {
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -121,3 +121,33 @@
 		t.Error("log: got no line on the return of the store, want one")
 	}
 }
+
+// Guards against a gateway that starts right after the store's return, as in a rolling
+// restart, and serves by the copy although other gateways know better.
+func TestGatewayThatStartsAfterAReturn(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish()
+	d.addRunner(runner.Config{ID: "d1", Body: "ok"}, "desk")
+	d.startReady()
+	time.Sleep(200 * time.Millisecond)
+	copied := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	d.keys = []string{"key-b"}
+	d.publish()
+	ask := func(p *process, key string) int {
+		return send(newRequest(p, http.MethodGet, "/lookup/1", key, "")).status
+	}
+	eventually(t, "the first gateway has the new key", func() bool { return ask(d.gateways[0], "key-b") == http.StatusOK })
+	lost := d.store.Restore(time.Since(copied))
+	p := d.startReady()
+	eventually(t, "the second gateway has the new key", func() bool { return ask(p, "key-b") == http.StatusOK })
+	if got := ask(p, "key-a"); got != http.StatusUnauthorized {
+		t.Errorf("revoked key: got %d, want 401", got)
+	}
+	d.store.WriteAgain(lost, 100*time.Millisecond, rand.New(rand.NewPCG(1, 2)))
+	time.Sleep(300 * time.Millisecond)
+	if got := ask(p, "key-b"); got != http.StatusOK {
+		t.Errorf("new key after it is written again: got %d, want 200", got)
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -51,6 +51,7 @@
 		ServersNextOffset:  d.Next(core.TopicServers).Offset,
 		ServersEra:         d.Next(core.TopicServers).Era,
 		Gateways:           g.state.members.addresses(),
+		ConfigVersion:      g.configVersion(),
 	}
 	for id, n := range g.state.dispatcher.LocalLoad() {
 		b.Loads = append(b.Loads, &peerpb.ServerLoad{ServerId: id, Requests: uint32(n)})
@@ -58,6 +59,15 @@
 	return &peerpb.Frame{Body: &peerpb.Frame_DirectoryBeat{DirectoryBeat: b}}
 }
 
+// configVersion returns the version of the configuration in force, or 0. It runs in the
+// task.
+func (g *Gateway) configVersion() int64 {
+	if dep := g.state.directory.Deployment(); dep != nil {
+		return dep.Version
+	}
+	return 0
+}
+
 func (g *Gateway) peerUp(s *peer.Session) {
 	g.log.Info("peer session up", zap.String("peer", s.Hello.GetId()), zap.String("peer_role", s.Hello.GetRole()))
 	if s.Hello.GetRole() == core.RoleGateway {
@@ -128,7 +138,10 @@
 		topic := core.Topic(t)
 		g.seeEra(theirs.Era, from.Hello.GetId())
 		ours := g.state.directory.Next(topic)
-		if !ours.Before(theirs) {
+		// After a return of the store, a peer may have a configuration that the new era
+		// lacks.
+		newer := topic == core.TopicOperator && b.GetConfigVersion() > g.configVersion()
+		if !ours.Before(theirs) && !newer {
 			g.state.behindSince[t] = time.Time{}
 			continue
 		}
@@ -141,7 +154,7 @@
 		}
 		if now.Sub(g.state.behindSince[t]) >= delay {
 			from.SendControl(&peerpb.Frame{Body: &peerpb.Frame_DirectoryPull{
-				DirectoryPull: &peerpb.DirectoryPull{Topic: int32(t), FromOffset: ours.Offset, Era: ours.Era},
+				DirectoryPull: &peerpb.DirectoryPull{Topic: int32(t), FromOffset: ours.Offset, Era: ours.Era, Config: newer},
 			}})
 		}
 	}
@@ -157,8 +170,11 @@
 	}
 	b, full := g.state.directory.Since(t, core.Position{Era: p.GetEra(), Offset: p.GetFromOffset()})
 	out := &peerpb.DirectoryRecords{Topic: p.GetTopic(), NextOffset: b.Next.Offset, Era: b.Next.Era, Full: full}
+	if r := g.state.directory.DeploymentRecord(); p.GetConfig() && r.Key != "" {
+		b.Records = append(b.Records, r)
+	}
 	for _, r := range b.Records {
-		out.Records = append(out.Records, &peerpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Position.Offset, Deleted: r.Deleted})
+		out.Records = append(out.Records, &peerpb.KeyedRecord{Key: r.Key, Value: r.Value, Offset: r.Position.Offset, Era: r.Position.Era, Deleted: r.Deleted})
 	}
 	to.SendControl(&peerpb.Frame{Body: &peerpb.Frame_DirectoryRecords{DirectoryRecords: out}})
 }
@@ -171,7 +187,11 @@
 	}
 	b := core.KeyedBatch{Next: core.Position{Era: p.GetEra(), Offset: p.GetNextOffset()}}
 	for _, r := range p.GetRecords() {
-		b.Records = append(b.Records, core.KeyedRecord{Key: r.GetKey(), Value: r.GetValue(), Position: b.Next.WithOffset(r.GetOffset()), Deleted: r.GetDeleted()})
+		at := b.Next.WithOffset(r.GetOffset())
+		if r.GetEra() != 0 {
+			at.Era = r.GetEra()
+		}
+		b.Records = append(b.Records, core.KeyedRecord{Key: r.GetKey(), Value: r.GetValue(), Position: at, Deleted: r.GetDeleted()})
 	}
 	g.applyRecords(t, b, p.GetFull(), from.Hello.GetId(), now)
 }
--- a/gateway/server_state_test.go
+++ b/gateway/server_state_test.go
@@ -110,8 +110,8 @@
 	if len(rejected) == 0 {
 		t.Fatal("rejections: got 0, want at least one")
 	}
-	for _, at := range rejected {
-		if after := at.Sub(rejected[0]); after > 500*time.Millisecond {
+	for _, r := range rejected {
+		if after := r.At.Sub(rejected[0].At); after > 500*time.Millisecond {
 			t.Errorf("request %v after the pause was asked for, want none later than 500ms", after)
 		}
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -47,8 +47,9 @@
 	next    core.Position
 	loaded  bool
 	failed  bool
-	// cancelRead ends the read in progress early.
+	// cancelRead ends the read in progress early, and newEra the wait for the next one.
 	cancelRead atomic.Pointer[context.CancelFunc]
+	newEra     chan struct{}
 }
 
 // run reads until ctx is done. It retries failed reads with exponential backoff and
@@ -70,25 +71,29 @@
 			return
 		}
 		w.readFailed(err)
-		if errors.Is(err, core.ErrExpired) {
+		if errors.Is(err, core.ErrExpired) && w.loaded {
+			// The newest records of all keys can still be read.
 			w.loaded = false
+			continue
 		}
 		w.sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
 		backoff = min(maxBackoff, 2*backoff)
 	}
 }
 
+// sleep waits for a time. A new era of the store ends it early.
 func (w *topicWatcher) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
 	select {
 	case <-time.After(d):
+	case <-w.newEra:
 	case <-ctx.Done():
 	}
 }
 
-// sleepUntilRefresh is like sleep, but refresh ends it early.
+// sleepUntilRefresh is like sleep, but refresh ends it early too.
 func (w *topicWatcher) sleepUntilRefresh(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -96,6 +101,7 @@
 	select {
 	case <-time.After(d):
 	case <-w.refresh:
+	case <-w.newEra:
 	case <-ctx.Done():
 	}
 }
@@ -180,6 +186,7 @@
 			if cancel := w.cancelRead.Load(); cancel != nil {
 				(*cancel)()
 			}
+			signal(w.newEra)
 		}
 		return
 	}
@@ -207,12 +214,16 @@
 
 // newWatchers returns the watchers of all topics.
 func (g *Gateway) newWatchers() []*topicWatcher {
-	return []*topicWatcher{
+	list := []*topicWatcher{
 		{gateway: g, topic: core.TopicOperator, wait: operatorReadWait, apply: g.applyFunc(core.TopicOperator)},
 		{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, refresh: g.refreshServersSignal, apply: g.applyFunc(core.TopicServers)},
 		{gateway: g, topic: core.TopicMembers, wait: membersReadWait, apply: g.applyMembers},
 		{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, apply: g.applyCrashes},
 	}
+	for _, w := range list {
+		w.newEra = make(chan struct{}, 1)
+	}
+	return list
 }
 
 // applyFunc returns the function that applies the records of a topic that were
