--- a/gateway/crash_faults_test.go
+++ b/gateway/crash_faults_test.go
@@ -46,6 +46,9 @@
 	faults []faultWindow
 	slots  []*process
 	link   *isolation
+	// unmarked adds replies that end with their connection, and returns of the store from
+	// copies, to the faults.
+	unmarked bool
 	// refused and served hold the times of answers to the popular request: refusals as
 	// crashing, and replies.
 	refused, served []time.Time
@@ -125,7 +128,11 @@
 	pause := time.Duration(200+c.rng.IntN(1000)) * time.Millisecond
 	i := c.rng.IntN(len(c.slots))
 	server := c.servers[c.rng.IntN(len(c.servers))].Runner()
-	switch c.rng.IntN(6) {
+	kinds := 6
+	if c.unmarked {
+		kinds = 8
+	}
+	switch c.rng.IntN(kinds) {
 	case 0:
 		if i == len(c.slots)-1 {
 			// Its link to the store is its own.
@@ -163,6 +170,13 @@
 		server.Fail(runner.FaultReset, runner.FaultTruncated, runner.FaultReset, runner.FaultGarbage, runner.FaultReset)
 	case 5:
 		server.Fail(runner.FaultHang, runner.FaultNotRun, runner.FaultError)
+	case 6:
+		server.Fail(runner.FaultCloseDelimited, runner.FaultCloseDelimitedCut, runner.FaultCloseDelimitedEmpty, runner.FaultCloseDelimitedReset)
+	case 7:
+		age, order := time.Duration(c.rng.IntN(2000))*time.Millisecond, rand.New(rand.NewPCG(c.rng.Uint64(), 1))
+		c.wg.Go(func() {
+			c.fault(-1, func() { c.store.WriteAgain(c.store.Restore(age), pause, order) })
+		})
 	}
 }
 
@@ -201,13 +215,20 @@
 // crashing, when faults of gateways, store and servers come in series and overlap.
 func TestCrashingRequestUnderFaults(t *testing.T) {
 	t.Parallel()
-	for seed := range *seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed+1), func(t *testing.T) {
+	for run := range 2 * *seeds {
+		seed, unmarked, name := run/2, run%2 == 1, "seed"
+		if unmarked {
+			name = "unmarked-seed"
+		}
+		t.Run(fmt.Sprintf("%s-%d", name, seed+1), func(t *testing.T) {
 			t.Parallel()
-			c := &crashCourse{deployment: newDeployment(t), rng: rand.New(rand.NewPCG(uint64(seed+1), 19)), link: &isolation{}}
+			c := &crashCourse{deployment: newDeployment(t), rng: rand.New(rand.NewPCG(uint64(seed+1), 19)), link: &isolation{}, unmarked: unmarked}
 			defer c.logIfFailed(t)
 			c.publish()
 			points := []runner.CrashPoint{runner.CrashBeforeReply, runner.CrashAfterHead, runner.CrashInBody, runner.CrashSilently}
+			if unmarked {
+				points = append(points, runner.CrashInUnframedBody, runner.CrashInUnframedBody)
+			}
 			c.addServers(6+c.rng.IntN(8), "desk", runner.ProcessConfig{KeepID: c.rng.IntN(2) == 0, Slots: 4,
 				RestartDelay: time.Duration(300+c.rng.IntN(900)) * time.Millisecond, ExpiryDelay: 700 * time.Millisecond,
 				Config: runner.Config{CrashPoint: points[c.rng.IntN(len(points))], ProcessingTime: 15 * time.Millisecond}})
