Limit counts and maps of a group by the link of its leader

Cause: every agent limits its counts to 25 KB/s, but the leader receives those of all ranks; 62 of them take about 1 MB/s, the whole link of 8 Mbit/s. The leader also sent the map to all ranks at once, 0.4 MB, with a time-out of 150 ms for each order. Orders timed out and were sent again, which filled the link further.

The settings of a rank agent have the rate of its link now (link_mbps). Counts are read so rarely that those of the group take two fifths of it, and as many maps are on their way at one time as take 50 ms. Ranks take turns, so that ranks without an answer do not keep maps from others.

--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -40,6 +40,15 @@
 	// maxRollbackRefusals is the number of times that a rank without an armed map
 	// may refuse the rollback version before a higher one is tried.
 	maxRollbackRefusals = 2
+	// defaultMaxPrepareBytes bounds the maps that are on their way to ranks at one
+	// time unless SetMaxPrepareBytes sets another bound: 48 KiB take 49 ms on a link of
+	// 8 Mbit/s.
+	defaultMaxPrepareBytes = 48 << 10
+	// minPreparesInFlight is the number of maps on their way that is always allowed.
+	minPreparesInFlight = 2
+	// expertBytes and expertListBytes are the size of an expert's number and the
+	// overhead of a list of them in an order between agents.
+	expertBytes, expertListBytes = 2, 4
 	// versionStride keeps the versions of leaders apart: a leader uses only
 	// multiples of it plus its own number.
 	versionStride = 1 << 20
@@ -104,6 +113,10 @@
 	// foreignHoldSince is when a hold of another leader was first seen, or zero.
 	foreignHoldSince time.Time
 	draining         bool
+	// maxPrepareBytes bounds the maps that are on their way at one time.
+	maxPrepareBytes int
+	// nextRank is the rank that is considered first for the next order.
+	nextRank int
 	// tookOverOwnHold is set when the pass that is taken over was held at rank
 	// self.
 	tookOverOwnHold bool
@@ -119,8 +132,10 @@
 	hasReport  bool
 	// retryAt is when an order without an answer may be sent again.
 	retryAt time.Time
-	// orderPending is set while the result of an order is outstanding.
+	// orderPending is set while the result of an order is outstanding, which is of
+	// kind pendingKind.
 	orderPending bool
+	pendingKind  core.OrderKind
 	// prepared, armed, disarmed, rolledBack and released record the orders of the
 	// change that the rank has confirmed.
 	prepared, armed, disarmed, rolledBack, released bool
@@ -146,7 +161,7 @@
 // NewChangeCoordinator returns the coordinator of the agent of rank self. Leaders
 // with different numbers never assign one version to two maps.
 func NewChangeCoordinator(self, size int, leaderNumber int64, startedAt time.Time) *ChangeCoordinator {
-	return &ChangeCoordinator{self: self, size: size, leaderNumber: leaderNumber % versionStride, startedAt: startedAt, ranks: make([]changeRankState, size), epoch: -1}
+	return &ChangeCoordinator{self: self, size: size, leaderNumber: leaderNumber % versionStride, startedAt: startedAt, ranks: make([]changeRankState, size), epoch: -1, maxPrepareBytes: defaultMaxPrepareBytes}
 }
 
 // Phase returns the phase of the change.
@@ -165,6 +180,10 @@
 // progress still runs to its end.
 func (c *ChangeCoordinator) SetDraining(draining bool) { c.draining = draining }
 
+// SetMaxPrepareBytes sets the bound of the maps that are on their way to ranks at one
+// time. A leader whose link carries less than it sends would lose orders.
+func (c *ChangeCoordinator) SetMaxPrepareBytes(n int) { c.maxPrepareBytes = n }
+
 // SetCurrent sets the layout of the map in force.
 func (c *ChangeCoordinator) SetCurrent(l Layout) { c.current = l }
 
--- a/core/expertmap/change_phases.go
+++ b/core/expertmap/change_phases.go
@@ -2,26 +2,59 @@
 
 import (
 	"time"
+
+	"nutmegnotch/core"
 )
 
 // Poll advances the change and returns the orders that are due. Each order is
-// returned once, and the caller must pass its result to HandleResult.
+// returned once, and the caller must pass its result to HandleResult. Only so many
+// orders that carry a map are outstanding at one time as SetMaxPrepareBytes allows.
 func (c *ChangeCoordinator) Poll(now time.Time) []AddressedOrder {
 	c.advance(now)
-	var out []AddressedOrder
+	prepares := maxPreparesInFlight(c.target, c.maxPrepareBytes)
 	for i := range c.ranks {
-		if c.ranks[i].orderPending || now.Before(c.ranks[i].retryAt) {
+		if c.ranks[i].orderPending && c.ranks[i].pendingKind == core.OrderPrepare {
+			prepares--
+		}
+	}
+	var out []AddressedOrder
+	first := c.nextRank
+	for n := range c.ranks {
+		i := (first + n) % c.size
+		v := &c.ranks[i]
+		if v.orderPending || now.Before(v.retryAt) {
 			continue
 		}
-		if o, ok := c.wantedOrder(i); ok {
-			o.Epoch = c.epoch
-			c.ranks[i].orderPending = true
-			out = append(out, AddressedOrder{Rank: i, Order: o})
+		o, ok := c.wantedOrder(i)
+		if !ok {
+			continue
+		}
+		if o.Kind == core.OrderPrepare {
+			if prepares <= 0 {
+				continue
+			}
+			prepares--
+			// Ranks take turns, so that those without an answer do not keep out others.
+			c.nextRank = (i + 1) % c.size
 		}
+		o.Epoch = c.epoch
+		v.orderPending, v.pendingKind = true, o.Kind
+		out = append(out, AddressedOrder{Rank: i, Order: o})
 	}
 	return out
 }
 
+// maxPreparesInFlight returns how many orders with a layout may be outstanding.
+func maxPreparesInFlight(l Layout, maxBytes int) int {
+	size := 0
+	for _, rank := range l {
+		for _, list := range rank {
+			size += expertListBytes + expertBytes*len(list)
+		}
+	}
+	return max(minPreparesInFlight, maxBytes/max(1, size))
+}
+
 // advance enters the next phase when the current one is complete.
 func (c *ChangeCoordinator) advance(now time.Time) {
 	switch c.phase {
--- a/options/node.go
+++ b/options/node.go
@@ -20,6 +20,8 @@
 	maxReadInterval = 10 * time.Second
 	minMemoryMB     = 64
 	maxMemoryMB     = 1 << 20
+	minLinkMbps     = 0.1
+	maxLinkMbps     = 1e6
 	maxRetryRatio   = 10
 	maxRetrySlack   = 1_000_000
 )
@@ -33,6 +35,8 @@
 	LogLevel      string `toml:"log_level"`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int64 `toml:"memory_mb"`
+	// LinkMbps is the rate of the network link of a rank agent's host, in Mbit/s.
+	LinkMbps float64 `toml:"link_mbps"`
 	// Grace bounds the time from SIGTERM to the end of the process.
 	Grace Duration `toml:"grace"`
 	// Seeds are peer addresses of gateways. They may be stale.
@@ -79,6 +83,7 @@
 	return NodeSettings{
 		LogLevel: "info",
 		MemoryMB: 256,
+		LinkMbps: 8,
 		Grace:    newDuration(8 * time.Second),
 		Store:    NodeStore{Timeout: newDuration(time.Second), ServersInterval: newDuration(700 * time.Millisecond)},
 		Retry:    NodeRetry{Ratio: 0.1, Slack: 10, Window: newDuration(10 * time.Second)},
@@ -131,6 +136,9 @@
 		c.listenAddress("listen.metrics", n.Listen.Metrics)
 	}
 	if n.Role == core.RoleRankAgent {
+		if !(n.LinkMbps >= minLinkMbps && n.LinkMbps <= maxLinkMbps) {
+			c.addError("link_mbps", n.LinkMbps, fmt.Sprintf("%v to %d", minLinkMbps, int(maxLinkMbps)))
+		}
 		c.dialAddress("engine.address", n.Engine.Address)
 		c.rejectKeys("listen.caller", "it is for gateways only")
 		c.rejectKeys("listen.ready", "it is for gateways only")
@@ -149,4 +157,5 @@
 		c.addError("retry.slack", n.Retry.Slack, fmt.Sprintf("0 to %d", maxRetrySlack))
 	}
 	c.rejectKeys("engine", "it is for rank agents only")
+	c.rejectKeys("link_mbps", "it is for rank agents only")
 }
--- a/options/node_test.go
+++ b/options/node_test.go
@@ -49,8 +49,13 @@
 	if g.Retry.Slack != 92 || g.Grace.AsDuration() != 8*time.Second || g.Store.ServersInterval.AsDuration() != 700*time.Millisecond || g.Seeds[0] != "10.0.0.1:80" {
 		t.Errorf("gateway settings: got %+v", g)
 	}
-	if _, err := options.ParseNode("a.toml", []byte(rankAgentSettings)); err != nil {
-		t.Errorf("parse rank agent settings: %v", err)
+	a, err := options.ParseNode("a.toml", []byte(rankAgentSettings))
+	if err != nil || a.LinkMbps != 8 {
+		t.Errorf("rank agent settings: got %+v, %v", a, err)
+	}
+	a, err = options.ParseNode("a.toml", []byte("link_mbps = 20\n"+rankAgentSettings))
+	if err != nil || a.LinkMbps != 20 {
+		t.Errorf("rank agent settings with a link: got %+v, %v", a, err)
 	}
 }
 
@@ -67,6 +72,9 @@
 		{"negative ratio", gatewaySettings, "ratio = 0.2", "ratio = -0.2", "retry.ratio"},
 		{"store address", gatewaySettings, `"10.0.0.9:80"`, `"store"`, "store.address"},
 		{"memory", gatewaySettings, "memory_mb = 284", "memory_mb = 1", "64 to"},
+		{"link at a gateway", gatewaySettings, "memory_mb = 284", "link_mbps = 8", "it is for rank agents only"},
+		{"link", rankAgentSettings, `role = "rank_agent"`, "role = \"rank_agent\"\nlink_mbps = 0", "0.1 to 1000000"},
+		{"link without a number", rankAgentSettings, `role = "rank_agent"`, "role = \"rank_agent\"\nlink_mbps = nan", "0.1 to 1000000"},
 		{"engine at a gateway", gatewaySettings, "[retry]", "[engine]\naddress = \"10.0.0.1:1\"\n[retry]", "it is for rank agents only"},
 		{"caller at a rank agent", rankAgentSettings, "[listen]", "[listen]\ncaller = \"10.0.0.1:1\"", "it is for gateways only"},
 		{"no engine", rankAgentSettings, "[engine]\naddress = \"10.0.0.1:8080\"", "", "engine.address"},
--- a/process/node.go
+++ b/process/node.go
@@ -106,6 +106,9 @@
 // engineCallTimeout bounds a call to a model engine that has no timeout of its own.
 const engineCallTimeout = time.Second
 
+// bytesPerMbit converts the rate of a link from Mbit/s to bytes per second.
+const bytesPerMbit = 1e6 / 8
+
 // RunRankAgent runs a rank agent until ctx is done. Settings from reloads replace the
 // seeds of cfg.
 func RunRankAgent(ctx context.Context, cfg options.NodeSettings, reloads <-chan options.NodeSettings, logger *zap.Logger) error {
@@ -121,6 +124,7 @@
 		PeerAddress:   cfg.Listen.Peer,
 		EngineAddress: cfg.Engine.Address,
 		Gateways:      cfg.Seeds,
+		LinkRate:      cfg.LinkMbps * bytesPerMbit,
 		Engine:        engine,
 		Logger:        logger,
 	})
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -49,6 +49,9 @@
 	EngineAddress string
 	// Gateways are peer addresses of gateways. Some of them may be stale.
 	Gateways []string
+	// LinkRate is the rate of the host's network link in bytes per second. It is
+	// taken for that of the leader's host too; 0 means defaultLinkRate.
+	LinkRate float64
 	Engine   core.EngineControl
 	Logger   *zap.Logger
 }
@@ -115,6 +118,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("split peer address: %w: %w", err, core.ErrInvalid)
 	}
+	if cfg.LinkRate <= 0 {
+		cfg.LinkRate = defaultLinkRate
+	}
 	a := &Agent{
 		cfg:   cfg,
 		log:   cfg.Logger,
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -80,10 +80,12 @@
 
 func newLeaderState(a *Agent, size int) *leaderState {
 	s := a.state
+	coordinator := expertmap.NewChangeCoordinator(s.report.Place.Rank, size, leaderNumber(a.cfg.Incarnation), s.started)
+	coordinator.SetMaxPrepareBytes(maxPrepareBytes(a.cfg.LinkRate))
 	return &leaderState{
 		agent:       a,
 		group:       s.report.Place.Group,
-		coordinator: expertmap.NewChangeCoordinator(s.report.Place.Rank, size, leaderNumber(a.cfg.Incarnation), s.started),
+		coordinator: coordinator,
 		demand:      expertmap.NewDemandEstimator(s.spec.sets, s.spec.experts),
 		spec:        s.spec,
 		ranks:       make([]rankState, size),
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -20,8 +20,26 @@
 	// remoteOrderTimeout limits an order through another agent or to an engine on
 	// another host.
 	remoteOrderTimeout = 150 * time.Millisecond
+	// localPrepareTimeout and remotePrepareTimeout are the same limits for orders
+	// that carry a whole map.
+	localPrepareTimeout  = 150 * time.Millisecond
+	remotePrepareTimeout = 300 * time.Millisecond
 )
 
+// orderTimeout returns the limit of an order that the agent itself gives to an engine
+// on its host, or through another host.
+func orderTimeout(k core.OrderKind, local bool) time.Duration {
+	switch {
+	case k == core.OrderPrepare && local:
+		return localPrepareTimeout
+	case k == core.OrderPrepare:
+		return remotePrepareTimeout
+	case local:
+		return localOrderTimeout
+	}
+	return remoteOrderTimeout
+}
+
 // sendOrder sends an order to the engine of a rank. It calls the engine directly if
 // it is the local one or if there is no session with its agent, and goes through the
 // agent otherwise.
@@ -30,11 +48,11 @@
 	var err error
 	switch {
 	case local:
-		res, err = a.orderEngine(ctx, a.cfg.EngineAddress, order.Order, localOrderTimeout)
+		res, err = a.orderEngine(ctx, a.cfg.EngineAddress, order.Order, orderTimeout(order.Order.Kind, true))
 	case session != nil:
 		res, err = relayOrder(ctx, session, order.Order)
 	case engineAddress != "":
-		res, err = a.orderEngine(ctx, engineAddress, order.Order, remoteOrderTimeout)
+		res, err = a.orderEngine(ctx, engineAddress, order.Order, orderTimeout(order.Order.Kind, false))
 	default:
 		err = fmt.Errorf("rank %d has no known address: %w", order.Rank, core.ErrNotFound)
 	}
@@ -62,7 +80,7 @@
 		return core.OrderUnknown, fmt.Errorf("relay order: %w", err)
 	}
 	defer st.Close()
-	deadline := time.Now().Add(remoteOrderTimeout)
+	deadline := time.Now().Add(orderTimeout(o.Kind, false))
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
@@ -126,7 +144,7 @@
 		a.log.Warn("invalid order", zap.String("peer", s.Peer().GetId()), zap.Error(err))
 		return
 	}
-	res, err := a.orderEngine(ctx, a.cfg.EngineAddress, o, localOrderTimeout)
+	res, err := a.orderEngine(ctx, a.cfg.EngineAddress, o, orderTimeout(o.Kind, true))
 	if err != nil {
 		a.log.Info("order got no response", zap.Int("kind", int(o.Kind)), zap.Int64("version", o.Version), zap.Error(err))
 	}
--- a/rankagent/status.go
+++ b/rankagent/status.go
@@ -12,11 +12,6 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
-// maxCountsPerPoll limits the expert counts that are read and sent per poll. Up to
-// twice as many are read at every second poll, and so on. At one byte per count,
-// this keeps an agent's messages below 25 KB/s (docs/CAPACITY.md).
-const maxCountsPerPoll = 1000
-
 // Settings of the messages to gateways and to the leader.
 const (
 	// minSlowdownChange is the relative change of the slowdown that is sent to
@@ -71,7 +66,7 @@
 	var known bool
 	var every int
 	a.task.Do(func() {
-		every = 1 + len(a.state.counts)/maxCountsPerPoll
+		every = pollsPerCounts(len(a.state.counts), r.Place.Size, a.cfg.LinkRate)
 		known = a.state.placement != nil && a.state.placementVersion == r.Map && a.state.placementEpoch == r.Place.Epoch
 	})
 	if !known {
