--- a/core/store.go
+++ b/core/store.go
@@ -38,6 +38,9 @@
 	MaxTokens    int64
 	// ExpectedTokens is the caller's estimate of its output; 0 means none.
 	ExpectedTokens int64
+	// SharedPromptParts are the ids of the parts of the prompt that other requests may
+	// have too, in order.
+	SharedPromptParts []string
 	// LastEventID is the id of the last event that the caller has received. It
 	// is empty for a stream from the beginning.
 	LastEventID string
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -372,7 +372,7 @@
 func (g *Gateway) logAttempt(a *attempts, v dispatch.Decision, outcome string, status int, err error) {
 	sendsByOutcome.Add(outcome, 1)
 	g.log.Info("attempt failed", zap.String("request_id", a.id()), zap.String("route", a.route.Name),
-		fingerprintField(a.fingerprint), zap.String("server", v.Server.ID), zap.Int64("server_started_ms", v.Server.StartedUnixMS),
+		fingerprintField(a.fingerprint), zap.Strings("prompt_parts", a.fields.SharedPromptParts), zap.String("server", v.Server.ID), zap.Int64("server_started_ms", v.Server.StartedUnixMS),
 		zap.Int("server_load", v.Load), zap.Int("waiting", v.Waiting),
 		zap.String("outcome", outcome), zap.Int("status", status), zap.Int("sends", a.sends),
 		zap.Int64("version", a.version), zap.Duration("held", time.Since(a.arrived)), zap.Error(err))
