Reproduce crashes of servers by a part of a prompt

The new test sends sound requests that share parts, and requests that have only the part that crashes servers in common, to three gateways.

Emulated servers now crash by a part of the prompt too, and can be ranks of a group, which stops as a whole while one of them is down.

--- a/emulator/runner/crash.go
+++ b/emulator/runner/crash.go
@@ -110,7 +110,7 @@
 
 // crashesAt reports whether a run ends the process at a point.
 func (r *Runner) crashesAt(run *Run, at CrashPoint) bool {
-	return r.cfg.CrashMarker != "" && r.cfg.CrashPoint == at && strings.Contains(run.Target+run.Body, r.cfg.CrashMarker)
+	return r.cfg.CrashMarker != "" && r.cfg.CrashPoint == at && strings.Contains(run.Target+run.Body+run.Header.Get(headerPromptParts), r.cfg.CrashMarker)
 }
 
 // crashAtStart crashes the Runner if the run ends the process without a reply.
--- a/emulator/runner/process.go
+++ b/emulator/runner/process.go
@@ -70,6 +70,7 @@
 	p.runners = append(p.runners, r)
 	born := time.Now().UnixMilli() + int64(len(p.runners))
 	p.mu.Unlock()
+	p.cfg.Group.started(r)
 	p.cfg.Store.PutJSON(serversTopic, cfg.ID, map[string]any{"service": p.cfg.Service, "addr": r.Address(),
 		"zone": p.cfg.Zone, "slots": max(1, p.cfg.Slots), "state": "ready", "born": born})
 	return nil
@@ -94,6 +95,7 @@
 // restart waits for the delays after a crash and starts the next incarnation. It
 // reports false if the Process is closed.
 func (p *Process) restart(r *Runner) bool {
+	p.cfg.Group.crashed(r)
 	p.mu.Lock()
 	p.crashes = append(p.crashes, time.Now())
 	n := len(p.runners)
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -23,6 +23,7 @@
 	headerNotRun         = "Nutmegnotch-Not-Run"
 	headerLeaving        = "Server-Leaving"
 	headerRetryAfter     = "Retry-After"
+	headerPromptParts    = "Nutmegnotch-Prompt-Prefix"
 )
 
 // Fault is a fault of one request.
@@ -60,12 +61,15 @@
 	EventInterval time.Duration
 	// ProcessingTime is the time before a reply or the first event.
 	ProcessingTime time.Duration
-	// CrashMarker is a text in the target or the body of a request that ends the
-	// process of the Runner at CrashPoint. An empty text has no effect.
+	// CrashMarker is a text in the target, the body or the list of prompt parts of a
+	// request that ends the process of the Runner at CrashPoint. An empty text has no
+	// effect.
 	CrashMarker string
 	CrashPoint  CrashPoint
 	// Address is the address to listen on. If it is empty, the Runner picks one.
 	Address string
+	// Group is the lock-step group of the Runner; nil means none.
+	Group *Group
 }
 
 // Run is a request that a Runner has run.
@@ -243,7 +247,7 @@
 		return true
 	}
 	fault := r.nextFault()
-	if fault == FaultNotRun {
+	if fault == FaultNotRun || r.cfg.Group.stopped() {
 		writeReply(c, "503 Service Unavailable", id, "", headerNotRun+": 1\r\n"+r.stateHeaders(), "")
 		return true
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -22,13 +22,16 @@
 )
 
 // addServers starts n servers of a service that end when they run a request with
-// the text crash.
+// the text crash, unless cfg has another one.
 func (d *deployment) addServers(n int, service string, cfg runner.ProcessConfig) {
 	d.t.Helper()
 	for range n {
 		c := cfg
 		i := len(d.servers)
-		c.ID, c.Body, c.CrashMarker = fmt.Sprintf("%s-%d", service, i), "found", "crash"
+		c.ID, c.Body = fmt.Sprintf("%s-%d", service, i), "found"
+		if c.CrashMarker == "" {
+			c.CrashMarker = "crash"
+		}
 		c.Service, c.Zone, c.Store = service, "z1", d.store
 		if c.ExpiryDelay == 0 {
 			c.ExpiryDelay, c.RestartDelay = 500*time.Millisecond, 300*time.Millisecond
