Refuse requests by a part of the prompt that crashes servers

Cause: a crash counted against the whole request only, and no two of these requests are alike.

Change: a crash also counts against each shared part of the prompts that ran at the server. A part is cleared when a request with it is served, or when an answer with it had begun and its server lived on, which is all that there is while a group stops every few seconds. A part that was served before the crashes does not explain those of a part that never was, and is blocked later itself, since it may be on every server that ends. If the parts that share all crashes are all in one request, that request is refused; requests with some of them are sent one at a time, which shows which part it is. Crashes of parts go to the other gateways and the store like those of requests; parts that were served are told to a gateway that connects.

TestPopularPartsOfAGroupThatKeepsFailing shows that ends for other reasons refuse nobody.

BrokenRuns.Add takes the keys of a request, so its tests and benchmark pass them; their checks are the same.

--- a/core/retry/bench_test.go
+++ b/core/retry/bench_test.go
@@ -59,7 +59,7 @@
 func BenchmarkBrokenRunsExpire(b *testing.B) {
 	r := retry.NewBrokenRuns()
 	for i := range uint64(retry.MaxBrokenRuns) {
-		r.Add(server(fmt.Sprint(i/12), "addr", 1), i, now, now)
+		r.Add(server(fmt.Sprint(i/12), "addr", 1), retry.Keys{Request: i}, false, now, now)
 	}
 	for range b.N {
 		r.Expire(now.Add(time.Second))
--- a/core/retry/broken_runs.go
+++ b/core/retry/broken_runs.go
@@ -10,9 +10,9 @@
 
 // Limits of broken runs.
 const (
-	// MaxBrokenRuns bounds the broken runs that are kept. Further ones are not
-	// counted if their servers have ended.
-	MaxBrokenRuns = 4096
+	// MaxBrokenRuns bounds the broken runs that are kept, each as often as it has keys.
+	// Further ones are not counted if their servers have ended.
+	MaxBrokenRuns = 16384
 	// SilentServerTime is how long the end of a server counts for a run that broke
 	// off, if nothing is known of the server. It covers the time in which a server
 	// that has lost power starts again.
@@ -50,6 +50,9 @@
 type brokenRun struct {
 	crash Crash
 	until time.Time
+	// begun is set if the answer had begun, and alive once the process has accepted a
+	// connection after the run.
+	begun, alive bool
 	// silent is set while the server does not answer connection attempts.
 	silent bool
 }
@@ -62,9 +65,11 @@
 // Len returns the number of broken runs.
 func (b *BrokenRuns) Len() int { return b.n }
 
-// Add adds a run that broke off at a server, and reports whether there was room.
-func (b *BrokenRuns) Add(s core.BackendServer, fingerprint uint64, started, ended time.Time) bool {
-	if b.n >= MaxBrokenRuns {
+// Add adds a run that broke off at a server, under each of its keys, and reports whether
+// there was room.
+// begun reports whether the answer had begun.
+func (b *BrokenRuns) Add(s core.BackendServer, keys Keys, begun bool, started, ended time.Time) bool {
+	if b.n+1+len(keys.Parts) > MaxBrokenRuns {
 		return false
 	}
 	id := ProcessID(s)
@@ -73,10 +78,11 @@
 		p = &brokenProcess{server: s}
 		b.byProcess[id] = p
 	}
-	c := Crash{Fingerprint: fingerprint, ID: id, Started: started, Ended: ended}
-	p.runs = append(p.runs, brokenRun{crash: c, until: ended.Add(SilentServerTime)})
-	b.requests[fingerprint]++
-	b.n++
+	for _, c := range keys.Crashes(id, started, ended) {
+		p.runs = append(p.runs, brokenRun{crash: c, until: ended.Add(SilentServerTime), begun: begun})
+		b.requests[c.Fingerprint]++
+		b.n++
+	}
 	return true
 }
 
@@ -98,7 +104,7 @@
 		if until.Before(r.until) {
 			p.runs[i].until = until
 		}
-		p.runs[i].silent = false
+		p.runs[i].silent, p.runs[i].alive = false, true
 	}
 }
 
@@ -177,11 +183,21 @@
 	}
 }
 
-// Expire removes the runs for which the end of their server counts no longer.
-func (b *BrokenRuns) Expire(now time.Time) {
+// Expire removes the runs for which the end of their server counts no longer. It returns
+// those whose answer had begun and whose server lived on: they show that neither the
+// request nor its parts crash servers.
+func (b *BrokenRuns) Expire(now time.Time) []Crash {
+	var survived []Crash
 	for id := range b.byProcess {
-		b.remove(id, func(r brokenRun) bool { return now.After(r.until) })
+		b.remove(id, func(r brokenRun) bool {
+			over := now.After(r.until)
+			if over && r.begun && r.alive {
+				survived = append(survived, r.crash)
+			}
+			return over
+		})
 	}
+	return survived
 }
 
 // remove removes the runs of a process for which drop returns true.
--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -235,7 +235,7 @@
 	}
 	for _, c := range cases {
 		b := retry.NewBrokenRuns()
-		b.Add(old, fp, at(0), at(10))
+		b.Add(old, retry.Keys{Request: fp}, false, at(0), at(10))
 		got := c.after(b)
 		if len(got) != c.want {
 			t.Errorf("%s: got %d crashes, want %d", c.name, len(got), c.want)
@@ -251,9 +251,9 @@
 func TestSilentServers(t *testing.T) {
 	b := retry.NewBrokenRuns()
 	for i, id := range []string{"a", "b", "c"} {
-		b.Add(server(id, "addr-"+id, 1), fp, at(0), at(10+i))
+		b.Add(server(id, "addr-"+id, 1), retry.Keys{Request: fp}, false, at(0), at(10+i))
 	}
-	b.Add(server("a", "addr-a", 1), fp+1, at(0), at(10))
+	b.Add(server("a", "addr-a", 1), retry.Keys{Request: fp + 1}, false, at(0), at(10))
 	b.Silent("a/1")
 	b.Silent("b/1")
 	b.Silent("a/1")
@@ -280,7 +280,7 @@
 func TestBrokenRunsAreBounded(t *testing.T) {
 	b := retry.NewBrokenRuns()
 	for i := range uint64(retry.MaxBrokenRuns + 10) {
-		b.Add(server("s", "addr", int64(i)), i, at(0), at(10))
+		b.Add(server("s", "addr", int64(i)), retry.Keys{Request: i}, false, at(0), at(10))
 	}
 	if got, want := b.Len(), retry.MaxBrokenRuns; got != want {
 		t.Errorf("broken runs: got %d, want %d", got, want)
--- a/core/retry/evidence.go
+++ b/core/retry/evidence.go
@@ -6,38 +6,6 @@
 	"strconv"
 )
 
-// isAmbiguous reports whether the crashes of a request have another explanation. If
-// all came at the same time, a loss of power may have hit several of its copies. If
-// another request was running in all of them, that one may be the cause: a request
-// that is sent often is on each server that the cause crashes, until the cause is
-// blocked.
-func (q *Quarantine) isAmbiguous(fingerprint uint64, rec *record) bool {
-	separate := len(rec.separateCrashes())
-	return separate < minSeparateCrashes || separate < maxSeparateCrashes && q.isExplained(fingerprint, rec)
-}
-
-// isExplained reports whether the crashes of a request, as seen by processes that know
-// only their own runs, all count against another request too.
-func (q *Quarantine) isExplained(fingerprint uint64, rec *record) bool {
-	var common map[uint64]bool
-	for id, c := range rec.crashes {
-		if c.Started.IsZero() {
-			return false
-		}
-		others := map[uint64]bool{}
-		for fp := range q.byCrash[id] {
-			if fp != fingerprint && (common == nil || common[fp]) {
-				others[fp] = true
-			}
-		}
-		common = others
-		if len(common) == 0 {
-			return false
-		}
-	}
-	return len(common) > 0
-}
-
 // separateCrashes returns as many crashes as possible of which each run began after
 // the one before it had ended, in order of their ends.
 func (rec *record) separateCrashes() []Crash {
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -39,7 +39,10 @@
 
 // Crash is the end of a backend server's process during a run of a request.
 type Crash struct {
+	// Fingerprint is that of the request or, if PromptPart is set, of a part of its
+	// prompt.
 	Fingerprint uint64
+	PromptPart  bool
 	// ID identifies the process that ended.
 	ID string
 	// Started and Ended are when the run was sent and when it broke off. Started is
@@ -66,10 +69,14 @@
 	// list of them, and reportOrder their ids from oldest to newest.
 	reports     map[string][]uint64
 	reportOrder []string
+	// served tells parts of prompts that were served before their first recorded crash
+	// from those that never were.
+	served servedKeys
 }
 
 type record struct {
 	crashes     map[string]Crash
+	promptPart  bool
 	completedAt time.Time
 	lastCrash   time.Time
 	// cleared holds the ids of dropped crashes. Other processes may report them
@@ -96,7 +103,7 @@
 	}
 	if rec == nil {
 		q.makeRoom()
-		rec = &record{crashes: map[string]Crash{}}
+		rec = &record{crashes: map[string]Crash{}, promptPart: c.PromptPart, completedAt: q.served.last(c.Fingerprint)}
 		q.records[c.Fingerprint] = rec
 	}
 	c.ID = rec.crashID(c)
@@ -203,6 +210,35 @@
 // Completed implements core.Quarantine.
 func (q *Quarantine) Completed(fingerprint uint64, now time.Time) { q.Clear(fingerprint, now) }
 
+// PartsServed records that a request with these parts of its prompt was served to its end
+// at a time.
+func (q *Quarantine) PartsServed(parts []uint64, at time.Time) {
+	for _, p := range parts {
+		q.served.add(p, at)
+	}
+}
+
+// ServedBefore reports whether a part of prompts may have been served: until a part is
+// known to have been, all may have.
+func (q *Quarantine) ServedBefore(part uint64) bool {
+	if rec := q.records[part]; rec != nil && !rec.completedAt.IsZero() {
+		return true
+	}
+	return q.served.empty() || !q.served.last(part).IsZero()
+}
+
+// ServedParts returns at most limit parts that were served lately, by time.
+func (q *Quarantine) ServedParts(limit int) map[uint64]time.Time {
+	out := map[uint64]time.Time{}
+	for part, at := range q.served.current {
+		if len(out) == limit {
+			break
+		}
+		out[part] = at
+	}
+	return out
+}
+
 // Clear drops the crashes before a run that was served to its end at a time, since a
 // request that crashes servers is never served. It returns the dropped crashes.
 func (q *Quarantine) Clear(fingerprint uint64, at time.Time) []Crash {
@@ -236,7 +272,10 @@
 // IsCleared reports whether a crash does not count, since its request was served later.
 func (q *Quarantine) IsCleared(c Crash) bool {
 	rec := q.records[c.Fingerprint]
-	return rec != nil && (rec.cleared[c.ID] || !c.Ended.After(rec.completedAt))
+	if rec == nil {
+		return !c.Ended.After(q.served.last(c.Fingerprint))
+	}
+	return rec.cleared[c.ID] || !c.Ended.After(rec.completedAt)
 }
 
 func (rec *record) markCleared(id string) {
@@ -246,18 +285,6 @@
 	rec.cleared[id] = true
 }
 
-// Status implements core.Quarantine.
-func (q *Quarantine) Status(fingerprint uint64, now time.Time) core.QuarantineStatus {
-	rec := q.records[fingerprint]
-	switch {
-	case rec == nil || len(rec.crashes) == 0 || now.Sub(rec.lastCrash) > RecordTTL:
-		return core.QuarantineClear
-	case rec.onlyCommon || len(rec.crashes) >= blockAfterCrashes && !q.isAmbiguous(fingerprint, rec):
-		return core.QuarantineBlocked
-	}
-	return core.QuarantineSuspect
-}
-
 // HasEndedSince reports whether the end of a process after a time counts against some
 // request.
 func (q *Quarantine) HasEndedSince(processID string, t time.Time) bool {
@@ -280,16 +307,12 @@
 	return 0
 }
 
-// MayReach reports whether further crashes would make as many as a blocked request
-// has.
-func (q *Quarantine) MayReach(fingerprint uint64, further int) bool {
-	return further > 0 && q.Crashes(fingerprint)+further >= blockAfterCrashes
-}
-
-// IsAmbiguous reports whether a request has as many crashes as a blocked one, but may
-// not have caused them. The next run shows whether it has.
-func (q *Quarantine) IsAmbiguous(fingerprint uint64, now time.Time) bool {
-	return q.Crashes(fingerprint) >= blockAfterCrashes && q.Status(fingerprint, now) == core.QuarantineSuspect
+// CrashesOf returns the crashes that count against a request or a part.
+func (q *Quarantine) CrashesOf(fingerprint uint64) []Crash {
+	if rec := q.records[fingerprint]; rec != nil {
+		return slices.Collect(maps.Values(rec.crashes))
+	}
+	return nil
 }
 
 // Records returns at most limit records that count, those with the most crashes
--- a/gateway/crash_store.go
+++ b/gateway/crash_store.go
@@ -36,11 +36,11 @@
 	crashExpiryInterval = time.Minute
 )
 
-func saveDelay(source string, status core.QuarantineStatus) time.Duration {
+func saveDelay(source string, blocked bool) time.Duration {
 	switch {
 	case source != sourceSelf:
 		return peerSaveDelay + time.Duration(rand.Int64N(int64(peerSaveSpread)))
-	case status == core.QuarantineBlocked:
+	case blocked:
 		return 0
 	}
 	return crashSaveDelay
@@ -74,9 +74,10 @@
 
 func (w *crashWrites) add(c retry.Crash, due time.Time) {
 	key := crashKey(c)
-	if !w.stored[key] {
-		w.pending[key] = crashWrite{crash: c, due: due}
+	if p, ok := w.pending[key]; w.stored[key] || ok && !p.remove && p.due.Before(due) {
+		return
 	}
+	w.pending[key] = crashWrite{crash: c, due: due}
 }
 
 func (w *crashWrites) remove(c retry.Crash, due time.Time) {
@@ -114,20 +115,11 @@
 	return out
 }
 
-// hasten makes the crashes of a request due now.
-func (w *crashWrites) hasten(fingerprint uint64, now time.Time) {
-	for key, p := range w.pending {
-		if p.crash.Fingerprint == fingerprint && !p.remove {
-			p.due = now
-			w.pending[key] = p
-		}
-	}
-}
-
 // crashValue is the value of a crash record. Times are in Unix milliseconds.
 type crashValue struct {
 	StartedUnixMS int64 `json:"started_unix_ms"`
 	EndedUnixMS   int64 `json:"ended_unix_ms"`
+	PromptPart    bool  `json:"prompt_part,omitempty"`
 }
 
 // crashKey returns the key of a crash record: the fingerprint of the request and the
@@ -185,7 +177,7 @@
 	}
 	// The clocks of hosts differ, so an end in the future is taken as now.
 	age := max(0, now.Sub(time.UnixMilli(v.EndedUnixMS)))
-	c.Ended = now.Add(-age)
+	c.Ended, c.PromptPart = now.Add(-age), v.PromptPart
 	c.Started = c.Ended.Add(-time.Duration(max(0, v.EndedUnixMS-v.StartedUnixMS)) * time.Millisecond)
 	switch {
 	case age > retry.RecordTTL:
@@ -238,7 +230,7 @@
 	var value []byte
 	if !w.remove {
 		var err error
-		if value, err = json.Marshal(crashValue{w.crash.Started.UnixMilli(), w.crash.Ended.UnixMilli()}); err != nil {
+		if value, err = json.Marshal(crashValue{w.crash.Started.UnixMilli(), w.crash.Ended.UnixMilli(), w.crash.PromptPart}); err != nil {
 			return fmt.Errorf("encode crash record %q: %w", key, err)
 		}
 	}
--- a/gateway/crash_sync.go
+++ b/gateway/crash_sync.go
@@ -20,6 +20,8 @@
 	// most crashes go first.
 	maxSyncedRecords = 256
 	maxSyncedCrashes = 384
+	// maxSyncedParts bounds the served parts that a gateway is told of when it connects.
+	maxSyncedParts = 256
 )
 
 // syncCrashRecords periodically sends the crash records to another gateway.
@@ -44,6 +46,21 @@
 	}
 }
 
+// sendServedParts tells a gateway that has connected which parts of prompts were served
+// lately, since a crash says less about them.
+func (g *Gateway) sendServedParts(s *peer.Session) {
+	f := &peerpb.CrashRecords{}
+	g.task.Do(func() {
+		now := time.Now()
+		for part, at := range g.state.quarantine.ServedParts(maxSyncedParts) {
+			f.Served = append(f.Served, &peerpb.ServedRequest{Fingerprint: part, MsAgo: now.Sub(at).Milliseconds()})
+		}
+	})
+	if len(f.Served) > 0 {
+		s.SendControl(&peerpb.Frame{Body: &peerpb.Frame_CrashRecords{CrashRecords: f}})
+	}
+}
+
 // sendCrashRecords sends a gateway what this one knows of crashing requests.
 func (g *Gateway) sendCrashRecords(s *peer.Session) {
 	f := &peerpb.CrashRecords{}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -42,10 +42,14 @@
 type attempts struct {
 	*call
 	ctx context.Context
-	// isTrial is set if no other copy of the request may be sent meanwhile.
-	isTrial bool
-	// sentAt is when the last send began.
-	sentAt time.Time
+	// trials holds the keys of which no other request may be sent meanwhile.
+	trials []uint64
+	// served is set when the request has been served to its end.
+	served bool
+	// sentAt is when the last send began, and answerBegun is set when events of its
+	// answer have come.
+	sentAt      time.Time
+	answerBegun bool
 	// sends is the number of sends, serverIDs the servers that were tried.
 	sends           int
 	connectFailures int
@@ -235,7 +239,7 @@
 	if a.route.Kind.Repeatable() {
 		defer g.cancelIfUnresponsive(v.Server.ID, cancel)()
 	}
-	a.sentAt = time.Now()
+	a.sentAt, a.answerBegun = time.Now(), false
 	reply, err := g.client.Send(ctx, v.Server, backend.Request{
 		ID:         a.fields.RequestID,
 		Method:     a.r.Method,
@@ -314,6 +318,9 @@
 func (g *Gateway) finished(a *attempts, v dispatch.Decision, o dispatch.Outcome) {
 	now := time.Now()
 	g.task.Do(func() {
+		if a.served {
+			g.requestCompleted(a.keys, now)
+		}
 		g.state.dispatcher.Finished(a.service, v.Server.ID, a.fields.PromptTokens+a.expectedTokens(), o, now)
 		if g.state.dispatcher.Waiting() > 0 {
 			g.deliver(g.state.dispatcher.DispatchWaiting(now))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,7 +125,8 @@
 	quarantine  *retry.Quarantine
 	brokenRuns  *retry.BrokenRuns
 	crashWrites *crashWrites
-	// trials holds the fingerprints of requests of which one copy is being sent.
+	// trials holds the fingerprints of requests and parts of prompts of which one request
+	// is being sent.
 	trials map[uint64]bool
 	// behindSince is the time since which another gateway has known a newer
 	// offset of a topic, by topic; zero if none does.
@@ -294,7 +295,7 @@
 					g.serversChanged(now)
 				}
 				g.cancelUnresponsiveSends(now)
-				g.state.brokenRuns.Expire(now)
+				g.expireBrokenRuns(now)
 				g.hasCrashes.Store(g.state.brokenRuns.Len()+g.state.quarantine.Len() > 0)
 				if g.state.dispatcher.Waiting() > 0 {
 					g.deliver(g.state.dispatcher.DispatchWaiting(now))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/directory"
+	"nutmegnotch/core/retry"
 )
 
 // Timeouts, limits and Retry-After values of callers' requests.
@@ -44,9 +45,13 @@
 	version int64
 	service string
 	body    []byte
-	// fingerprint is the key of the request in the quarantine.
+	// fingerprint is the key of the request in the quarantine, and keys holds those of
+	// its shared parts too.
 	fingerprint uint64
+	keys        retry.Keys
 	deadline    time.Time
+	// blockedPart is the part of the prompt for which the request is refused.
+	blockedPart string
 	// outcome is the name of the result in metrics.
 	outcome string
 	// callerDeadline is when the caller stops waiting. deadline is the earlier of
@@ -113,6 +118,7 @@
 	}
 	c.service = directory.PickService(route, rand.Float64())
 	c.fingerprint = fingerprint(c.holder.Organisation, c.r.RequestURI, c.body)
+	c.keys = retry.Keys{Request: c.fingerprint, Parts: partFingerprints(c.service, c.fields.SharedPromptParts)}
 	return nil
 }
 
@@ -181,7 +187,7 @@
 // guarantee that the request has not run and will not run.
 func (g *Gateway) refuse(c *call, ref refusal) {
 	g.log.Info("request refused", zap.String("request_id", c.id()), zap.String("route", c.route.Name),
-		fingerprintField(c.fingerprint), zap.Int("status", ref.status), zap.String("reason", ref.reason), zap.Duration("retry_after", ref.retryAfter),
+		fingerprintField(c.fingerprint), zap.Int("status", ref.status), zap.String("reason", ref.reason), zap.String("prompt_part", c.blockedPart), zap.Duration("retry_after", ref.retryAfter),
 		zap.Int64("version", c.version), zap.Duration("held", time.Since(c.arrived)))
 	c.outcome = "refused_" + strconv.Itoa(ref.status)
 	h := c.w.Header()
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -80,11 +80,11 @@
 		evidence = "report"
 	}
 	if evidence != "" {
-		g.serversEnded([]retry.Crash{{Fingerprint: a.fingerprint, ID: retry.ProcessID(server), Started: a.sentAt, Ended: now}}, evidence)
+		g.serversEnded(a.keys.Crashes(retry.ProcessID(server), a.sentAt, now), evidence)
 		return false
 	}
 	g.hasCrashes.Store(true)
-	if !g.state.brokenRuns.Add(server, a.fingerprint, a.sentAt, now) {
+	if !g.state.brokenRuns.Add(server, a.keys, a.answerBegun, a.sentAt, now) {
 		quarantineEvents.Add("broken_runs_dropped", 1)
 		return false
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -73,6 +73,7 @@
 	if s.Hello.GetRole() == core.RoleGateway {
 		g.task.Do(func() { g.addMember(s.Hello.GetAddress()) })
 		g.sendCrashRecords(s)
+		g.sendServedParts(s)
 		g.sendLeaving(s)
 		return
 	}
--- a/gateway/prompt_parts_test.go
+++ b/gateway/prompt_parts_test.go
@@ -143,6 +143,8 @@
 		{"silently", popular, []string{"a1", badPart}, runner.CrashSilently, false, false, nil},
 		{"servers of one group", popular, []string{"a1", badPart}, runner.CrashInBody, false, true, nil},
 		{"servers of one group, a gateway restarts", popular, []string{"a1", badPart}, runner.CrashInBody, false, true, restartOne},
+		{"all gateways restart at the same moment", popular, []string{"a1", badPart}, runner.CrashInBody, false, false, restartAll},
+		{"servers of one group, all gateways restart at the same moment", popular, []string{"a1", badPart}, runner.CrashInBody, false, true, restartAll},
 		{"a gateway restarts", popular, []string{"a1", "b2", "c3", badPart}, runner.CrashInBody, false, false, restartOne},
 	}
 	for _, tc := range cases {
@@ -190,6 +192,48 @@
 	c.slots[0] = p
 }
 
+// restartAll restarts all gateways some crashes after the first one.
+func restartAll(c *partCourse) {
+	eventually(c.t, "servers crash", func() bool { return len(c.crashes()) >= 2 })
+	list := c.restartAll()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slots = list
+}
+
+// Guards against sound requests that are refused because the servers of their group end
+// one after the other for another reason, before any request is served.
+func TestPopularPartsOfAGroupThatKeepsFailing(t *testing.T) {
+	t.Parallel()
+	c := &partCourse{deployment: newDeployment(t), done: make(chan struct{})}
+	defer c.logIfFailed()
+	c.publish()
+	c.addServers(12, "model", runner.ProcessConfig{Slots: 4, ExpiryDelay: 700 * time.Millisecond, RestartDelay: 300 * time.Millisecond,
+		Config: runner.Config{Events: 6, EventInterval: 60 * time.Millisecond, ProcessingTime: 20 * time.Millisecond, Group: &runner.Group{FormTime: 100 * time.Millisecond}}})
+	c.slots = []*process{c.startReady(), c.startReady(), c.startReady()}
+	eventually(t, "the gateways are connected", c.connected)
+	c.sendSound([][]string{{"a1"}, {"a1", "b2"}, {"a1", "b2", "c3", "d4"}})
+	time.Sleep(soundTime)
+	for i := range 12 {
+		c.servers[i].Runner().Crash(false)
+		time.Sleep(600 * time.Millisecond)
+	}
+	calm := time.Now().Add(2 * crashSettleTime)
+	time.Sleep(time.Until(calm.Add(3 * time.Second)))
+	close(c.done)
+	c.wg.Wait()
+	if got, n := c.servedShare(calm, calm.Add(2*time.Second)); got < 0.5 || n < 20 {
+		t.Errorf("share of the sound requests served after the last end: got %.2f of %d, want at least 0.50 of 20 or more", got, n)
+	}
+	for i, p := range c.gateways {
+		for _, l := range p.logs.FilterMessage("request refused").All() {
+			if l.ContextMap()["reason"] == "crashes_backend_servers" {
+				t.Fatalf("gateway %d refused a sound request as crashing: %v", i, l.ContextMap())
+			}
+		}
+	}
+}
+
 // check checks both bounds.
 func (c *partCourse) check(begun, mixed, end time.Time) {
 	c.t.Helper()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,6 +38,19 @@
 	return h.Sum64()
 }
 
+// partFingerprints returns the hashes of the shared parts of a prompt.
+func partFingerprints(service string, parts []string) []uint64 {
+	var out []uint64
+	for _, part := range parts {
+		h := xxhash.New()
+		_, _ = h.WriteString(service)
+		_, _ = h.Write([]byte{0})
+		_, _ = h.WriteString(part)
+		out = append(out, h.Sum64())
+	}
+	return out
+}
+
 // fingerprintField returns the log field by which the lines about one request, its
 // copies and its crashes are found.
 func fingerprintField(fingerprint uint64) zap.Field {
@@ -54,18 +67,40 @@
 )
 
 // quarantineReason returns why a request may not be sent now and the Retry-After, or
-// an empty reason. It runs in the task.
-func (g *Gateway) quarantineReason(a *attempts) (reason string, retryAfter time.Duration) {
-	q, now := g.state.quarantine, time.Now()
+// an empty reason. ambiguous holds the keys of which one request at a time may be sent.
+// It runs in the task.
+func (g *Gateway) quarantineReason(a *attempts) (reason string, retryAfter time.Duration, ambiguous []uint64) {
+	q := g.state.quarantine
+	v := q.Judge(a.keys, time.Now())
 	switch {
-	case q.Status(a.fingerprint, now) == core.QuarantineBlocked:
-		return reasonCrashes, quarantineRetryAfter
-	case !a.isTrial && g.state.trials[a.fingerprint]:
-		return reasonTrialRunning, trialRetryAfter
-	case q.MayReach(a.fingerprint, g.state.brokenRuns.CountSilent(a.fingerprint)):
-		return reasonServersSilent, trialRetryAfter
+	case v.Status == core.QuarantineBlocked:
+		a.blockedPart = a.partName(v.Blocked)
+		return reasonCrashes, quarantineRetryAfter, nil
+	case g.trialRuns(a):
+		return reasonTrialRunning, trialRetryAfter, nil
+	case q.MayReach(a.keys, g.state.brokenRuns.CountSilent):
+		return reasonServersSilent, trialRetryAfter, nil
+	}
+	return "", 0, v.Ambiguous
+}
+
+// partName returns the name of the part of the prompt with a fingerprint, or "".
+func (a *attempts) partName(fingerprint uint64) string {
+	if i := slices.Index(a.keys.Parts, fingerprint); i >= 0 {
+		return a.fields.SharedPromptParts[i]
 	}
-	return "", 0
+	return ""
+}
+
+// trialRuns reports whether another request is being tried that shares a key with this
+// one. It runs in the task.
+func (g *Gateway) trialRuns(a *attempts) bool {
+	if len(g.state.trials) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(a.keys.All(), func(key uint64) bool {
+		return g.state.trials[key] && !slices.Contains(a.trials, key)
+	})
 }
 
 // checkQuarantine reports why a request may not be sent now.
@@ -73,62 +108,80 @@
 	if !g.hasCrashes.Load() {
 		return "", 0
 	}
-	g.task.Do(func() { reason, retryAfter = g.quarantineReason(a) })
+	g.task.Do(func() { reason, retryAfter, _ = g.quarantineReason(a) })
 	return reason, retryAfter
 }
 
-// beginSend is like checkQuarantine. Of a request whose crashes are ambiguous, it
-// allows one copy to be sent at a time.
+// beginSend is like checkQuarantine. Of the requests with a key whose crashes are
+// ambiguous, it allows one to be sent at a time.
 func (g *Gateway) beginSend(a *attempts) (reason string, retryAfter time.Duration) {
 	if !g.hasCrashes.Load() {
 		return "", 0
 	}
 	g.task.Do(func() {
-		reason, retryAfter = g.quarantineReason(a)
-		if reason == "" && !a.isTrial && g.state.quarantine.IsAmbiguous(a.fingerprint, time.Now()) {
-			g.state.trials[a.fingerprint], a.isTrial = true, true
+		var ambiguous []uint64
+		reason, retryAfter, ambiguous = g.quarantineReason(a)
+		for _, key := range ambiguous {
+			if !g.state.trials[key] {
+				g.state.trials[key] = true
+				a.trials = append(a.trials, key)
+			}
 		}
 	})
 	return reason, retryAfter
 }
 
-// endTrial allows another copy of the request to be sent.
+// endTrial allows another request with the same keys to be sent.
 func (g *Gateway) endTrial(a *attempts) {
-	if a.isTrial {
-		g.task.Do(func() { delete(g.state.trials, a.fingerprint) })
+	if len(a.trials) == 0 {
+		return
 	}
+	g.task.Do(func() {
+		for _, key := range a.trials {
+			delete(g.state.trials, key)
+		}
+	})
 }
 
 // countCrash counts the end of a server's process against the request that it ran.
 // It reports whether the crash was not known before. It runs in the task.
 func (g *Gateway) countCrash(c retry.Crash, source, evidence string) bool {
 	q, now := g.state.quarantine, time.Now()
-	before := q.Status(c.Fingerprint, now)
+	before := isBlocked(q, c, now)
 	c, counted := q.Add(c, now)
 	if !counted {
 		return false
 	}
 	g.hasCrashes.Store(true)
 	quarantineEvents.Add("crashes_counted", 1)
-	status := q.Status(c.Fingerprint, now)
-	g.log.Info("crash counted", fingerprintField(c.Fingerprint), zap.String("process", c.ID),
-		zap.Int("crashes", q.Crashes(c.Fingerprint)), zap.Bool("quarantined", status == core.QuarantineBlocked),
+	blocked := isBlocked(q, c, now)
+	g.log.Info("crash counted", fingerprintField(c.Fingerprint), zap.Bool("prompt_part", c.PromptPart), zap.String("process", c.ID),
+		zap.Int("crashes", q.Crashes(c.Fingerprint)), zap.Bool("quarantined", blocked),
 		zap.String("source", source), zap.String("evidence", evidence),
 		zap.Duration("run_time", c.Ended.Sub(c.Started)), zap.Duration("age", now.Sub(c.Ended)))
-	if status == core.QuarantineBlocked && before != core.QuarantineBlocked {
+	if blocked && !before {
 		quarantineEvents.Add("requests_quarantined", 1)
 		g.log.Warn("request is quarantined, since it crashes backend servers", fingerprintField(c.Fingerprint),
-			zap.Int("crashes", q.Crashes(c.Fingerprint)))
-		if source == sourceSelf {
-			g.state.crashWrites.hasten(c.Fingerprint, now)
+			zap.Bool("prompt_part", c.PromptPart), zap.Int("crashes", q.Crashes(c.Fingerprint)))
+		for _, known := range q.CrashesOf(c.Fingerprint) {
+			g.state.crashWrites.add(known, now.Add(saveDelay(source, blocked)))
 		}
-	}
-	if source != sourceStore {
-		g.state.crashWrites.add(c, now.Add(saveDelay(source, status)))
+	} else if source != sourceStore && (!c.PromptPart || !q.ServedBefore(c.Fingerprint)) {
+		// Parts that were served before mostly are again, before their crashes matter.
+		g.state.crashWrites.add(c, now.Add(saveDelay(source, blocked)))
 	}
 	return true
 }
 
+// isBlocked reports whether a request, or each one with a part, is blocked.
+func isBlocked(q *retry.Quarantine, c retry.Crash, now time.Time) bool {
+	keys := retry.Keys{Request: c.Fingerprint}
+	if c.PromptPart {
+		keys = retry.Keys{Parts: []uint64{c.Fingerprint}}
+	}
+	return q.Judge(keys, now).Status == core.QuarantineBlocked
+}
+
 // serversEnded counts crashes for which there is evidence, and reports them to the
 // other gateways. It runs in the task.
 func (g *Gateway) serversEnded(crashes []retry.Crash, evidence string) {
@@ -145,26 +198,46 @@
 }
 
 func requestCrash(c retry.Crash, now time.Time) *peerpb.RequestCrash {
-	return &peerpb.RequestCrash{Fingerprint: c.Fingerprint, ProcessId: c.ID,
+	return &peerpb.RequestCrash{Fingerprint: c.Fingerprint, PromptPart: c.PromptPart, ProcessId: c.ID,
 		StartedMsAgo: now.Sub(c.Started).Milliseconds(), EndedMsAgo: now.Sub(c.Ended).Milliseconds()}
 }
 
-// requestCompleted clears a request that was served to its end, here and at the
-// other gateways.
-func (g *Gateway) requestCompleted(a *attempts, status int) {
-	if status < http.StatusOK || status >= http.StatusMultipleChoices || !g.hasCrashes.Load() {
+// requestCompleted clears a request that was served to its end, and its parts, here and at
+// the other gateways. It runs in the task.
+func (g *Gateway) requestCompleted(keys retry.Keys, now time.Time) {
+	g.state.quarantine.PartsServed(keys.Parts, now)
+	if !g.hasCrashes.Load() {
 		return
 	}
-	g.task.Do(func() {
-		now := time.Now()
-		g.state.brokenRuns.Completed(a.fingerprint)
-		if !g.clearRequest(a.fingerprint, now, sourceSelf) {
-			return
+	for _, key := range keys.All() {
+		g.state.brokenRuns.Completed(key)
+	}
+	g.clearEverywhere(keys.All(), now)
+}
+
+// clearEverywhere clears keys here and at the other gateways. It runs in the task.
+func (g *Gateway) clearEverywhere(keys []uint64, at time.Time) {
+	f := &peerpb.CrashRecords{}
+	for _, key := range keys {
+		if g.clearRequest(key, at, sourceSelf) {
+			f.Served = append(f.Served, &peerpb.ServedRequest{Fingerprint: key, MsAgo: time.Since(at).Milliseconds()})
 		}
-		g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_CrashRecords{
-			CrashRecords: &peerpb.CrashRecords{Served: []*peerpb.ServedRequest{{Fingerprint: a.fingerprint}}},
-		}})
-	})
+	}
+	if len(f.Served) > 0 {
+		g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_CrashRecords{CrashRecords: f}})
+	}
+}
+
+// expireBrokenRuns clears the parts of requests whose answers had begun when their runs
+// broke off, at servers that lived on. It runs in the task.
+func (g *Gateway) expireBrokenRuns(now time.Time) {
+	for _, run := range g.state.brokenRuns.Expire(now) {
+		if run.PromptPart {
+			part := []uint64{run.Fingerprint}
+			g.state.quarantine.PartsServed(part, run.Ended)
+			g.clearEverywhere(part, run.Ended)
+		}
+	}
 }
 
 // clearRequest drops the crashes of a request that was served to its end at a time.
@@ -175,7 +248,7 @@
 		return false
 	}
 	for _, c := range dropped {
-		g.state.crashWrites.remove(c, time.Now().Add(saveDelay(source, core.QuarantineBlocked)))
+		g.state.crashWrites.remove(c, time.Now().Add(saveDelay(source, true)))
 	}
 	quarantineEvents.Add("requests_cleared", 1)
 	g.log.Info("request cleared, since a backend server has served it", fingerprintField(fingerprint),
@@ -195,10 +268,11 @@
 func (g *Gateway) applyCrashRecords(p *peerpb.CrashRecords, source string, now time.Time) {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(max(0, ms)) * time.Millisecond) }
 	for _, c := range p.GetCrashes() {
-		g.countKnownCrash(retry.Crash{Fingerprint: c.GetFingerprint(), ID: c.GetProcessId(),
+		g.countKnownCrash(retry.Crash{Fingerprint: c.GetFingerprint(), PromptPart: c.GetPromptPart(), ID: c.GetProcessId(),
 			Started: ago(c.GetStartedMsAgo()), Ended: ago(c.GetEndedMsAgo())}, source, now)
 	}
 	for _, r := range p.GetServed() {
+		g.state.quarantine.PartsServed([]uint64{r.GetFingerprint()}, ago(r.GetMsAgo()))
 		g.clearRequest(r.GetFingerprint(), ago(r.GetMsAgo()), source)
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -58,6 +58,7 @@
 	before := a.relay.events
 	a.relay.serverID = v.Server.ID
 	err := a.relay.copyEvents(reply)
+	a.answerBegun = a.relay.events > before
 	unverified := errors.Is(err, backend.ErrUnverifiedEnd)
 	if err == nil || unverified && !a.relay.promisesLastChunk() {
 		reply.MarkBodyRead()
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -168,7 +168,8 @@
 	if framing == backend.FramingConnection {
 		outcome, message = "unverified", "reply forwarded, but its server did not mark its end"
 	} else {
-		g.requestCompleted(a, status)
+		// A stream without events may have been resumed at its end.
+		a.served = status >= http.StatusOK && status < http.StatusMultipleChoices && (a.relay == nil || a.relay.events > 0)
 	}
 	a.outcome = outcome + "_" + strconv.Itoa(status)
 	sendsByOutcome.Add(outcome, 1)
