Log pauses of servers, and servers that leave the list during one

A gateway now logs each pause with its length, and each server whose record goes while its pause lasts.

No decision changes.

--- a/core/dispatch/pause.go
+++ b/core/dispatch/pause.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// Paused returns the time that is left of the pause of each paused server.
+func (d *Dispatcher) Paused(now time.Time) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, s := range d.services {
+		for id, sv := range s.servers {
+			if sv.pause.active(now) {
+				out[id] = sv.pause.until.Sub(now)
+			}
+		}
+	}
+	return out
+}
+
 // PeerPaused records that a server wants no requests from another gateway for a time. It
 // is only less likely to be chosen here.
 func (d *Dispatcher) PeerPaused(serverID string, length time.Duration, now time.Time) {
--- a/gateway/server_state.go
+++ b/gateway/server_state.go
@@ -79,6 +79,8 @@
 			zap.Duration("allowed", dispatch.MaxPause))
 		length = dispatch.MaxPause
 	}
+	g.log.Info("server asked for a pause", zap.String("server", server.ID), zap.Int64("server_started_ms", server.StartedUnixMS),
+		zap.Duration("pause", length))
 	g.task.Do(func() {
 		g.state.dispatcher.Pause(server.Service, server.ID, length, time.Now())
 		g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_ServerStates{ServerStates: &peerpb.ServerStates{
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -282,11 +282,18 @@
 func (g *Gateway) logServers(source string) {
 	usable := 0
 	list := g.state.directory.Servers()
+	listed := make(map[string]bool, len(list))
 	for _, s := range list {
+		listed[s.ID] = true
 		if s.Usable {
 			usable++
 		}
 	}
+	for id, left := range g.state.dispatcher.Paused(time.Now()) {
+		if !listed[id] {
+			g.log.Info("server has left the list during its pause", zap.String("server", id), zap.Duration("left", left))
+		}
+	}
 	g.log.Info("backend servers changed", zap.String("source", source), zap.Int("known", len(list)),
 		zap.Int("usable", usable), zap.Int64("next_offset", g.state.directory.Next(core.TopicServers).Offset))
 }
