--- a/core/dispatch/pause_test.go
+++ b/core/dispatch/pause_test.go
@@ -113,3 +113,49 @@
 		t.Errorf("requests by server: got %v, want most of them but not all at s1", got)
 	}
 }
+
+// Guards against a server whose state is forgotten when its record goes and comes back,
+// although its process is the same.
+func TestServerKeepsItsStateWhileItIsNotListed(t *testing.T) {
+	again := func(d *dispatch.Dispatcher, startedUnixMS int64) {
+		dep, list := servers(1, 4, false)
+		d.SetServers(dep, nil, start.Add(100*time.Millisecond))
+		list[0].StartedUnixMS = startedUnixMS
+		d.SetServers(dep, list, start.Add(200*time.Millisecond))
+	}
+	cases := []struct {
+		name   string
+		before func(d *dispatch.Dispatcher)
+		// at is when one more request is offered.
+		at time.Duration
+	}{
+		{"pause", func(d *dispatch.Dispatcher) { d.Pause("s", "s0", 3*time.Second, start) }, time.Second},
+		{"open requests", func(d *dispatch.Dispatcher) {
+			for i := range uint64(5) {
+				d.Offer(request(i, 0), start)
+			}
+		}, time.Second},
+		{"failed connections", func(d *dispatch.Dispatcher) {
+			for i := range uint64(4) {
+				d.Offer(request(i, 0), start)
+				d.Finished("s", "s0", 100, dispatch.OutcomeUnreachable, start)
+			}
+		}, 500 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDispatcher(1, 4, false)
+			c.before(d)
+			again(d, 0)
+			if v, decided := d.Offer(request(99, c.at), start.Add(c.at)); decided && v.Rejected == "" {
+				t.Errorf("same process: got the request sent to %q, want it queued or rejected", v.Server.ID)
+			}
+			d = newDispatcher(1, 4, false)
+			c.before(d)
+			again(d, 1)
+			if v, decided := d.Offer(request(99, c.at), start.Add(c.at)); !decided || v.Rejected != "" {
+				t.Errorf("another process: got %+v, decided %t, want the request sent", v, decided)
+			}
+		})
+	}
+}
--- a/gateway/server_state_test.go
+++ b/gateway/server_state_test.go
@@ -120,6 +120,78 @@
 	}
 }
 
+// Guards against a pause that ends when the record of its server goes and comes back.
+func TestPauseOutlivesTheRecordOfItsServer(t *testing.T) {
+	t.Parallel()
+	const pause = 3 * time.Second
+	cases := []struct {
+		name string
+		// gap is how long the record is gone, times how often.
+		gap   time.Duration
+		times int
+	}{
+		{"once", 400 * time.Millisecond, 1},
+		{"for a moment, several times", 60 * time.Millisecond, 4},
+		{"for most of the pause", 2 * time.Second, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.publish()
+			var servers []*runner.Runner
+			for i := range 3 {
+				servers = append(servers, d.addRunner(runner.Config{ID: fmt.Sprintf("s%d", i), Body: "ok"}, "desk"))
+			}
+			p := d.startReady()
+			paused := servers[0]
+			paused.Pause(200*time.Millisecond, "3")
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				time.Sleep(300 * time.Millisecond)
+				for range c.times {
+					d.store.Put("keyed.servers", "s0", nil)
+					time.Sleep(c.gap)
+					d.announce("s0", "desk", "ready")
+					time.Sleep(150 * time.Millisecond)
+				}
+			})
+			begun := time.Now()
+			for time.Since(begun) < pause+800*time.Millisecond {
+				wg.Go(func() { send(newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")) })
+				time.Sleep(8 * time.Millisecond)
+			}
+			wg.Wait()
+			rejected := paused.Rejected()
+			if len(rejected) == 0 {
+				t.Fatal("rejections: got 0, want at least one")
+			}
+			from, to := rejected[0].At.Add(500*time.Millisecond), rejected[0].At.Add(pause)
+			late := 0
+			for _, r := range rejected {
+				if r.At.After(from) {
+					late++
+				}
+			}
+			after := 0
+			for _, r := range paused.Runs() {
+				switch {
+				case r.At.After(to):
+					after++
+				case r.At.After(from):
+					late++
+				}
+			}
+			if late > 2 {
+				t.Errorf("requests during the pause, later than 500ms after its begin: got %d, want at most 2", late)
+			}
+			if after == 0 {
+				t.Error("requests after the pause: got 0, want some")
+			}
+		})
+	}
+}
+
 // Guards against callers that are told to come back before a server is open again, or
 // that wait although none opens inside their deadline.
 func TestCallersOfPausedServers(t *testing.T) {
