Keep the state of a server while its record is gone

Cause: the dispatcher dropped all that it knew of a server with the record: pause, open requests, failures, cold limit. The same process came back as an unknown one. The class is state of a process that lives as long as a record of it, which the store may remove while the process goes on.

Change: the state stays for 30 s after the record has gone, and longer while the server has requests or its pause lasts. Another process under the id begins anew, as before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	completionRateHalfLife = time.Second
 	// maxPeerLoadAge is how long a load report of another gateway is valid.
 	maxPeerLoadAge = time.Second
+	// unlistedTime is how long the state of a server is kept after it has left the list,
+	// and longer while it has requests or its pause lasts.
+	unlistedTime = 30 * time.Second
 )
 
 // service is the state of one service.
@@ -58,6 +61,8 @@
 	ownOutage outage
 	cold      coldLimit
 	pause     pause
+	// unlistedSince is when the server left the list, or zero while it is listed.
+	unlistedSince time.Time
 	// lastEvent is the time of the last stream event of a server with requests,
 	// or of its first request.
 	lastEvent time.Time
@@ -90,7 +95,8 @@
 func (d *Dispatcher) SetGateways(n int) { d.gateways = max(1, n) }
 
 // SetServers replaces the servers, and the service settings unless dep is nil.
-// A server keeps its state unless it has restarted or changed its address.
+// A server keeps its state unless it has restarted or changed its address, also if it
+// leaves the list for a time: the same process may be listed again.
 func (d *Dispatcher) SetServers(dep *core.Deployment, list []directory.Server, now time.Time) {
 	seen := map[string]bool{}
 	for _, s := range d.services {
@@ -107,7 +113,7 @@
 				s.outageOf(sv).begin(now)
 			}
 		}
-		sv.Server = item
+		sv.Server, sv.unlistedSince = item, time.Time{}
 		s.serverList = append(s.serverList, sv)
 	}
 	for name, s := range d.services {
@@ -115,14 +121,22 @@
 			s.config = dep.Services[name]
 		}
 		for id, sv := range s.servers {
-			if !seen[id] {
-				sv.Usable = false
+			if !seen[id] && sv.forget(now) {
 				delete(s.servers, id)
 			}
 		}
 	}
 }
 
+// forget marks a server as not listed, and reports whether its state is no longer needed.
+func (sv *server) forget(now time.Time) bool {
+	sv.Usable = false
+	if sv.unlistedSince.IsZero() {
+		sv.unlistedSince = now
+	}
+	return sv.requests == 0 && !sv.pause.active(now) && now.Sub(sv.unlistedSince) >= unlistedTime
+}
+
 func (d *Dispatcher) service(name string) *service {
 	s := d.services[name]
 	if s == nil {
