Bound the heads of replies and the replies that are skipped

Cause: http.ReadResponse reads a head of any size.

Change: a head has 64 KiB, everywhere. A reply to another request that is skipped is bounded with its framing: 1 MiB in chunks of one byte took 1.3 s of a test's time before.

The bounds of the clients of plain servers behind agents, the host list and the product's own log are set but have no test of their own.

--- /dev/null
+++ b/gateway/endless_reply_test.go
@@ -0,0 +1,135 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"nutmegnotch/emulator/runner"
+)
+
+// Bounds of a reply without end: the server may write at most endlessBytes, which is above
+// what the kernel buffers, and the caller is served elsewhere within endlessTime.
+const (
+	endlessBytes = 16 << 20
+	endlessTime  = time.Second
+)
+
+// serveEndless accepts connections and answers each request with head and then with piece
+// until the client closes. It returns its address and the number of bytes written.
+func serveEndless(t *testing.T, head, piece string) (string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var conns []net.Conn
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		for _, c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	written := &atomic.Int64{}
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			wg.Go(func() { writeEndless(c, head, piece, written) })
+		}
+	})
+	return l.Addr().String(), written
+}
+
+func writeEndless(c net.Conn, head, piece string, written *atomic.Int64) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if _, err := io.WriteString(c, strings.ReplaceAll(head, "ID", r.Header.Get("Nutmegnotch-Request-Id"))); err != nil {
+		return
+	}
+	block := strings.Repeat(piece, max(1, 32<<10/len(piece)))
+	for {
+		n, err := io.WriteString(c, block)
+		written.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a server whose bytes without end fill the gateway's memory and keep a
+// caller that another server could serve.
+func TestReplyWithoutEnd(t *testing.T) {
+	t.Parallel()
+	const ok = "HTTP/1.1 200 OK\r\nNutmegnotch-Request-Id: ID\r\nNutmegnotch-Response-Seal: seal.bad\r\n"
+	cases := []struct{ name, head, piece, path string }{
+		{"status line", "HTTP/1.1 200 ", "x", "/lookup/1"},
+		{"no line end", "", "\x00", "/lookup/1"},
+		{"one header line", ok + "X-A: ", "x", "/lookup/1"},
+		{"header lines", ok, "X-A: b\r\n", "/lookup/1"},
+		{"interim replies", "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "/lookup/1"},
+		{"replies to other requests", "", "HTTP/1.1 200 OK\r\nNutmegnotch-Request-Id: other\r\nContent-Length: 1\r\n\r\nx", "/lookup/1"},
+		{"body of a reply to another request", "HTTP/1.1 200 OK\r\nNutmegnotch-Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", "/lookup/1"},
+		{"size of a chunk", ok + "Transfer-Encoding: chunked\r\n\r\n", "1", "/lookup/1"},
+		{"extension of a chunk", ok + "Transfer-Encoding: chunked\r\n\r\n1;", "x", "/lookup/1"},
+		{"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n", "/lookup/1"},
+		{"body without a signature", "HTTP/1.1 200 OK\r\nNutmegnotch-Request-Id: ID\r\n\r\n", "x", "/lookup/1"},
+		{"stream, header lines", ok, "X-A: b\r\n", "/draft/1"},
+		{"one event", ok + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x", "/draft/1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.publish()
+			service, cfg := "desk", runner.Config{ID: "good", Body: "found"}
+			if strings.HasPrefix(c.path, "/draft/") {
+				service, cfg.Events = "model", 3
+			}
+			d.addRunner(cfg, service)
+			address, written := serveEndless(t, c.head, c.piece)
+			d.store.PutJSON("keyed.servers", "bad", map[string]any{"service": service, "addr": address, "zone": "z1", "slots": 4, "state": "ready", "born": 1, "seq": 1})
+			p := d.startReady()
+			met := false
+			for range 20 {
+				begun, before := time.Now(), written.Load()
+				got := send(newRequest(p, http.MethodGet, c.path, "key-a", ""))
+				if got.status != http.StatusOK || got.err != nil {
+					t.Fatalf("request: got %d %q (%v), want it served by the other server", got.status, got.body, got.err)
+				}
+				if took := time.Since(begun); took > endlessTime {
+					t.Fatalf("request: got the answer after %v, want it within %v", took, endlessTime)
+				}
+				if n := written.Load() - before; n > endlessBytes {
+					t.Fatalf("bytes that the server wrote: got %s, want at most %s", mib(n), mib(endlessBytes))
+				}
+				met = met || written.Load() > 0
+			}
+			if !met {
+				t.Error("no request has met the server without end")
+			}
+		})
+	}
+}
+
+func mib(n int64) string { return fmt.Sprintf("%.1f MiB", float64(n)/(1<<20)) }
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -28,6 +28,10 @@
 	// ErrUnverifiedEnd means that a body with neither a length nor chunks has ended with
 	// its connection. It may be whole or cut short.
 	ErrUnverifiedEnd = errors.ConstError("reply ended with its connection")
+	// ErrReplyTooLarge means that a server has sent more than core.MaxReplyHeadBytes
+	// without completing the head of its reply, or more than maxSkippedBodyBytes of a
+	// reply to another request.
+	ErrReplyTooLarge = errors.ConstError("reply is too large")
 )
 
 // Timeouts and limits of connections.
@@ -48,7 +52,7 @@
 	// maxReplyHeads bounds the number of reply heads that are read for one request,
 	// including replies to other requests and interim responses.
 	maxReplyHeads = 4
-	// maxSkippedBodyBytes bounds how much of the body of a skipped reply is read.
+	// maxSkippedBodyBytes bounds the body of a skipped reply, with its framing.
 	maxSkippedBodyBytes = 1 << 20
 )
 
@@ -93,6 +97,7 @@
 type conn struct {
 	net.Conn
 	r           *bufio.Reader
+	limiter     *readLimiter
 	key         string
 	idleSince   time.Time
 	maxIdleTime time.Duration
@@ -196,7 +201,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", server.Address, err, ErrNotSent)
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes), key: poolKey(server), maxIdleTime: defaultIdleTimeout}, nil
+	l := &readLimiter{r: nc}
+	return &conn{Conn: nc, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes), key: poolKey(server), maxIdleTime: defaultIdleTimeout}, nil
 }
 
 // poolKey returns the key of the idle connections to a server.
--- a/io/backend/send.go
+++ b/io/backend/send.go
@@ -96,7 +96,9 @@
 	for range maxReplyHeads {
 		// Reply.Close closes the connection instead of the body, since closing the
 		// body would first read it to its end.
+		rep.conn.limiter.begin(core.MaxReplyHeadBytes)
 		resp, err := http.ReadResponse(rep.conn.r, &http.Request{Method: r.Method}) //nolint:bodyclose
+		rep.conn.limiter.end()
 		if err != nil {
 			return fmt.Errorf("read head: %w", err)
 		}
@@ -111,7 +113,10 @@
 		if framingOf(resp) == FramingConnection {
 			return fmt.Errorf("unframed reply to request %q: %w", rep.client.cfg.RequestID(resp.Header), ErrReplyMismatch)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes)); err != nil {
+		rep.conn.limiter.begin(maxSkippedBodyBytes)
+		_, err = io.Copy(io.Discard, resp.Body)
+		rep.conn.limiter.end()
+		if err != nil {
 			return fmt.Errorf("skip reply to another request: %w: %w", err, ErrReplyMismatch)
 		}
 	}
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -45,12 +45,13 @@
 // closed. Without them, a request is never sent twice.
 func newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:      disableKeepAlives,
+		DisableCompression:     true,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: core.MaxReplyHeadBytes,
 	}
 }
 
--- a/io/hostlist/client.go
+++ b/io/hostlist/client.go
@@ -46,7 +46,7 @@
 	if !strings.Contains(address, "://") {
 		address = "http://" + address
 	}
-	t := &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext, IdleConnTimeout: time.Minute}
+	t := &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: core.MaxReplyHeadBytes}
 	return &Client{base: strings.TrimSuffix(address, "/"), timeout: timeout, http: &http.Client{Transport: t}}
 }
 
--- a/io/platformlog/client.go
+++ b/io/platformlog/client.go
@@ -55,9 +55,10 @@
 		address = "http://" + address
 	}
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: core.MaxReplyHeadBytes,
 	}
 	return NewWithTransport(address, timeout, t)
 }
--- a/process/group.go
+++ b/process/group.go
@@ -49,7 +49,7 @@
 	if g.Name == "" {
 		return nil
 	}
-	t := &groupTask{cfg: g, log: logger, httpClient: &http.Client{Transport: &http.Transport{}, Timeout: rankEngineTimeout},
+	t := &groupTask{cfg: g, log: logger, httpClient: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: core.MaxReplyHeadBytes}, Timeout: rankEngineTimeout},
 		drainTimeout: cfg.Agent.DrainTimeout.AsDuration(), leave: newLeaveTask(cfg.ID, g.RankIDs, nodePeers{node}, status)}
 	engine := &rank.Client{URL: baseURL(g.EngineAddress), HTTP: t.httpClient}
 	shape := expertmap.Shape{Ranks: len(g.RankIDs), Layers: g.Layers, Experts: g.Experts, SlotsPerRank: g.Rebalance.SlotsPerRank}
