Play prompt parts that crash servers under random faults

TestCrashingRequestUnderFaults gets a third variant for each seed: requests that have only one part of their prompts in common crash the servers, beside a popular request that shares the first part, while gateways restart, the store fails or comes back from a copy and servers reset, hang and end.

The checks of the other variants are the same.

--- a/emulator/runner/crash.go
+++ b/emulator/runner/crash.go
@@ -96,10 +96,10 @@
 	}
 }
 
-func (r *Runner) causedBy(target string) bool {
+func (r *Runner) causedBy(match func(target string) bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.crashedBy == target
+	return match(r.crashedBy)
 }
 
 func (r *Runner) isSilent() bool {
--- a/emulator/runner/process.go
+++ b/emulator/runner/process.go
@@ -150,13 +150,14 @@
 	return append([]time.Time(nil), p.crashes...)
 }
 
-// CrashesBy returns the times of the crashes that a request with a target has caused.
-func (p *Process) CrashesBy(target string) []time.Time {
+// CrashesBy returns the times of the crashes that requests with matching targets have
+// caused.
+func (p *Process) CrashesBy(match func(target string) bool) []time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []time.Time
 	for i, at := range p.crashes {
-		if p.runners[i].causedBy(target) {
+		if p.runners[i].causedBy(match) {
 			out = append(out, at)
 		}
 	}
--- a/gateway/crash_faults_test.go
+++ b/gateway/crash_faults_test.go
@@ -29,6 +29,9 @@
 	maxRefusal    = time.Second
 	// sentToHeader names the gateway to which a copy was sent.
 	sentToHeader = "X-Sent-To"
+	// badPartTarget begins the targets of requests that have only crashPart in common.
+	badPartTarget = "/lookup/bad-"
+	crashPart     = "crash-part"
 )
 
 // faultWindow is a time in which a gateway, or all of them if it is -1, had a fault.
@@ -49,6 +52,8 @@
 	// unmarked adds replies that end with their connection, and returns of the store from
 	// copies, to the faults.
 	unmarked bool
+	// byPart makes requests crash servers by crashPart, no two of them alike.
+	byPart bool
 	// refused and served hold the times of answers to the popular request: refusals as
 	// crashing, and replies.
 	refused, served []time.Time
@@ -91,6 +96,7 @@
 // sendTo sends a request to a gateway in the background.
 func (c *crashCourse) sendTo(i int, path string) {
 	r := newRequest(c.gateway(i), http.MethodGet, path, "key-a", "")
+	c.setParts(r, path)
 	r.Header.Set(sentToHeader, strconv.Itoa(i))
 	r.Header.Set("Nutmegnotch-Deadline-Ms", "1500")
 	c.wg.Go(func() {
@@ -107,6 +113,50 @@
 	})
 }
 
+// setParts sets the parts of the prompt. All requests share the first one.
+func (c *crashCourse) setParts(r *http.Request, path string) {
+	switch {
+	case !c.byPart:
+	case c.isCause(path):
+		r.Header.Set("Nutmegnotch-Prompt-Prefix", "a1:40,"+crashPart+":90,own:9")
+	case path == popularTarget:
+		r.Header.Set("Nutmegnotch-Prompt-Prefix", "a1:40,b2:90,own:9")
+	default:
+		r.Header.Set("Nutmegnotch-Prompt-Prefix", "a1:40,"+path+":90,own:9")
+	}
+}
+
+// isCause reports whether requests with a target crash servers.
+func (c *crashCourse) isCause(target string) bool {
+	if c.byPart {
+		return strings.HasPrefix(target, badPartTarget)
+	}
+	return target == crashTarget
+}
+
+// cause returns the target of the n-th request that crashes servers.
+func (c *crashCourse) cause(n int) string {
+	if c.byPart {
+		return badPartTarget + strconv.Itoa(n)
+	}
+	return crashTarget
+}
+
+// causeRequest returns a request that crashes servers.
+func (c *crashCourse) causeRequest(gateway, n int) *http.Request {
+	r := newRequest(c.gateway(gateway), http.MethodGet, c.cause(n), "key-a", "")
+	c.setParts(r, c.cause(n))
+	return r
+}
+
+// settledCrashes is the number of crashes after which the bound of late runs counts.
+func (c *crashCourse) settledCrashes() int {
+	if c.byPart {
+		return partCrashes
+	}
+	return 3
+}
+
 // longestRefusal returns the longest time from a refusal of the popular request to the
 // next reply.
 func (c *crashCourse) longestRefusal() time.Duration {
@@ -182,14 +232,14 @@
 
 // lateRuns returns the runs of the crashing request that count against the rule.
 func (c *crashCourse) lateRuns() (late int) {
-	ends := c.crashesBy(crashTarget)
-	if len(ends) < 3 {
+	ends, settled := c.crashesBy(c.isCause), c.settledCrashes()
+	if len(ends) < settled {
 		return 0
 	}
 	for _, p := range c.servers {
 		for _, r := range p.Runs() {
 			i, err := strconv.Atoi(r.Header.Get(sentToHeader))
-			if err == nil && r.Target == crashTarget && r.At.After(ends[2].Add(calmTime)) && c.calm(i, r.At) {
+			if err == nil && c.isCause(r.Target) && r.At.After(ends[settled-1].Add(calmTime)) && c.calm(i, r.At) {
 				late++
 			}
 		}
@@ -215,18 +265,19 @@
 // crashing, when faults of gateways, store and servers come in series and overlap.
 func TestCrashingRequestUnderFaults(t *testing.T) {
 	t.Parallel()
-	for run := range 2 * *seeds {
-		seed, unmarked, name := run/2, run%2 == 1, "seed"
-		if unmarked {
-			name = "unmarked-seed"
-		}
-		t.Run(fmt.Sprintf("%s-%d", name, seed+1), func(t *testing.T) {
+	variants := []struct {
+		name             string
+		unmarked, byPart bool
+	}{{"seed", false, false}, {"unmarked-seed", true, false}, {"part-seed", true, true}}
+	for run := range len(variants) * *seeds {
+		seed, v := run/len(variants), variants[run%len(variants)]
+		t.Run(fmt.Sprintf("%s-%d", v.name, seed+1), func(t *testing.T) {
 			t.Parallel()
-			c := &crashCourse{deployment: newDeployment(t), rng: rand.New(rand.NewPCG(uint64(seed+1), 19)), link: &isolation{}, unmarked: unmarked}
+			c := &crashCourse{deployment: newDeployment(t), rng: rand.New(rand.NewPCG(uint64(seed+1), 19)), link: &isolation{}, unmarked: v.unmarked, byPart: v.byPart}
 			defer c.logIfFailed(t)
 			c.publish()
 			points := []runner.CrashPoint{runner.CrashBeforeReply, runner.CrashAfterHead, runner.CrashInBody, runner.CrashSilently}
-			if unmarked {
+			if v.unmarked {
 				points = append(points, runner.CrashInUnframedBody, runner.CrashInUnframedBody)
 			}
 			c.addServers(6+c.rng.IntN(8), "desk", runner.ProcessConfig{KeepID: c.rng.IntN(2) == 0, Slots: 4,
@@ -243,7 +294,7 @@
 				c.sendTo(c.rng.IntN(len(c.slots)), popularTarget)
 				c.sendTo(c.rng.IntN(len(c.slots)), fmt.Sprintf("/lookup/%d", n))
 				if now := time.Now(); now.After(nextCrash) {
-					c.sendTo(c.rng.IntN(len(c.slots)), crashTarget)
+					c.sendTo(c.rng.IntN(len(c.slots)), c.cause(n))
 					nextCrash = now.Add(time.Duration(50+c.rng.IntN(300)) * time.Millisecond)
 				}
 				if now := time.Now(); now.After(nextFault) && now.Before(begun.Add(faultsTime-2*time.Second)) {
@@ -255,14 +306,14 @@
 			c.wg.Wait()
 			time.Sleep(calmTime)
 			if late := c.lateRuns(); late > crashRetries {
-				t.Errorf("runs by calm gateways later than %v after the third crash: got %d, want at most %d", calmTime, late, crashRetries)
+				t.Errorf("runs by calm gateways later than %v after crash %d: got %d, want at most %d", calmTime, c.settledCrashes(), late, crashRetries)
 			}
 			if got := c.longestRefusal(); got > maxRefusal {
 				t.Errorf("another request was refused as crashing: got for %v, want at most %v", got, maxRefusal)
 			}
 			for i := range c.slots {
 				eventually(t, fmt.Sprintf("gateway %d refuses the crashing request", i), func() bool {
-					return refusedAsCrashing(send(newRequest(c.gateway(i), http.MethodGet, crashTarget, "key-a", "")))
+					return refusedAsCrashing(send(c.causeRequest(i, -1)))
 				})
 				eventually(t, fmt.Sprintf("gateway %d serves another request", i), func() bool {
 					return send(newRequest(c.gateway(i), http.MethodGet, popularTarget, "key-a", "")).status == http.StatusOK
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -54,11 +54,11 @@
 	return out
 }
 
-// crashesBy returns the times of the crashes that a request has caused, in order.
-func (d *deployment) crashesBy(target string) []time.Time {
+// crashesBy returns the times of the crashes that requests have caused, in order.
+func (d *deployment) crashesBy(match func(target string) bool) []time.Time {
 	var out []time.Time
 	for _, p := range d.servers {
-		out = append(out, p.CrashesBy(target)...)
+		out = append(out, p.CrashesBy(match)...)
 	}
 	slices.SortFunc(out, time.Time.Compare)
 	return out
