--- a/core/retry/bench_test.go
+++ b/core/retry/bench_test.go
@@ -65,3 +65,41 @@
 		r.Expire(now.Add(time.Second))
 	}
 }
+
+// All requests share a part with a few crashes.
+func BenchmarkJudge(b *testing.B) {
+	q := fullQuarantine()
+	for _, c := range partCrashes(0, 4, firstPart) {
+		q.Add(c, now)
+	}
+	keys := retry.Keys{Request: ownRequest, Parts: []uint64{firstPart, newPart, badPart}}
+	for range b.N {
+		q.Judge(keys, now)
+	}
+}
+
+func BenchmarkPartsServedMemory(b *testing.B) {
+	const parts = 1 << 15
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		q := retry.NewQuarantine()
+		for i := range uint64(parts) {
+			q.PartsServed([]uint64{i}, now)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+		runtime.KeepAlive(q)
+	}
+}
+
+func BenchmarkPartsServed(b *testing.B) {
+	q := retry.NewQuarantine()
+	parts := make([]uint64, 4)
+	for i := range b.N {
+		parts[3] = uint64(i)
+		q.PartsServed(parts, now)
+	}
+}
--- a/core/retry/broken_runs.go
+++ b/core/retry/broken_runs.go
@@ -12,7 +12,7 @@
 const (
 	// MaxBrokenRuns bounds the broken runs that are kept, each as often as it has keys.
 	// Further ones are not counted if their servers have ended.
-	MaxBrokenRuns = 16384
+	MaxBrokenRuns = 8192
 	// SilentServerTime is how long the end of a server counts for a run that broke
 	// off, if nothing is known of the server. It covers the time in which a server
 	// that has lost power starts again.
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -296,9 +296,6 @@
 	return false
 }
 
-// Len returns the number of requests with records.
-func (q *Quarantine) Len() int { return len(q.records) }
-
 // Crashes returns the number of crashes that count against a request.
 func (q *Quarantine) Crashes(fingerprint uint64) int {
 	if rec := q.records[fingerprint]; rec != nil {
@@ -307,6 +304,9 @@
 	return 0
 }
 
+// HasCrashes reports whether any crash counts.
+func (q *Quarantine) HasCrashes() bool { return len(q.byCrash) > 0 }
+
 // CrashesOf returns the crashes that count against a request or a part.
 func (q *Quarantine) CrashesOf(fingerprint uint64) []Crash {
 	if rec := q.records[fingerprint]; rec != nil {
--- a/core/retry/verdict_test.go
+++ b/core/retry/verdict_test.go
@@ -97,6 +97,16 @@
 	if got, want := q.Judge(retry.Keys{Request: ownRequest, Parts: []uint64{newPart, badPart}}, at(200)).Status, core.QuarantineBlocked; got != want {
 		t.Errorf("the other part: got status %d, want %d", got, want)
 	}
+	if !q.HasCrashes() {
+		t.Error("crashes of the other part: got none, want some")
+	}
+	q.Clear(badPart, at(200))
+	for i := range 3 {
+		q.Clear(uint64(1000+i), at(200))
+	}
+	if q.HasCrashes() {
+		t.Error("crashes after all were cleared: got some, want none")
+	}
 	late := retry.Crash{Fingerprint: newPart, PromptPart: true, ID: "process", Started: at(0), Ended: at(10)}
 	q.PartsServed([]uint64{newPart}, at(20))
 	if _, counted := q.Add(late, at(200)); counted {
--- a/gateway/crash_store_test.go
+++ b/gateway/crash_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -89,3 +90,23 @@
 		t.Errorf("runs: got %d, want at most %d", runs, 3+crashRetries)
 	}
 }
+
+// Guards against a block that stays although the operator has removed its records.
+func TestOperatorEndsABlock(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish()
+	d.addServers(6, "desk", runner.ProcessConfig{Config: runner.Config{CrashPoint: runner.CrashBeforeReply}})
+	gateways := []*process{d.startReady(), d.startReady()}
+	eventually(t, "the gateways are connected", d.connected)
+	d.sendUntilRefused(gateways[0])
+	eventually(t, "the crashes are in the store", func() bool { return len(d.crashRecords()) >= 3 })
+	for _, key := range d.crashRecords() {
+		d.store.Put("keyed.nutmegnotch-crashes", key, nil)
+	}
+	for i, p := range gateways {
+		eventually(t, fmt.Sprintf("gateway %d sends the request on", i), func() bool {
+			return !refusedAsCrashing(send(newRequest(p, http.MethodGet, crashTarget, "key-a", "")))
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -296,7 +296,7 @@
 				}
 				g.cancelUnresponsiveSends(now)
 				g.expireBrokenRuns(now)
-				g.hasCrashes.Store(g.state.brokenRuns.Len()+g.state.quarantine.Len() > 0)
+				g.hasCrashes.Store(g.state.brokenRuns.Len() > 0 || g.state.quarantine.HasCrashes())
 				if g.state.dispatcher.Waiting() > 0 {
 					g.deliver(g.state.dispatcher.DispatchWaiting(now))
 				}
