Put the end of a send down to the process that got it

If another process had taken the id meanwhile, sends to the earlier one lowered its count of open requests, excluded it for their failed connections and paused it.

Finished and Pause take the server as it was chosen, with the start of its process, and change nothing for another process. TestEndsOfSendsToAnEarlierProcess failed without that check: the new process got nothing, since connections to the earlier one had failed. The other tests pass the server in place of its id; their checks are the same.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -299,14 +299,23 @@
 	return v
 }
 
+// process returns the state of a process of a server, or nil if it is not known or another
+// process has taken the server's id.
+func (s *service) process(b core.BackendServer) *server {
+	if sv := s.servers[b.ID]; sv != nil && sv.StartedUnixMS == b.StartedUnixMS {
+		return sv
+	}
+	return nil
+}
+
 // Finished records the end of a send to a server.
-func (d *Dispatcher) Finished(name, serverID string, tokens int64, o Outcome, now time.Time) {
+func (d *Dispatcher) Finished(name string, b core.BackendServer, tokens int64, o Outcome, now time.Time) {
 	s := d.service(name)
 	replied := o == OutcomeServed || o == OutcomeUnverified
 	if replied {
 		s.completed(now)
 	}
-	sv := s.servers[serverID]
+	sv := s.process(b)
 	if sv == nil {
 		return
 	}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -27,6 +27,9 @@
 	return &core.Deployment{Services: map[string]core.ServiceConfig{"s": cfg}}, list
 }
 
+// backend returns the process of a server that newDispatcher lists.
+func backend(id string) core.BackendServer { return core.BackendServer{ID: id} }
+
 func newDispatcher(n, slots int, engine bool) *dispatch.Dispatcher {
 	d := dispatch.New("z0", 1)
 	dep, list := servers(n, slots, engine)
@@ -88,7 +91,7 @@
 	now := start.Add(800 * time.Millisecond)
 	var order []uint64
 	for range 3 {
-		d.Finished("s", "s0", 100, dispatch.OutcomeServed, now)
+		d.Finished("s", backend("s0"), 100, dispatch.OutcomeServed, now)
 		for _, v := range d.DispatchWaiting(now) {
 			order = append(order, v.RequestID)
 		}
@@ -121,7 +124,7 @@
 			if v.Server.ID == "s0" {
 				bad++
 			}
-			d.Finished("s", v.Server.ID, 100, o, now)
+			d.Finished("s", v.Server, 100, o, now)
 		}
 		return bad
 	}
@@ -131,7 +134,7 @@
 	if got := count(30*time.Second, 40); got < 10 {
 		t.Errorf("requests at the recovered server: got %d of 40, want at least 10", got)
 	}
-	d.Finished("s", "s1", 0, dispatch.OutcomeUnreachable, start.Add(31*time.Second))
+	d.Finished("s", backend("s1"), 0, dispatch.OutcomeUnreachable, start.Add(31*time.Second))
 	if v, _ := d.Offer(request(1, 31*time.Second), start.Add(31*time.Second)); v.Server.ID != "s0" {
 		t.Errorf("server after a failed connection: got %s, want the other one", v.Server.ID)
 	}
@@ -223,7 +226,7 @@
 			if !s.late {
 				onTime++
 			}
-			d.Finished("s", s.v.Server.ID, 100, dispatch.OutcomeServed, now)
+			d.Finished("s", s.v.Server, 100, dispatch.OutcomeServed, now)
 		}
 		running = kept
 		for _, v := range d.DispatchWaiting(now) {
@@ -264,7 +267,7 @@
 	}
 	for range 100 {
 		if v := offer(); v.Rejected == "" {
-			d.Finished("s", v.Server.ID, 100, dispatch.OutcomeShed, at)
+			d.Finished("s", v.Server, 100, dispatch.OutcomeShed, at)
 		}
 	}
 	v := offer()
@@ -279,7 +282,7 @@
 	for range 100 {
 		if v := offer(); v.Rejected == "" {
 			sent++
-			d.Finished("s", v.Server.ID, 100, dispatch.OutcomeShed, at)
+			d.Finished("s", v.Server, 100, dispatch.OutcomeShed, at)
 		}
 	}
 	if sent > ranks {
@@ -291,7 +294,7 @@
 		if v.Rejected != "" {
 			t.Fatalf("request to a group that may serve again: got %s, want a server", v.Rejected)
 		}
-		d.Finished("s", v.Server.ID, 100, dispatch.OutcomeServed, at)
+		d.Finished("s", v.Server, 100, dispatch.OutcomeServed, at)
 	}
 	for range ranks * probes {
 		if v := offer(); v.Rejected != "" {
@@ -305,7 +308,7 @@
 func TestSingleRejectionIsNoOutage(t *testing.T) {
 	d := newDispatcher(1, 10, true)
 	v, _ := d.Offer(request(1, 0), start)
-	d.Finished("s", v.Server.ID, 100, dispatch.OutcomeShed, start)
+	d.Finished("s", v.Server, 100, dispatch.OutcomeShed, start)
 	if v, _ = d.Offer(request(2, 0), start); v.Rejected != "" {
 		t.Errorf("request after one rejection: got %s, want a server", v.Rejected)
 	}
@@ -313,3 +316,36 @@
 		t.Errorf("Retry-After after one rejection: got %v, want at most 1s", got)
 	}
 }
+
+// Guards against a server that gets more than it can hold, or nothing, for what a send to
+// the process before it has brought.
+func TestEndsOfSendsToAnEarlierProcess(t *testing.T) {
+	d := newDispatcher(1, 4, false)
+	for i := range uint64(5) {
+		d.Offer(request(i, 0), start)
+	}
+	dep, list := servers(1, 4, false)
+	list[0].StartedUnixMS = 1
+	d.SetServers(dep, list, start)
+	sent := 0
+	for i := range uint64(5) {
+		if v, ok := d.Offer(request(10+i, 0), start); ok && v.Rejected == "" {
+			sent++
+		}
+	}
+	for range 5 {
+		d.Finished("s", backend("s0"), 100, dispatch.OutcomeUnreachable, start)
+	}
+	d.Pause("s", backend("s0"), time.Second, start)
+	if v, ok := d.Offer(request(20, 0), start); ok && v.Rejected == "" {
+		t.Error("request beyond the limit: got it sent, want it queued or rejected")
+	}
+	d.RemoveWaiting("s", 20)
+	if sent != 5 {
+		t.Errorf("requests to the new process: got %d, want 5", sent)
+	}
+	d.Finished("s", list[0].BackendServer, 100, dispatch.OutcomeServed, start)
+	if v, ok := d.Offer(request(21, 0), start); !ok || v.Rejected != "" {
+		t.Errorf("request after one has ended: got %+v, decided %t, want it sent", v, ok)
+	}
+}
--- a/core/dispatch/outage_test.go
+++ b/core/dispatch/outage_test.go
@@ -54,7 +54,7 @@
 		r.CallerRetry = true
 		if i == 1 {
 			// A completion gives a low completion rate, which decays within seconds.
-			d.Finished("s", "s0", 100, dispatch.OutcomeServed, start)
+			d.Finished("s", backend("s0"), 100, dispatch.OutcomeServed, start)
 			d.SetEngineState("s0", 1, false, start)
 		}
 		if v, ok := d.Offer(r, r.Arrived); ok {
@@ -101,7 +101,7 @@
 			if r.CallerRetry {
 				t.Errorf("caller's retry at %v: got %s, want a wait", at, v.Server.ID)
 			}
-			d.Finished("s", v.Server.ID, r.Tokens, dispatch.OutcomeShed, start.Add(at))
+			d.Finished("s", v.Server, r.Tokens, dispatch.OutcomeShed, start.Add(at))
 		}
 	}
 	if sent < 4 || sent > 12 {
@@ -114,7 +114,7 @@
 func TestMisdirectedServerIsLeftOut(t *testing.T) {
 	d := newDispatcher(1, 10, true)
 	v, _ := d.Offer(request(1, 0), start)
-	d.Finished("s", v.Server.ID, 100, dispatch.OutcomeMisdirected, start)
+	d.Finished("s", v.Server, 100, dispatch.OutcomeMisdirected, start)
 	if v, _ = d.Offer(request(2, 0), start.Add(time.Second)); v.Rejected != dispatch.ReasonNoServer {
 		t.Errorf("request after another server has replied: got %+v, want %s", v, dispatch.ReasonNoServer)
 	}
--- a/core/dispatch/pause.go
+++ b/core/dispatch/pause.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"nutmegnotch/core"
+)
 
 // MaxPause bounds the pause that a server may ask for.
 const MaxPause = 10 * time.Minute
@@ -51,8 +55,8 @@
 
 // Pause records that a server wants no requests from this gateway for a time, which
 // MaxPause bounds.
-func (d *Dispatcher) Pause(name, serverID string, length time.Duration, now time.Time) {
-	if sv := d.service(name).servers[serverID]; sv != nil {
+func (d *Dispatcher) Pause(name string, b core.BackendServer, length time.Duration, now time.Time) {
+	if sv := d.service(name).process(b); sv != nil {
 		sv.pause.begin(now.Add(min(length, MaxPause)))
 	}
 }
--- a/core/dispatch/pause_test.go
+++ b/core/dispatch/pause_test.go
@@ -31,8 +31,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			d := newDispatcher(2, 4, false)
 			for i, p := range c.pauses {
-				d.Pause("s", []string{"s0", "s1"}[i], p, start)
-				d.Pause("s", []string{"s0", "s1"}[i], p/2, start)
+				d.Pause("s", backend([]string{"s0", "s1"}[i]), p, start)
+				d.Pause("s", backend([]string{"s0", "s1"}[i]), p/2, start)
 			}
 			v, decided := d.Offer(request(1, c.at), start.Add(c.at))
 			if decided == c.wait || v.Server.ID != c.want {
@@ -54,7 +54,7 @@
 // opens, because another one that can wait stands before it.
 func TestWaitingForPausedServers(t *testing.T) {
 	d := newDispatcher(1, 4, false)
-	d.Pause("s", "s0", time.Second, start)
+	d.Pause("s", backend("s0"), time.Second, start)
 	patient, hasty := request(1, 0), request(2, 0)
 	hasty.QueueDeadline = start.Add(1100 * time.Millisecond)
 	for _, r := range []dispatch.Request{patient, hasty} {
@@ -62,7 +62,7 @@
 			t.Fatalf("request %d: got %+v, want it queued", r.ID, v)
 		}
 	}
-	d.Pause("s", "s0", 1500*time.Millisecond, start)
+	d.Pause("s", backend("s0"), 1500*time.Millisecond, start)
 	got := d.DispatchWaiting(start.Add(100 * time.Millisecond))
 	if len(got) != 1 || got[0].RequestID != 2 || got[0].Rejected != dispatch.ReasonPaused || got[0].RetryAfter != 1400*time.Millisecond {
 		t.Errorf("decisions after a longer pause: got %+v, want the hasty request rejected until 1.5s", got)
@@ -73,8 +73,8 @@
 func TestRequestsComeBackGradually(t *testing.T) {
 	d := newDispatcher(1, 8, false)
 	// A reply to a request from before the pause does not count.
-	d.Pause("s", "s0", time.Second, start)
-	d.Finished("s", "s0", 0, dispatch.OutcomeServed, start)
+	d.Pause("s", backend("s0"), time.Second, start)
+	d.Finished("s", backend("s0"), 0, dispatch.OutcomeServed, start)
 	at := start.Add(time.Second)
 	id := uint64(0)
 	for _, want := range []int{1, 2, 4, 9} {
@@ -93,9 +93,9 @@
 			t.Errorf("requests at the server: got %d, want %d", sent, want)
 		}
 		for range sent {
-			d.Finished("s", "s0", 100, dispatch.OutcomeCancelled, at)
+			d.Finished("s", backend("s0"), 100, dispatch.OutcomeCancelled, at)
 		}
-		d.Finished("s", "s0", 0, dispatch.OutcomeServed, at)
+		d.Finished("s", backend("s0"), 0, dispatch.OutcomeServed, at)
 	}
 }
 
@@ -129,7 +129,7 @@
 		// at is when one more request is offered.
 		at time.Duration
 	}{
-		{"pause", func(d *dispatch.Dispatcher) { d.Pause("s", "s0", 3*time.Second, start) }, time.Second},
+		{"pause", func(d *dispatch.Dispatcher) { d.Pause("s", backend("s0"), 3*time.Second, start) }, time.Second},
 		{"open requests", func(d *dispatch.Dispatcher) {
 			for i := range uint64(5) {
 				d.Offer(request(i, 0), start)
@@ -138,7 +138,7 @@
 		{"failed connections", func(d *dispatch.Dispatcher) {
 			for i := range uint64(4) {
 				d.Offer(request(i, 0), start)
-				d.Finished("s", "s0", 100, dispatch.OutcomeUnreachable, start)
+				d.Finished("s", backend("s0"), 100, dispatch.OutcomeUnreachable, start)
 			}
 		}, 500 * time.Millisecond},
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -321,7 +321,7 @@
 		if a.served {
 			g.requestCompleted(a.keys, now)
 		}
-		g.state.dispatcher.Finished(a.service, v.Server.ID, a.fields.PromptTokens+a.expectedTokens(), o, now)
+		g.state.dispatcher.Finished(a.service, v.Server, a.fields.PromptTokens+a.expectedTokens(), o, now)
 		if g.state.dispatcher.Waiting() > 0 {
 			g.deliver(g.state.dispatcher.DispatchWaiting(now))
 		}
--- a/gateway/server_state.go
+++ b/gateway/server_state.go
@@ -82,7 +82,7 @@
 	g.log.Info("server asked for a pause", zap.String("server", server.ID), zap.Int64("server_started_ms", server.StartedUnixMS),
 		zap.Duration("pause", length))
 	g.task.Do(func() {
-		g.state.dispatcher.Pause(server.Service, server.ID, length, time.Now())
+		g.state.dispatcher.Pause(server.Service, server, length, time.Now())
 		g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_ServerStates{ServerStates: &peerpb.ServerStates{
 			Paused: []*peerpb.ServerPause{{ServerId: server.ID, Ms: uint32(min(length.Milliseconds(), math.MaxUint32))}},
 		}}})
