Check a server again for runs that broke off during a check

Cause: checks of one process share a connection attempt. A run that broke off while the attempt was under way learned nothing from it, and its server's end counted for 15 s instead of one.

An attempt that finds the process alive is now followed by another one, four at most, while such runs are left.

--- a/core/retry/broken_runs.go
+++ b/core/retry/broken_runs.go
@@ -87,14 +87,16 @@
 }
 
 // Alive records that a process accepted a connection at a time. If it was silent
-// before, its server may have started again, and its record may come late.
-func (b *BrokenRuns) Alive(processID string, at time.Time) {
+// before, its server may have started again, and its record may come late. It reports
+// whether runs broke off since that time, which the connection tells nothing about.
+func (b *BrokenRuns) Alive(processID string, at time.Time) (undecided bool) {
 	p := b.byProcess[processID]
 	if p == nil {
-		return
+		return false
 	}
 	for i, r := range p.runs {
 		if !r.crash.Ended.Before(at) {
+			undecided = true
 			continue
 		}
 		until := at.Add(AliveServerTime)
@@ -106,6 +108,7 @@
 		}
 		p.runs[i].silent, p.runs[i].alive = false, true
 	}
+	return undecided
 }
 
 // Silent records that a process did not answer a connection attempt.
--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -312,3 +312,23 @@
 		}
 	}
 }
+
+// Guards against a run that broke off while a connection attempt was under way and counts
+// as crashed when its server ends seconds later.
+func TestRunsThatBreakOffDuringAProbe(t *testing.T) {
+	b := retry.NewBrokenRuns()
+	s := server("s", "addr", 1)
+	id := retry.ProcessID(s)
+	b.Add(s, retry.Keys{Request: fp}, false, at(0), at(10))
+	begun := at(20)
+	b.Add(s, retry.Keys{Request: fp + 1}, false, at(0), at(21))
+	if !b.Alive(id, begun) {
+		t.Error("attempt that began before the second run broke off: got no further attempt, want one")
+	}
+	if b.Alive(id, at(30)) {
+		t.Error("attempt after both runs: got a further attempt, want none")
+	}
+	if got := b.Ended(id, at(30).Add(retry.AliveServerTime+time.Second)); len(got) != 0 {
+		t.Errorf("end of the server seconds later: got %d crashes, want 0", len(got))
+	}
+}
--- a/gateway/liveness.go
+++ b/gateway/liveness.go
@@ -24,6 +24,9 @@
 	// maxQueuedLivenessChecks those that wait.
 	maxLivenessChecks       = 16
 	maxQueuedLivenessChecks = 1024
+	// maxProbesPerCheck bounds the connection attempts of one check, while runs go on
+	// breaking off at its server.
+	maxProbesPerCheck = 4
 )
 
 // livenessCheck asks whether a server's process has ended after a run broke off
@@ -108,7 +111,11 @@
 			p.Go(func() {
 				defer close(c.done)
 				_, _, _ = flights.Do(retry.ProcessID(c.server), func() (any, error) {
-					g.probe(ctx, c.server)
+					for range maxProbesPerCheck {
+						if !g.probe(ctx, c.server) {
+							break
+						}
+					}
 					return nil, nil
 				})
 			})
@@ -129,8 +136,9 @@
 	}
 }
 
-// probe applies what a connection attempt tells about a server's process.
-func (g *Gateway) probe(ctx context.Context, server core.BackendServer) {
+// probe applies what a connection attempt tells about a server's process. It reports
+// whether runs broke off there meanwhile, which need another attempt.
+func (g *Gateway) probe(ctx context.Context, server core.BackendServer) (again bool) {
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
 	begun := time.Now()
@@ -140,13 +148,14 @@
 	g.task.Do(func() {
 		switch result {
 		case backend.LivenessAccepts:
-			g.state.brokenRuns.Alive(retry.ProcessID(server), begun)
+			again = g.state.brokenRuns.Alive(retry.ProcessID(server), begun)
 		case backend.LivenessUnknown:
 			g.state.brokenRuns.Silent(retry.ProcessID(server))
 		case backend.LivenessRefuses:
 			g.serversEnded(g.state.brokenRuns.Ended(retry.ProcessID(server), time.Now()), "connection_refused")
 		}
 	})
+	return again
 }
 
 // checkRegistered counts the broken runs at processes that newer ones have replaced.
