Take the change of the emulated engine's rate back

Supposed cause: late tokens are made up for with quick ones, so that a completion looks faster than the engine is; agents then take no usual completion for a good one (at most twice the best time).

--- a/emulator/engine/handlers.go
+++ b/emulator/engine/handlers.go
@@ -125,17 +125,10 @@
 	run            int
 	incarnationCtx context.Context
 	heldTokens     int64
-	// due is when the last token was due.
-	due time.Time
 }
 
-// maxCatchUp limits how far a generation may be behind its rate and still make up for
-// it with tokens in quick succession.
-const maxCatchUp = time.Second
-
 func (g *generation) serve(w http.ResponseWriter, r *http.Request) {
 	outcome := OutcomeCancelled
-	g.due = time.Now()
 	defer func() {
 		g.engine.do(func(s *state) { s.endRun(g.incarnationCtx, g.run, g.heldTokens, outcome, time.Now()) })
 		if g.incarnationCtx.Err() != nil {
@@ -167,20 +160,13 @@
 	writeJSON(w, Event{ID: g.id, Index: g.request.MaxTokens, PromptHash: PromptHash(g.request.Prompt), Choices: []Choice{{Text: text.String()}}})
 }
 
-// generateToken generates one token. It reports false if the run has ended early. A
-// token is due one step after the one before it was due, so that late timers on a busy
-// machine do not lower the rate.
+// generateToken generates one token. It reports false if the run has ended early.
 func (g *generation) generateToken(ctx context.Context) bool {
 	var d time.Duration
 	if !g.engine.do(func(s *state) { d = s.stepTime() + max(time.Until(s.stallUntil), 0) }) {
 		return false
 	}
-	now := time.Now()
-	if earliest := now.Add(-maxCatchUp); g.due.Before(earliest) {
-		g.due = earliest
-	}
-	g.due = g.due.Add(d)
-	t := time.NewTimer(time.Until(g.due))
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
