--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -18,18 +18,29 @@
 
 // engines holds the latest status of each engine by its address. A status may
 // arrive before the engine is in the list of servers.
-type engines map[string]engineStatus
+type engines struct {
+	byAddress map[string]engineStatus
+	// changes counts the statuses that were set.
+	changes uint64
+}
+
+func newEngines() engines { return engines{byAddress: map[string]engineStatus{}} }
+
+func (e *engines) set(address string, n engineStatus) {
+	e.byAddress[address] = n
+	e.changes++
+}
 
-func (e engines) current(address string, now time.Time) (engineStatus, bool) {
-	n, ok := e[address]
+func (e *engines) current(address string, now time.Time) (engineStatus, bool) {
+	n, ok := e.byAddress[address]
 	if ok && now.Sub(n.at) > maxEngineStatusAge {
-		delete(e, address)
+		delete(e.byAddress, address)
 		return engineStatus{}, false
 	}
 	return n, ok
 }
 
-func (e engines) slowdown(address string, now time.Time) float64 {
+func (e *engines) slowdown(address string, now time.Time) float64 {
 	if n, ok := e.current(address, now); ok {
 		return max(1, n.slowdown)
 	}
@@ -39,13 +50,13 @@
 // SetEngineState sets the factor by which the engine at an address is slower
 // than normal, and whether its group serves requests.
 func (d *Dispatcher) SetEngineState(address string, slowdown float64, groupServing bool, now time.Time) {
-	d.engines[address] = engineStatus{slowdown, groupServing, now}
+	d.engines.set(address, engineStatus{slowdown, groupServing, now})
 	for _, s := range d.services {
 		for _, sv := range s.serverList {
 			if sv.Address != address {
 				continue
 			}
-			switch o := s.outageOf(sv); {
+			switch o := sv.outage(); {
 			case groupServing:
 				o.end()
 			case !o.active():
--- a/core/dispatch/outage.go
+++ b/core/dispatch/outage.go
@@ -55,10 +55,10 @@
 // end marks the group as serving.
 func (o *outage) end() { *o = outage{} }
 
-// outageOf returns the outage state of the group of a server.
-func (s *service) outageOf(sv *server) *outage {
+// outage returns the outage state of the group of a server.
+func (sv *server) outage() *outage {
 	if sv.Place.Group == "" {
 		return &sv.ownOutage
 	}
-	return &s.group(sv).outage
+	return &sv.group.outage
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -41,7 +41,7 @@
 		if !sv.Usable {
 			continue
 		}
-		if !s.outageOf(sv).active() {
+		if !sv.outage().active() {
 			return false
 		}
 		known = true
@@ -57,7 +57,7 @@
 		return false
 	}
 	for _, sv := range s.serverList {
-		if sv.Usable && s.outageOf(sv).active() && !slices.Contains(r.Tried, sv.ID) {
+		if sv.Usable && sv.outage().active() && !slices.Contains(r.Tried, sv.ID) {
 			return true
 		}
 	}
@@ -87,13 +87,7 @@
 
 // maxQueueLength returns this gateway's share of the requests that may wait.
 func (s *service) maxQueueLength(gateways int) int {
-	slots := 0
-	for _, sv := range s.serverList {
-		if sv.Usable {
-			slots += sv.Slots
-		}
-	}
-	return max(1, maxQueuedPerSlot*slots/gateways)
+	return max(1, maxQueuedPerSlot*s.slots/gateways)
 }
 
 // expectedWait estimates the time until the n-th waiting request gets a server.
--- a/core/dispatch/unresponsive.go
+++ b/core/dispatch/unresponsive.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Settings of the detection of engines that send no events while other engines
 // of their group do, as on a frozen host.
@@ -40,9 +43,9 @@
 	}
 	sv.lastEvent, sv.hasSentEvent = now, true
 	sv.health.include()
-	g := s.group(sv)
+	g := sv.group
 	g.activity.recordEvent(now)
-	s.outageOf(sv).end()
+	sv.outage().end()
 	if gap > 0 {
 		g.limiter.observe(gap, maxGap, now)
 	}
@@ -53,25 +56,22 @@
 // servers.
 func (d *Dispatcher) DetectUnresponsive(now time.Time) []string {
 	var out []string
-	for _, s := range d.services {
-		if s.config.Engine == nil {
+	for sv := range d.busy {
+		if d.listed[sv.ID] != sv || d.service(sv.Service).config.Engine == nil || !sv.unresponsive(now) {
 			continue
 		}
-		for _, sv := range s.serverList {
-			if s.unresponsive(sv, now) {
-				out = append(out, sv.ID)
-				sv.lastEvent = now
-				sv.health.excludeUnresponsive(now)
-			}
-		}
+		out = append(out, sv.ID)
+		sv.lastEvent = now
+		sv.health.excludeUnresponsive(now)
 	}
+	slices.Sort(out)
 	return out
 }
 
 // unresponsive reports whether a server with requests has sent no event for its
 // timeout while others of its group did.
-func (s *service) unresponsive(sv *server, now time.Time) bool {
-	a := s.group(sv).activity
+func (sv *server) unresponsive(now time.Time) bool {
+	a := sv.group.activity
 	if sv.requests == 0 || now.Sub(a.last) > maxActivityGap {
 		return false
 	}
