Check sessions between processes only when they are silent

Cause: both ends of each session pinged each other once a second, whatever else it carried, and two gateways that knew each other had two sessions. On the large site (54 gateways, 192 rank agents) that is 13,200 sessions and some 53,000 pings and answers a second (calculated).

Change: an end pings after an interval without any bytes from the other; the end that was dialled waits twice as long, so that it answers only. Sessions between gateways and rank agents are checked each 4 s, as neither waits for the other. With OneSession, an address is not dialled while its process has a session here. Intervals of entries and agents stay, and with them the time after which a lost peer is known.

--- a/io/peer/coalescing_conn.go
+++ b/io/peer/coalescing_conn.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"sync/atomic"
+	"time"
 )
 
 // Layout of the header of a yamux frame: version, type, flags, stream and length.
@@ -22,6 +24,27 @@
 	net.Conn
 	header [muxHeaderBytes]byte
 	held   bool
+	opened time.Time
+	// received is when bytes last arrived, in nanoseconds since opened.
+	received atomic.Int64
+}
+
+func newCoalescingConn(c net.Conn) *coalescingConn {
+	return &coalescingConn{Conn: c, opened: time.Now()}
+}
+
+// Read reads from the connection and records when bytes arrived.
+func (c *coalescingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Store(int64(time.Since(c.opened)))
+	}
+	return n, err
+}
+
+// idle returns the time since bytes last arrived.
+func (c *coalescingConn) idle() time.Duration {
+	return time.Since(c.opened) - time.Duration(c.received.Load())
 }
 
 // Write buffers the header of a data frame and writes it with the body, which comes
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -19,18 +19,16 @@
 
 // Timing and sizes of sessions.
 const (
-	dialTimeout       = 2 * time.Second
-	redialDelay       = 200 * time.Millisecond
-	helloTimeout      = 2 * time.Second
-	keepAliveInterval = time.Second
-	// agentKeepAliveInterval is the longer interval of agents. An entry has
-	// hundreds of sessions with agents and sends its own keepalives each second.
-	// An agent may detect the loss of an entry later, since it then only ends the
-	// runs of that entry. Sessions between agents exist only within a group; a
-	// leader that gets no answer checks the session at once.
-	agentKeepAliveInterval = 5 * time.Second
-	writeTimeout           = 3 * time.Second
-	controlQueueLen        = 256
+	dialTimeout = 2 * time.Second
+	redialDelay = 200 * time.Millisecond
+	// firstDialDelay is how long the peer with the higher address waits for the session
+	// that the other one dials, and sessionCheckInterval how often a session is looked
+	// for instead of being dialled.
+	firstDialDelay       = 300 * time.Millisecond
+	sessionCheckInterval = time.Second
+	helloTimeout         = 2 * time.Second
+	writeTimeout         = 3 * time.Second
+	controlQueueLen      = 256
 )
 
 // Handler serves a stream that a peer opened. The stream is closed when the
@@ -42,7 +40,10 @@
 // called when a session has been established and when it has ended. The callbacks
 // and Log may be nil.
 type Config struct {
-	Self          *peerpb.Hello
+	Self *peerpb.Hello
+	// OneSession makes KeepConnected leave out an address while the peer there has a
+	// session that it dialled itself.
+	OneSession    bool
 	Handlers      map[peerpb.StreamKind]Handler
 	OnControl     func(from *Session, f *peerpb.Frame)
 	OnSessionUp   func(s *Session)
@@ -64,7 +65,9 @@
 // id, oldest first, and the addresses that it keeps dialling.
 type sessionTable struct {
 	sessions map[string][]*Session
-	dialing  map[string]context.CancelFunc
+	// byAddress is the number of sessions by the address that the peer listens on.
+	byAddress map[string]int
+	dialing   map[string]context.CancelFunc
 }
 
 // New starts a node without sessions.
@@ -88,7 +91,7 @@
 // run is the task that owns the session table.
 func (n *Node) run() {
 	defer close(n.done)
-	t := &sessionTable{sessions: map[string][]*Session{}, dialing: map[string]context.CancelFunc{}}
+	t := &sessionTable{sessions: map[string][]*Session{}, byAddress: map[string]int{}, dialing: map[string]context.CancelFunc{}}
 	for {
 		select {
 		case op := <-n.ops:
@@ -157,30 +160,66 @@
 
 // StopDialing stops dialling an address. A live session stays until it ends.
 func (n *Node) StopDialing(address string) {
+	n.do(func(t *sessionTable) { t.stopDialing(address) })
+}
+
+func (t *sessionTable) stopDialing(address string) {
+	if cancel := t.dialing[address]; cancel != nil {
+		cancel()
+		delete(t.dialing, address)
+	}
+}
+
+// Disconnect stops dialling an address and closes the sessions with the peer there.
+func (n *Node) Disconnect(address string) {
 	n.do(func(t *sessionTable) {
-		if cancel := t.dialing[address]; cancel != nil {
-			cancel()
-			delete(t.dialing, address)
+		t.stopDialing(address)
+		for _, list := range t.sessions {
+			for _, s := range list {
+				if s.Hello.GetAddress() == address {
+					s.Close()
+				}
+			}
 		}
 	})
 }
 
 func (n *Node) dialLoop(ctx context.Context, address string) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if n.cfg.OneSession && n.cfg.Self.GetAddress() > address {
+		// If both ends dialled at once, there would be two sessions.
+		wait(ctx, firstDialDelay)
+	}
 	for ctx.Err() == nil {
+		if n.cfg.OneSession && n.hasSession(address) {
+			wait(ctx, sessionCheckInterval)
+			continue
+		}
 		conn, err := d.DialContext(ctx, "tcp", address)
 		if err == nil {
 			n.serveConn(conn, true)
 		} else {
 			n.cfg.Log.Debug("dial peer failed", zap.String("address", address), zap.Error(err))
 		}
-		select {
-		case <-time.After(redialDelay):
-		case <-ctx.Done():
-		}
+		wait(ctx, redialDelay)
 	}
 }
 
+// wait waits for a time or until ctx is done.
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// hasSession reports whether there is a session with the peer at an address.
+func (n *Node) hasSession(address string) bool {
+	found := false
+	n.do(func(t *sessionTable) { found = t.byAddress[address] > 0 })
+	return found
+}
+
 // serveConn runs one session until it ends.
 func (n *Node) serveConn(conn net.Conn, dialed bool) {
 	defer conn.Close()
@@ -192,7 +231,7 @@
 		return
 	}
 	defer s.Close()
-	if !n.do(func(t *sessionTable) { t.sessions[s.Hello.Id] = append(t.sessions[s.Hello.Id], s) }) {
+	if !n.do(func(t *sessionTable) { t.add(s) }) {
 		return
 	}
 	if n.cfg.OnSessionUp != nil {
@@ -205,7 +244,15 @@
 	}
 }
 
+func (t *sessionTable) add(s *Session) {
+	t.sessions[s.Hello.Id] = append(t.sessions[s.Hello.Id], s)
+	t.byAddress[s.Hello.GetAddress()]++
+}
+
 func (t *sessionTable) remove(s *Session) {
+	if t.byAddress[s.Hello.GetAddress()]--; t.byAddress[s.Hello.GetAddress()] <= 0 {
+		delete(t.byAddress, s.Hello.GetAddress())
+	}
 	list := t.sessions[s.Hello.Id]
 	kept := make([]*Session, 0, len(list))
 	for _, other := range list {
@@ -223,7 +270,8 @@
 	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil, fmt.Errorf("set handshake deadline: %w", err)
 	}
-	mux, err := newMux(&coalescingConn{Conn: conn}, dialed, n.keepAlive())
+	counted := newCoalescingConn(conn)
+	mux, err := newMux(counted, dialed)
 	if err != nil {
 		return nil, err
 	}
@@ -236,21 +284,13 @@
 		mux.Close()
 		return nil, fmt.Errorf("clear handshake deadline: %w", err)
 	}
-	return newSession(n, mux, control), nil
-}
-
-func (n *Node) keepAlive() time.Duration {
-	if n.cfg.Self.GetRole() == core.RoleAgent {
-		return agentKeepAliveInterval
-	}
-	return keepAliveInterval
+	return newSession(n, mux, control, keepAlive{conn: counted, dialed: dialed}), nil
 }
 
-func newMux(conn net.Conn, dialed bool, keepAlive time.Duration) (*yamux.Session, error) {
+func newMux(conn net.Conn, dialed bool) (*yamux.Session, error) {
 	cfg := yamux.DefaultConfig()
 	cfg.AcceptBacklog = 4096
-	cfg.EnableKeepAlive = true
-	cfg.KeepAliveInterval = keepAlive
+	cfg.EnableKeepAlive = false
 	cfg.ConnectionWriteTimeout = writeTimeout
 	cfg.StreamCloseTimeout = time.Minute
 	cfg.LogOutput = io.Discard
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -21,15 +21,18 @@
 	mux     *yamux.Session
 	control *Stream
 	queue   chan *peerpb.Frame
+	alive   keepAlive
 }
 
-func newSession(n *Node, mux *yamux.Session, control *Stream) *Session {
+func newSession(n *Node, mux *yamux.Session, control *Stream, alive keepAlive) *Session {
+	alive.interval = keepAliveInterval(n.cfg.Self.GetRole(), control.peer.GetRole(), alive.dialed)
 	return &Session{
 		Hello:   control.peer,
 		node:    n,
 		mux:     mux,
 		control: control,
 		queue:   make(chan *peerpb.Frame, controlQueueLen),
+		alive:   alive,
 	}
 }
 
@@ -39,6 +42,9 @@
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
 
+// Ended reports whether the session has ended.
+func (s *Session) Ended() bool { return s.mux.IsClosed() }
+
 // SendControl queues a control frame without blocking. If the queue is full, it
 // closes the session, since the peer does not keep up.
 func (s *Session) SendControl(f *peerpb.Frame) {
@@ -70,6 +76,7 @@
 	var wg conc.WaitGroup
 	wg.Go(s.writeControl)
 	wg.Go(s.readControl)
+	wg.Go(func() { s.alive.run(s.mux) })
 	for {
 		conn, err := s.mux.Accept()
 		if err != nil {
