Let the control messages of gateways not grow with the square of their number

Cause: each gateway sent ten heartbeats a second to each other one, each with the addresses of all; each read the list of servers every 700 ms; each rank agent had a session with each gateway.

Change, each with its interval in gateway/intervals.go: - A gateway receives at most 120 heartbeats a second; addresses are sent when they change and every 10 s. Up to 13 gateways this is the old rate. - Gateways read the servers in turn, one every 100 ms, and pull from each other what is newer, from their own failure domain first. A gateway that has learned nothing new for 1.5 s reads by itself. - The long poll of operators' records grows with the gateways, to 10 s, and ends at different times. Backoffs during outages of the store grow to 2 s, those of the topics of members and crashes to 5 s. - A rank agent reports to 8 gateways, which pass the states of engines on.

Fixed with it: a gateway that is behind pulled only after the same answer from all peers for 150 ms; one peer that was behind too ended the wait. With a third of the gateways cut off from the store they would never have pulled (directory.Lag, TestLag). A failed read of operators' records now leads to a read of the servers at once, so that an outage is known before the removals of lapsed servers are.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,8 @@
 	// era is the latest known era of the store, or noEra.
 	era            atomic.Int64
 	livenessChecks chan livenessCheck
+	// activeGateways is the number of gateways that send heartbeats, with this one.
+	activeGateways atomic.Int64
 	callerServer   *callerServer
 	cancel         context.CancelFunc
 	wg             *conc.WaitGroup
@@ -128,9 +130,19 @@
 	// trials holds the fingerprints of requests and parts of prompts of which one request
 	// is being sent.
 	trials map[uint64]bool
-	// behindSince is the time since which another gateway has known a newer
-	// offset of a topic, by topic; zero if none does.
-	behindSince [2]time.Time
+	// lags tells for each topic, and configLag for the version of the configuration, for
+	// how long another gateway has known more. pulledAt is when records of the topic were
+	// last pulled.
+	lags      [2]directory.Lag
+	configLag directory.Lag
+	pulledAt  [2]time.Time
+	// serversLearnedAt is when the servers were last read from the store, or newer
+	// records came from another gateway.
+	serversLearnedAt time.Time
+	// membersSentAt is when the addresses of the gateways were last sent to all.
+	membersSentAt time.Time
+	// newEngineStates holds what rank agents have sent and other gateways were not told.
+	newEngineStates map[string]*peerpb.EngineState
 	// sentView is the group view last sent to rank agents.
 	sentView *peerpb.GroupView
 }
@@ -148,6 +160,7 @@
 		livenessChecks:       make(chan livenessCheck, maxQueuedLivenessChecks),
 	}
 	g.era.Store(noEra)
+	g.activeGateways.Store(1)
 	g.watchers = g.newWatchers()
 	g.client = backend.New(backend.Config{
 		MaxIdleConnsPerServer: maxIdleConnsPerServer,
@@ -167,6 +180,8 @@
 		brokenRuns:  retry.NewBrokenRuns(),
 		crashWrites: newCrashWrites(),
 		trials:      map[uint64]bool{},
+
+		newEngineStates: map[string]*peerpb.EngineState{},
 	}
 	g.node = peer.New(peer.Config{
 		Self: &peerpb.Hello{
@@ -178,6 +193,7 @@
 			Region:        cfg.Region,
 			Deployment:    cfg.Deployment,
 		},
+		OneSession:    true,
 		OnControl:     g.control,
 		OnSessionUp:   g.peerUp,
 		OnSessionDown: g.peerDown,
@@ -294,6 +310,7 @@
 				if g.state.directory.Expire(now) == directory.ChangeServers {
 					g.serversChanged(now)
 				}
+				g.passOnEngineStates()
 				g.cancelUnresponsiveSends(now)
 				g.expireBrokenRuns(now)
 				g.hasCrashes.Store(g.state.brokenRuns.Len() > 0 || g.state.quarantine.HasCrashes())
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -20,6 +20,8 @@
 	self      string
 	lastHeard map[string]time.Time
 	known     map[string]bool
+	// changed reports that an address was added since the addresses were last sent.
+	changed bool
 }
 
 func newMembers(self string, seeds []string) *members {
@@ -35,7 +37,7 @@
 	if address == "" || address == m.self || m.known[address] {
 		return false
 	}
-	m.known[address] = true
+	m.known[address], m.changed = true, true
 	return true
 }
 
@@ -49,10 +51,14 @@
 }
 
 // countLive returns the number of live gateways, including this one.
-func (m *members) countLive(now time.Time) int {
+func (m *members) countLive(now time.Time) int { return m.countHeard(now, memberTimeout) }
+
+// countHeard returns the number of gateways that have sent a heartbeat within a time,
+// including this one.
+func (m *members) countHeard(now time.Time, within time.Duration) int {
 	n := 1
 	for _, at := range m.lastHeard {
-		if now.Sub(at) < memberTimeout {
+		if now.Sub(at) < within {
 			n++
 		}
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,7 +1,8 @@
 package gateway
 
 import (
-	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,53 +13,6 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
-// Timing of the exchange between gateways.
-const (
-	heartbeatInterval = 100 * time.Millisecond
-	// operatorPullDelay and serversPullDelay are how long a gateway waits for
-	// records that another gateway already has before it pulls them from that
-	// gateway. The store delivers operators' records at once, while the servers are
-	// read at an interval.
-	operatorPullDelay = 150 * time.Millisecond
-	serversPullDelay  = 900 * time.Millisecond
-)
-
-// sendHeartbeats periodically sends the known offsets and the load of this gateway
-// to the other gateways.
-func (g *Gateway) sendHeartbeats(ctx context.Context) {
-	t := time.NewTicker(heartbeatInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			var f *peerpb.Frame
-			if !g.task.Do(func() { f = g.heartbeatFrame() }) {
-				return
-			}
-			g.node.Broadcast(core.RoleGateway, f)
-		}
-	}
-}
-
-// heartbeatFrame returns the heartbeat to send. It runs in the task.
-func (g *Gateway) heartbeatFrame() *peerpb.Frame {
-	d := g.state.directory
-	b := &peerpb.DirectoryBeat{
-		OperatorNextOffset: d.Next(core.TopicOperator).Offset,
-		OperatorEra:        d.Next(core.TopicOperator).Era,
-		ServersNextOffset:  d.Next(core.TopicServers).Offset,
-		ServersEra:         d.Next(core.TopicServers).Era,
-		Gateways:           g.state.members.addresses(),
-		ConfigVersion:      g.configVersion(),
-	}
-	for id, n := range g.state.dispatcher.LocalLoad() {
-		b.Loads = append(b.Loads, &peerpb.ServerLoad{ServerId: id, Requests: uint32(n)})
-	}
-	return &peerpb.Frame{Body: &peerpb.Frame_DirectoryBeat{DirectoryBeat: b}}
-}
-
 // configVersion returns the version of the configuration in force, or 0. It runs in the
 // task.
 func (g *Gateway) configVersion() int64 {
@@ -71,7 +25,10 @@
 func (g *Gateway) peerUp(s *peer.Session) {
 	g.log.Info("peer session up", zap.String("peer", s.Hello.GetId()), zap.String("peer_role", s.Hello.GetRole()))
 	if s.Hello.GetRole() == core.RoleGateway {
-		g.task.Do(func() { g.addMember(s.Hello.GetAddress()) })
+		g.task.Do(func() {
+			g.addMember(s.Hello.GetAddress())
+			s.SendControl(g.heartbeatFrame(true))
+		})
 		g.sendCrashRecords(s)
 		g.sendServedParts(s)
 		g.sendLeaving(s)
@@ -100,6 +57,8 @@
 		g.task.Do(func() { g.onRecords(from, b.DirectoryRecords, time.Now()) })
 	case *peerpb.Frame_EngineState:
 		g.task.Do(func() { g.onEngineState(b.EngineState, time.Now()) })
+	case *peerpb.Frame_EngineStates:
+		g.task.Do(func() { g.applyEngineStates(time.Now(), b.EngineStates.GetStates()...) })
 	case *peerpb.Frame_ServerStates:
 		g.task.Do(func() { g.onServerStates(from, b.ServerStates, time.Now()) })
 	case *peerpb.Frame_CrashRecords:
@@ -107,58 +66,33 @@
 	}
 }
 
-// onEngineState applies the state of an engine that its rank agent has sent. It
-// runs in the task.
+// onEngineState applies the state of an engine that its rank agent has sent, and passes
+// it on to other gateways at the next tick. It runs in the task.
 func (g *Gateway) onEngineState(s *peerpb.EngineState, now time.Time) {
+	g.state.newEngineStates[s.GetEngineAddress()] = s
+	g.applyEngineStates(now, s)
+}
+
+// applyEngineStates applies the states of engines. It runs in the task.
+func (g *Gateway) applyEngineStates(now time.Time, states ...*peerpb.EngineState) {
 	d := g.state.dispatcher
-	d.SetEngineState(s.GetEngineAddress(), s.GetPace(), s.GetOpen(), now)
+	for _, s := range states {
+		d.SetEngineState(s.GetEngineAddress(), s.GetPace(), s.GetOpen(), now)
+	}
 	if d.Waiting() > 0 {
 		g.deliver(d.DispatchWaiting(now))
 	}
 }
 
-// onHeartbeat applies the load of another gateway, and pulls records from it that
-// this gateway should have read from the store by now. It runs in the task.
-func (g *Gateway) onHeartbeat(from *peer.Session, b *peerpb.DirectoryBeat, now time.Time) {
-	m := g.state.members
-	m.lastHeard[from.Hello.GetAddress()] = now
-	for _, a := range b.GetGateways() {
-		g.addMember(a)
-	}
-	g.state.dispatcher.SetGateways(m.countLive(now))
-	loads := make(map[string]int, len(b.GetLoads()))
-	for _, l := range b.GetLoads() {
-		loads[l.GetServerId()] = int(l.GetRequests())
-	}
-	g.state.dispatcher.SetPeerLoad(from.Hello.GetId(), loads, now)
-	next := [2]core.Position{
-		{Era: b.GetOperatorEra(), Offset: b.GetOperatorNextOffset()},
-		{Era: b.GetServersEra(), Offset: b.GetServersNextOffset()},
-	}
-	for t, theirs := range next {
-		topic := core.Topic(t)
-		g.seeEra(theirs.Era, from.Hello.GetId())
-		ours := g.state.directory.Next(topic)
-		// After a return of the store, a peer may have a configuration that the new era
-		// lacks.
-		newer := topic == core.TopicOperator && b.GetConfigVersion() > g.configVersion()
-		if !ours.Before(theirs) && !newer {
-			g.state.behindSince[t] = time.Time{}
-			continue
-		}
-		if g.state.behindSince[t].IsZero() {
-			g.state.behindSince[t] = now
-		}
-		delay := serversPullDelay
-		if topic == core.TopicOperator {
-			delay = operatorPullDelay
-		}
-		if now.Sub(g.state.behindSince[t]) >= delay {
-			from.SendControl(&peerpb.Frame{Body: &peerpb.Frame_DirectoryPull{
-				DirectoryPull: &peerpb.DirectoryPull{Topic: int32(t), FromOffset: ours.Offset, Era: ours.Era, Config: newer},
-			}})
-		}
+// passOnEngineStates sends the other gateways what rank agents have sent since the last
+// call. A rank agent has sessions with some gateways only. It runs in the task.
+func (g *Gateway) passOnEngineStates() {
+	if len(g.state.newEngineStates) == 0 {
+		return
 	}
+	states := &peerpb.EngineStates{States: slices.Collect(maps.Values(g.state.newEngineStates))}
+	clear(g.state.newEngineStates)
+	g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_EngineStates{EngineStates: states}})
 }
 
 // onPull sends a peer the records of a topic from a position on, or all of them if it
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -16,10 +16,7 @@
 
 // Timing of reads from the store.
 const (
-	// operatorReadWait is the long-poll timeout of reads of the operators' topic. It
-	// is short because a dead connection is not detected before it ends.
-	operatorReadWait = 2 * time.Second
-	membersReadWait  = 20 * time.Second
+	membersReadWait = 20 * time.Second
 	// minServersInterval is the minimum interval between reads of the servers'
 	// topic, also when a refresh is requested.
 	minServersInterval = 150 * time.Millisecond
@@ -44,9 +41,11 @@
 	apply    func(r topicRead)
 	// refresh ends the wait between two reads early; it may be nil.
 	refresh <-chan struct{}
-	next    core.Position
-	loaded  bool
-	failed  bool
+	// readAt is when the last read has ended.
+	readAt time.Time
+	next   core.Position
+	loaded bool
+	failed bool
 	// cancelRead ends the read in progress early, and newEra the wait for the next one.
 	cancelRead atomic.Pointer[context.CancelFunc]
 	newEra     chan struct{}
@@ -63,8 +62,11 @@
 		}
 		if err == nil {
 			backoff = minBackoff
+			w.readAt = time.Now()
 			w.sleep(ctx, min(w.interval, minServersInterval))
-			w.sleepUntilRefresh(ctx, w.interval-minServersInterval)
+			if w.interval > minServersInterval {
+				w.sleepUntilDue(ctx)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -77,7 +79,7 @@
 			continue
 		}
 		w.sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
-		backoff = min(maxBackoff, 2*backoff)
+		backoff = min(w.maxBackoff(), 2*backoff)
 	}
 }
 
@@ -93,17 +95,19 @@
 	}
 }
 
-// sleepUntilRefresh is like sleep, but refresh ends it early too.
-func (w *topicWatcher) sleepUntilRefresh(ctx context.Context, d time.Duration) {
-	if d <= 0 {
+// sleepUntilDue waits until this gateway has to read the servers itself. refresh and a
+// new era end it early.
+func (w *topicWatcher) sleepUntilDue(ctx context.Context) {
+	for d := w.serversDue(time.Now()); d > 0; d = w.serversDue(time.Now()) {
+		select {
+		case <-time.After(d):
+			continue
+		case <-w.refresh:
+		case <-w.newEra:
+		case <-ctx.Done():
+		}
 		return
 	}
-	select {
-	case <-time.After(d):
-	case <-w.refresh:
-	case <-w.newEra:
-	case <-ctx.Done():
-	}
 }
 
 // refreshServers requests an early read of the list of backend servers, after a
@@ -153,7 +157,7 @@
 		w.apply(topicRead{b, true, begun})
 		return nil
 	}
-	b, err := w.gateway.cfg.Store.Read(ctx, w.topic, w.next, w.wait)
+	b, err := w.gateway.cfg.Store.Read(ctx, w.topic, w.next, w.readWait())
 	if err != nil {
 		return err
 	}
@@ -198,6 +202,11 @@
 	}
 	w.failed = true
 	g := w.gateway
+	if w.topic == core.TopicOperator {
+		// An outage must be known before the removals of lapsed servers are, which other
+		// gateways may send.
+		g.refreshServers()
+	}
 	g.task.Do(func() {
 		if w.topic == core.TopicServers && !errors.Is(err, core.ErrExpired) {
 			g.state.directory.StoreFailed()
@@ -215,7 +224,7 @@
 // newWatchers returns the watchers of all topics.
 func (g *Gateway) newWatchers() []*topicWatcher {
 	list := []*topicWatcher{
-		{gateway: g, topic: core.TopicOperator, wait: operatorReadWait, apply: g.applyFunc(core.TopicOperator)},
+		{gateway: g, topic: core.TopicOperator, apply: g.applyFunc(core.TopicOperator)},
 		{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, refresh: g.refreshServersSignal, apply: g.applyFunc(core.TopicServers)},
 		{gateway: g, topic: core.TopicMembers, wait: membersReadWait, apply: g.applyMembers},
 		{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, apply: g.applyCrashes},
@@ -248,6 +257,7 @@
 // is "store" or the id of a peer. It runs in the task.
 func (g *Gateway) applyRecords(t core.Topic, b core.KeyedBatch, full bool, source string, now time.Time) {
 	d := g.state.directory
+	before := d.Next(t)
 	var changes []directory.Change
 	var err error
 	if full {
@@ -258,6 +268,9 @@
 	if err != nil {
 		g.log.Warn("invalid record", zap.String("source", source), zap.Error(err))
 	}
+	if t == core.TopicServers && (source == sourceStore || before.Before(d.Next(t))) {
+		g.state.serversLearnedAt = now
+	}
 	var deployment, servers bool
 	for _, c := range changes {
 		deployment = deployment || c == directory.ChangeDeployment
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -82,8 +82,13 @@
 	spec                             expertSpec
 	rankEngines                      map[int]string
 	dialed                           map[string]bool
-	leaders                          map[int]*knownLeader
-	started                          time.Time
+	// views holds the addresses of gateways that each gateway has sent, and gateways
+	// those that this agent dials. chosen are the ones that it reports to.
+	views    map[*peer.Session][]string
+	gateways map[string]bool
+	chosen   []string
+	leaders  map[int]*knownLeader
+	started  time.Time
 	// placementSession is the session with the leader to which the placement was
 	// last sent, with placementSentVersion and at placementSentAt.
 	placementSession     *peer.Session
@@ -122,13 +127,14 @@
 		cfg.LinkRate = defaultLinkRate
 	}
 	a := &Agent{
-		cfg:   cfg,
-		log:   cfg.Logger,
-		port:  port,
-		task:  task.New(),
-		state: &state{sentSlowdown: 1, rankEngines: map[int]string{}, dialed: map[string]bool{}, leaders: map[int]*knownLeader{}},
-		wg:    conc.NewWaitGroup(),
-		done:  make(chan struct{}),
+		cfg:  cfg,
+		log:  cfg.Logger,
+		port: port,
+		task: task.New(),
+		state: &state{sentSlowdown: 1, rankEngines: map[int]string{}, dialed: map[string]bool{}, leaders: map[int]*knownLeader{},
+			views: map[*peer.Session][]string{}, gateways: map[string]bool{}},
+		wg:   conc.NewWaitGroup(),
+		done: make(chan struct{}),
 	}
 	a.node = peer.New(peer.Config{
 		Self: &peerpb.Hello{
@@ -169,9 +175,8 @@
 			a.log.Error("peer listener failed", zap.Error(err))
 		}
 	})
-	for _, g := range a.cfg.Gateways {
-		a.node.KeepConnected(g)
-	}
+	a.task.Do(func() { a.dialGateways(a.cfg.Gateways) })
+	a.wg.Go(func() { a.keepGateways(run) })
 	a.wg.Go(func() { a.poll(run) })
 	a.wg.Go(func() { a.sendHeartbeats(run) })
 	a.log.Info("rank agent started", zap.String("id", a.cfg.ID), zap.String("incarnation", a.cfg.Incarnation),
@@ -185,11 +190,14 @@
 	return nil
 }
 
-// Reload starts to dial the given gateways. Gateways that are no longer listed stay
-// connected.
+// Reload replaces the gateways that are dialled while none of the chosen ones can be
+// reached.
 func (a *Agent) Reload(gateways []string) {
-	for _, g := range gateways {
-		a.node.KeepConnected(g)
-	}
+	a.task.Do(func() {
+		a.cfg.Gateways = gateways
+		if len(a.state.views) == 0 {
+			a.dialGateways(gateways)
+		}
+	})
 	a.log.Info("settings reloaded", zap.Strings("gateways", gateways))
 }
--- a/rankagent/session.go
+++ b/rankagent/session.go
@@ -96,7 +96,7 @@
 func (a *Agent) control(from *peer.Session, f *peerpb.Frame) {
 	switch b := f.GetBody().(type) {
 	case *peerpb.Frame_GroupView:
-		a.task.Do(func() { a.onGroupView(b.GroupView) })
+		a.task.Do(func() { a.onGroupView(from, b.GroupView) })
 	case *peerpb.Frame_LeaderBeat:
 		a.task.Do(func() {
 			if b.LeaderBeat.GetGroup() == a.state.report.Place.Group {
@@ -149,17 +149,13 @@
 	return spec
 }
 
-// onGroupView handles the group view of a gateway: it dials the gateways in it and
-// records the engine addresses of this agent's group. Until the local engine reports a
+// onGroupView handles the group view of a gateway: it chooses among the gateways in it
+// and records the engine addresses of this agent's group. Until the local engine reports a
 // group, that is the group which the view names for the engine. It runs in the task.
-func (a *Agent) onGroupView(v *peerpb.GroupView) {
+func (a *Agent) onGroupView(from *peer.Session, v *peerpb.GroupView) {
 	s := a.state
-	for _, g := range v.GetGateways() {
-		if !s.dialed[g] {
-			s.dialed[g] = true
-			a.node.KeepConnected(g)
-		}
-	}
+	s.views[from] = v.GetGateways()
+	a.chooseGateways()
 	// A gateway that has no configuration yet sends no expert spec.
 	if v.GetExpertSets() > 0 {
 		s.spec = newExpertSpec(v)
