Ignore what a group view and a status cannot mean

Found with FuzzControl, which plays frames of peers to a running rank agent: a group view with a negative or a very large number of experts or sets made the leader allocate a slice of that length, and the process ended with "makeslice: len out of range". Any gateway could do that to all agents.

Change: such a view is ignored, logged with its sender and counted in rank_agent_invalid_messages; ranks and the size of a group have a limit.

Views of gateways whose session has ended no longer count for the choice of gateways.

--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -22,11 +22,21 @@
 	byAddress map[string]engineStatus
 	// changes counts the statuses that were set.
 	changes uint64
+	// nextSweep is when expired statuses are removed next.
+	nextSweep time.Time
 }
 
 func newEngines() engines { return engines{byAddress: map[string]engineStatus{}} }
 
 func (e *engines) set(address string, n engineStatus) {
+	if !n.at.Before(e.nextSweep) {
+		e.nextSweep = n.at.Add(maxEngineStatusAge)
+		for a, old := range e.byAddress {
+			if n.at.Sub(old.at) > maxEngineStatusAge {
+				delete(e.byAddress, a)
+			}
+		}
+	}
 	e.byAddress[address] = n
 	e.changes++
 }
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -82,7 +82,7 @@
 	spec                             expertSpec
 	rankEngines                      map[int]string
 	dialed                           map[string]bool
-	// views holds the addresses of gateways that each gateway has sent, and gateways
+	// views holds the addresses of gateways that each connected one has sent, and gateways
 	// those that this agent dials. chosen are the ones that it reports to.
 	views    map[*peer.Session][]string
 	gateways map[string]bool
@@ -195,7 +195,7 @@
 func (a *Agent) Reload(gateways []string) {
 	a.task.Do(func() {
 		a.cfg.Gateways = gateways
-		if len(a.state.views) == 0 {
+		if len(a.state.chosen) == 0 {
 			a.dialGateways(gateways)
 		}
 	})
--- a/rankagent/gateways.go
+++ b/rankagent/gateways.go
@@ -36,11 +36,7 @@
 func (a *Agent) chooseGateways() {
 	s := a.state
 	var known []string
-	for from, list := range s.views {
-		if from.Ended() && len(s.views) > 1 {
-			delete(s.views, from)
-			continue
-		}
+	for _, list := range s.views {
 		known = append(known, list...)
 	}
 	chosen := chosenGateways(a.cfg.ID, known)
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -58,7 +58,7 @@
 func (a *Agent) handleRankStatus(from *peer.Session, st *peerpb.RankStatus, now time.Time) {
 	s := a.state
 	size := s.report.Place.Size
-	if size <= 0 || s.spec.sets == 0 {
+	if size <= 0 || size > maxRanks || s.spec.sets == 0 {
 		return
 	}
 	if s.leading == nil || len(s.leading.ranks) != size || s.leading.spec != s.spec || s.leading.group != s.report.Place.Group {
--- a/rankagent/session.go
+++ b/rankagent/session.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"fmt"
 	"net"
 	"strconv"
 	"time"
@@ -13,6 +15,16 @@
 	"nutmegnotch/io/peer/peerpb"
 )
 
+// Limits of what peers and engines state.
+const (
+	maxRanks = 4096
+	// maxExperts limits the experts of all sets.
+	maxExperts = 1 << 20
+)
+
+// invalidMessages counts messages that were ignored, by their kind.
+var invalidMessages = expvar.NewMap("rank_agent_invalid_messages")
+
 // leader returns the session with the live leader of the lowest rank, or nil if
 // there is none. A leader is live for leaderTimeout after each heartbeat.
 func (s *state) leader(now time.Time) *peer.Session {
@@ -127,6 +139,7 @@
 // peerDown removes a session that has ended.
 func (a *Agent) peerDown(ended *peer.Session) {
 	a.task.Do(func() {
+		delete(a.state.views, ended)
 		for rank, l := range a.state.leaders {
 			if l.session == ended {
 				delete(a.state.leaders, rank)
@@ -138,15 +151,21 @@
 	})
 }
 
-func newExpertSpec(v *peerpb.GroupView) expertSpec {
+// newExpertSpec returns the experts that a group view describes, or ErrInvalid if they
+// are not those of an engine.
+func newExpertSpec(v *peerpb.GroupView) (expertSpec, error) {
 	spec := expertSpec{
 		sets: int(v.GetExpertSets()), experts: int(v.GetExperts()),
 		slotsPerRank: int(v.GetPlacesPerRank()), maxNewExperts: int(v.GetMaxNewExperts()),
 	}
+	if spec.sets < 1 || spec.experts < 1 || spec.sets > maxExperts/spec.experts || spec.slotsPerRank < 0 || spec.maxNewExperts < 0 {
+		return expertSpec{}, fmt.Errorf("%d sets of %d experts, %d places and %d new ones a rank: %w",
+			spec.sets, spec.experts, spec.slotsPerRank, spec.maxNewExperts, core.ErrInvalid)
+	}
 	if rate := v.GetBytesPerSecond(); rate > 0 {
-		spec.copyTime = time.Duration(v.GetExpertBytes() / rate * float64(time.Second))
+		spec.copyTime = time.Duration(min(max(0, v.GetExpertBytes()/rate), maxCopyTime.Seconds()) * float64(time.Second))
 	}
-	return spec
+	return spec, nil
 }
 
 // onGroupView handles the group view of a gateway: it chooses among the gateways in it
@@ -157,8 +176,14 @@
 	s.views[from] = v.GetGateways()
 	a.chooseGateways()
 	// A gateway that has no configuration yet sends no expert spec.
-	if v.GetExpertSets() > 0 {
-		s.spec = newExpertSpec(v)
+	if v.GetExpertSets() != 0 {
+		spec, err := newExpertSpec(v)
+		if err != nil {
+			invalidMessages.Add("group_view", 1)
+			a.log.Warn("ignoring a group view", zap.String("peer", from.Hello.GetId()), zap.Error(err))
+			return
+		}
+		s.spec = spec
 	}
 	ownGroup := ""
 	for _, r := range v.GetRanks() {
@@ -170,7 +195,7 @@
 		ownGroup = s.report.Place.Group
 	}
 	for _, r := range v.GetRanks() {
-		if r.GetGroup() == ownGroup {
+		if r.GetGroup() == ownGroup && r.GetRank() >= 0 && r.GetRank() < maxRanks {
 			s.rankEngines[int(r.GetRank())] = r.GetEngineAddress()
 		}
 	}
