Forget gateways that are gone, and remove their records

Cause: addresses of gateways were kept for good, dialled for good, passed on to all others and never removed from the store.

Change: an address that no live gateway has heard for a minute is forgotten and no longer dialled; its record in the store is removed within another minute, at different times by the gateways that remain. A gateway that hears no other one forgets none, and one that sees that its record was removed puts it back. Only live gateways are passed on. Text that is no address is ignored, and at most 4,096 are kept.

Group views go out at most twice a second, and when gateways have changed. A new session with a rank agent does not count as a view sent to all any more: agents missed a change that came before it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,7 +46,10 @@
 	// ServersInterval is the interval at which the list of backend servers is
 	// read from the store.
 	ServersInterval time.Duration
-	Reloadable      ReloadableConfig
+	// ForgetAfter is the time without a heartbeat after which another gateway is
+	// forgotten; 0 means one minute.
+	ForgetAfter time.Duration
+	Reloadable  ReloadableConfig
 	// BodyMemoryBytes limits the total size of the request bodies in memory.
 	BodyMemoryBytes int64
 
@@ -143,8 +146,11 @@
 	membersSentAt time.Time
 	// newEngineStates holds what rank agents have sent and other gateways were not told.
 	newEngineStates map[string]*peerpb.EngineState
-	// sentView is the group view last sent to rank agents.
-	sentView *peerpb.GroupView
+	// sentView is the group view last sent to rank agents. It was last compared at
+	// groupViewAt, and groupViewDue is set when it may have changed since.
+	sentView     *peerpb.GroupView
+	groupViewAt  time.Time
+	groupViewDue bool
 }
 
 // New returns a gateway that serves when Run is called.
@@ -175,7 +181,7 @@
 		waiting:     map[uint64]chan dispatch.Decision{},
 		sendCancels: sendCancels{},
 		callerAges:  callerAges{},
-		members:     newMembers(cfg.PeerAddress, cfg.Reloadable.Seeds),
+		members:     newMembers(cfg.PeerAddress, cfg.Reloadable.Seeds, cfg.ForgetAfter),
 		quarantine:  retry.NewQuarantine(),
 		brokenRuns:  retry.NewBrokenRuns(),
 		crashWrites: newCrashWrites(),
@@ -202,7 +208,8 @@
 	return g
 }
 
-// Reload applies changed settings. Addresses that are no longer seeds stay known.
+// Reload applies changed settings. Addresses that are no longer seeds stay known while
+// they are heard.
 func (g *Gateway) Reload(cfg ReloadableConfig) {
 	g.task.Do(func() {
 		s := g.state
@@ -214,6 +221,7 @@
 		for _, a := range cfg.Seeds {
 			g.addMember(a)
 		}
+		s.members.setSeeds(cfg.Seeds, time.Now())
 	})
 	g.log.Info("settings reloaded", zap.Strings("seeds", cfg.Seeds), zap.Float64("retry_ratio", cfg.RetryRatio),
 		zap.Float64("retry_slack", cfg.RetrySlack), zap.Duration("grace", cfg.Grace))
@@ -244,7 +252,7 @@
 		}
 	})
 	g.dialSeeds()
-	loops := []func(context.Context){g.registerMember, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords, g.saveCrashes}
+	loops := []func(context.Context){g.registerMember, g.forgetMembers, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords, g.saveCrashes}
 	for _, w := range g.watchers {
 		loops = append(loops, w.run)
 	}
@@ -311,6 +319,7 @@
 					g.serversChanged(now)
 				}
 				g.passOnEngineStates()
+				g.broadcastGroupView(now)
 				g.cancelUnresponsiveSends(now)
 				g.expireBrokenRuns(now)
 				g.hasCrashes.Store(g.state.brokenRuns.Len() > 0 || g.state.quarantine.HasCrashes())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,6 +50,8 @@
 	keys       []string
 	limits     map[string]any
 	reloadable gateway.ReloadableConfig
+	// forgetAfter is that of the next gateways; 0 means the default.
+	forgetAfter time.Duration
 	// engine is the engine configuration of the model service; nil means none.
 	engine map[string]any
 }
@@ -157,6 +159,7 @@
 	g := gateway.New(gateway.Config{
 		ID: "gateway-" + strconv.Itoa(d.started), Incarnation: p.address, FailureDomain: "z1", Deployment: "test",
 		CallerAddress: p.address, ReadyAddress: p.ready, PeerAddress: p.peer, ServersInterval: 50 * time.Millisecond,
+		ForgetAfter:     d.forgetAfter,
 		Reloadable:      reloadable,
 		BodyMemoryBytes: 1 << 20, Store: store, Decoder: platform.RecordDecoder{}, Headers: platform.Headers{}, Logger: zap.New(logs),
 	})
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -38,6 +38,7 @@
 	withMembers := m.changed || now.Sub(g.state.membersSentAt) >= membersRepeatInterval
 	if withMembers {
 		m.changed, g.state.membersSentAt = false, now
+		g.state.groupViewDue = true
 	}
 	g.node.Broadcast(core.RoleGateway, g.heartbeatFrame(withMembers))
 	return interval
@@ -55,7 +56,7 @@
 		ConfigVersion:      g.configVersion(),
 	}
 	if withMembers {
-		b.Gateways = g.state.members.addresses()
+		b.Gateways = g.state.members.addresses(time.Now())
 	}
 	for id, n := range g.state.dispatcher.LocalLoad() {
 		b.Loads = append(b.Loads, &peerpb.ServerLoad{ServerId: id, Requests: uint32(n)})
@@ -67,7 +68,7 @@
 // this gateway should have read from the store by now. It runs in the task.
 func (g *Gateway) onHeartbeat(from *peer.Session, b *peerpb.DirectoryBeat, now time.Time) {
 	m := g.state.members
-	m.lastHeard[from.Hello.GetAddress()] = now
+	m.heard(from.Hello.GetAddress(), now)
 	for _, a := range b.GetGateways() {
 		g.addMember(a)
 	}
--- a/gateway/intervals.go
+++ b/gateway/intervals.go
@@ -18,6 +18,9 @@
 	// membersRepeatInterval is the interval at which the addresses of gateways are sent
 	// although they have not changed.
 	membersRepeatInterval = 10 * time.Second
+	// groupViewInterval is the least time between two group views, which change often
+	// while servers and gateways start.
+	groupViewInterval = 500 * time.Millisecond
 	// A gateway is active for activeIntervals heartbeat intervals, and for minActiveAge at
 	// least, after its last heartbeat.
 	activeIntervals = 3
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -10,41 +12,93 @@
 	"nutmegnotch/core"
 )
 
-// memberTimeout is the time after its last heartbeat for which a gateway counts as
-// live.
-const memberTimeout = 30 * time.Second
+const (
+	// memberTimeout is the time after its last heartbeat for which a gateway counts as
+	// live.
+	memberTimeout = 30 * time.Second
+	// defaultForgetAfter is the time without a heartbeat after which a gateway is no
+	// longer dialled. Its record in the store is removed within as much time again.
+	defaultForgetAfter = time.Minute
+	// maxMembers limits the addresses that are dialled.
+	maxMembers = 4096
+	// forgetInterval is the interval at which gateways to forget are looked for.
+	forgetInterval = time.Second
+	// registerRetryInterval is the time between two attempts to write to the topic of
+	// members.
+	registerRetryInterval = 800 * time.Millisecond
+)
 
 // members holds the other gateways that this gateway knows, by peer address.
 // lastHeard is the time of the last heartbeat of each.
 type members struct {
-	self      string
-	lastHeard map[string]time.Time
-	known     map[string]bool
-	// changed reports that an address was added since the addresses were last sent.
+	self        string
+	forgetAfter time.Duration
+	lastHeard   map[string]time.Time
+	// known is when each address was last learned from the settings, the store or a
+	// gateway that hears it.
+	known map[string]time.Time
+	// seeds are addresses that are never forgotten.
+	seeds []string
+	// records are the addresses in the store by the id of the gateway, and removals the
+	// ids whose records are to be removed, with the time.
+	records  map[string]string
+	removals map[string]time.Time
+	// changed reports that the addresses have changed since they were last sent.
 	changed bool
 }
 
-func newMembers(self string, seeds []string) *members {
-	m := &members{self: self, lastHeard: map[string]time.Time{}, known: map[string]bool{}}
-	for _, a := range seeds {
-		m.add(a)
+func newMembers(self string, seeds []string, forgetAfter time.Duration) *members {
+	if forgetAfter <= 0 {
+		forgetAfter = defaultForgetAfter
+	}
+	m := &members{
+		self: self, forgetAfter: forgetAfter, lastHeard: map[string]time.Time{}, known: map[string]time.Time{},
+		records: map[string]string{}, removals: map[string]time.Time{},
 	}
+	m.setSeeds(seeds, time.Now())
 	return m
 }
 
-// add adds an address and reports whether it is new.
-func (m *members) add(address string) bool {
-	if address == "" || address == m.self || m.known[address] {
+// setSeeds replaces the seeds. Those that are no longer seeds stay known while they are
+// heard.
+func (m *members) setSeeds(seeds []string, now time.Time) {
+	m.seeds = seeds
+	for _, a := range seeds {
+		m.add(a, now)
+	}
+}
+
+// add adds an address and reports whether it is new. It ignores what is no address, and
+// more than maxMembers.
+func (m *members) add(address string, now time.Time) bool {
+	if address == "" || address == m.self {
+		return false
+	}
+	_, ok := m.known[address]
+	if _, err := netip.ParseAddrPort(address); !ok && (err != nil || len(m.known) >= maxMembers) {
 		return false
 	}
-	m.known[address], m.changed = true, true
-	return true
+	m.known[address] = now
+	return !ok
+}
+
+// heard records a heartbeat.
+func (m *members) heard(address string, now time.Time) {
+	if _, ok := m.known[address]; !ok {
+		return
+	}
+	m.changed = m.changed || now.Sub(m.lastHeard[address]) >= memberTimeout
+	m.lastHeard[address] = now
 }
 
-func (m *members) addresses() []string {
+// addresses returns the live gateways, including this one. Others are not passed on, so
+// that nobody keeps an address that no one has heard.
+func (m *members) addresses(now time.Time) []string {
 	out := []string{m.self}
-	for a := range m.known {
-		out = append(out, a)
+	for a, at := range m.lastHeard {
+		if now.Sub(at) < memberTimeout {
+			out = append(out, a)
+		}
 	}
 	slices.Sort(out)
 	return out
@@ -65,10 +119,63 @@
 	return n
 }
 
+// forget removes the gateways that nobody has heard for forgetAfter and returns them. It
+// removes none while this one hears no other, since it may be cut off itself. random
+// returns a number of at least 0 and below 1.
+func (m *members) forget(now time.Time, random func() float64) []string {
+	if m.countHeard(now, min(memberTimeout, m.forgetAfter)) < 2 {
+		return nil
+	}
+	var out []string
+	for a, known := range m.known {
+		last := known
+		if at := m.lastHeard[a]; at.After(last) {
+			last = at
+		}
+		if now.Sub(last) < m.forgetAfter || slices.Contains(m.seeds, a) {
+			continue
+		}
+		out = append(out, a)
+		delete(m.known, a)
+		delete(m.lastHeard, a)
+		for id, listed := range m.records {
+			if listed == a {
+				// The gateways that remain try at different times.
+				m.removals[id] = now.Add(time.Duration(random() * float64(m.forgetAfter)))
+			}
+		}
+	}
+	m.changed = m.changed || len(out) > 0
+	return out
+}
+
+// listed records what the store says of a gateway. An empty address means that its
+// record was removed.
+func (m *members) listed(id, address string) {
+	delete(m.removals, id)
+	if address == "" {
+		delete(m.records, id)
+	} else {
+		m.records[id] = address
+	}
+}
+
+// dueRemovals returns the ids of the gateways whose records are to be removed by now.
+func (m *members) dueRemovals(now time.Time) []string {
+	var out []string
+	for id, at := range m.removals {
+		if !now.Before(at) {
+			out = append(out, id)
+			delete(m.removals, id)
+		}
+	}
+	return out
+}
+
 // addMember adds the address of a gateway and starts to dial it. It runs in the
 // task.
 func (g *Gateway) addMember(address string) {
-	if g.state.members.add(address) {
+	if g.state.members.add(address, time.Now()) {
 		g.node.KeepConnected(address)
 	}
 }
@@ -82,19 +189,25 @@
 	})
 }
 
-// applyMembers adds the gateways that the store lists. If a full list lacks this one, as
-// after its start and when the store has come back from an older copy, it is registered.
+// applyMembers adds the gateways that the store lists. If it does not list this one, as
+// after its start, when the store has come back from an older copy, and when others have
+// not heard this one for long, it is registered.
 func (g *Gateway) applyMembers(read topicRead) {
-	listed := false
+	listed := !read.full
 	g.task.Do(func() {
 		for _, r := range read.Records {
-			listed = listed || r.Key == g.cfg.ID && string(r.Value) == g.cfg.PeerAddress
-			if !r.Deleted {
-				g.addMember(string(r.Value))
+			address := string(r.Value)
+			if r.Deleted {
+				address = ""
 			}
+			g.state.members.listed(r.Key, address)
+			if r.Key == g.cfg.ID {
+				listed = address == g.cfg.PeerAddress
+			}
+			g.addMember(address)
 		}
 	})
-	if read.full && !listed {
+	if !listed {
 		signal(g.registerSignal)
 	}
 }
@@ -114,9 +227,42 @@
 			}
 			g.log.Warn("registering the gateway in the store failed; retrying", zap.Error(err))
 			select {
-			case <-time.After(maxBackoff):
+			case <-time.After(registerRetryInterval):
 			case <-ctx.Done():
 			}
 		}
 	}
 }
+
+// forgetMembers stops dialling the gateways that have been gone for long and removes
+// their records from the store, until ctx is done.
+func (g *Gateway) forgetMembers(ctx context.Context) {
+	t := time.NewTicker(min(forgetInterval, g.state.members.forgetAfter))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		var gone, remove []string
+		g.task.Do(func() {
+			m := g.state.members
+			now := time.Now()
+			gone, remove = m.forget(now, rand.Float64), m.dueRemovals(now)
+			for _, a := range gone {
+				g.node.Disconnect(a)
+			}
+		})
+		if len(gone) > 0 {
+			g.log.Info("gateways forgotten", zap.Strings("addresses", gone))
+		}
+		for _, id := range remove {
+			if err := g.cfg.Store.Put(ctx, core.TopicMembers, id, nil); err != nil {
+				g.log.Warn("removing the record of a gateway failed", zap.String("id", id), zap.Error(err))
+				continue
+			}
+			g.log.Info("record of a gateway removed", zap.String("id", id))
+		}
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -36,8 +36,7 @@
 	}
 	var f *peerpb.Frame
 	g.task.Do(func() {
-		g.state.sentView = g.groupView()
-		f = &peerpb.Frame{Body: &peerpb.Frame_GroupView{GroupView: g.state.sentView}}
+		f = &peerpb.Frame{Body: &peerpb.Frame_GroupView{GroupView: g.groupView()}}
 	})
 	s.SendControl(f)
 }
@@ -131,9 +130,13 @@
 	g.applyRecords(t, b, p.GetFull(), from.Hello.GetId(), now)
 }
 
-// broadcastGroupView sends the group view to all rank agents if it has changed. It
-// runs in the task.
-func (g *Gateway) broadcastGroupView() {
+// broadcastGroupView sends the group view to all rank agents if it is due and has
+// changed. It runs in the task.
+func (g *Gateway) broadcastGroupView(now time.Time) {
+	if !g.state.groupViewDue || now.Sub(g.state.groupViewAt) < groupViewInterval {
+		return
+	}
+	g.state.groupViewDue, g.state.groupViewAt = false, now
 	v := g.groupView()
 	if proto.Equal(v, g.state.sentView) {
 		return
@@ -147,7 +150,7 @@
 // in the task.
 func (g *Gateway) groupView() *peerpb.GroupView {
 	d := g.state.directory
-	v := &peerpb.GroupView{Gateways: g.state.members.addresses()}
+	v := &peerpb.GroupView{Gateways: g.state.members.addresses(time.Now())}
 	for _, s := range d.Servers() {
 		if s.Place.Group == "" {
 			continue
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -322,5 +322,6 @@
 		g.log.Info("gateway is ready", zap.Int64("version", d.Deployment().Version), zap.Int("servers", len(list)))
 	}
 	g.checkRegistered(now)
-	g.broadcastGroupView()
+	g.state.groupViewDue = true
+	g.broadcastGroupView(now)
 }
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -42,9 +42,6 @@
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
 
-// Ended reports whether the session has ended.
-func (s *Session) Ended() bool { return s.mux.IsClosed() }
-
 // SendControl queues a control frame without blocking. If the queue is full, it
 // closes the session, since the peer does not keep up.
 func (s *Session) SendControl(f *peerpb.Frame) {
