Spread the first requests of many gateways to a cold server

Cause: each gateway may send its share of a cold server's rate, and its first request at once. With 54 gateways 54 requests may come in the first second.

Change: the first request of a cold time is allowed after a random part of the interval between two.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -137,8 +137,11 @@
 			s.config = dep.Services[name]
 		}
 		for id, sv := range s.servers {
-			if d.listed[id] != sv && sv.forget(now) {
+			switch {
+			case d.listed[id] != sv && sv.forget(now):
 				delete(s.servers, id)
+			case now.Before(sv.ColdUntil):
+				sv.cold.observe(sv.ColdUntil, s.config.ColdRequestsPerSecond/float64(d.gateways), d.rnd.Float64(), now)
 			}
 		}
 	}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -99,7 +99,25 @@
 // coldLimit limits the rate of requests to a cold server.
 type coldLimit struct {
 	nextAllowed time.Time
-	rate        float64
+	// until is the end of the latest time in which the server is cold.
+	until time.Time
+	rate  float64
+}
+
+// observe records that the server is cold until a time. rate is this gateway's share of
+// the server's rate limit, and random is at least 0 and below 1. The first request of a
+// cold time is allowed after a random part of the interval between two: if all gateways
+// sent theirs at once, the server would get as many as there are gateways.
+func (c *coldLimit) observe(coldUntil time.Time, rate, random float64, now time.Time) {
+	if rate <= 0 || !now.Before(coldUntil) {
+		return
+	}
+	if !now.Before(c.until) {
+		c.nextAllowed = now.Add(time.Duration(random * float64(time.Second) / rate))
+	}
+	if coldUntil.After(c.until) {
+		c.until = coldUntil
+	}
 }
 
 // allows reports whether a server that is cold until coldUntil may get a request
