Send expert maps in a compact form

The number of maps on their way follows the real size.

TestMapsFitTheLinkOfTheLeader takes the size of the real form, which makes its limit of time tighter.

--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -46,9 +46,6 @@
 	defaultMaxPrepareBytes = 48 << 10
 	// minPreparesInFlight is the number of maps on their way that is always allowed.
 	minPreparesInFlight = 2
-	// expertBytes and expertListBytes are the size of an expert's number and the
-	// overhead of a list of them in an order between agents.
-	expertBytes, expertListBytes = 2, 4
 	// versionStride keeps the versions of leaders apart: a leader uses only
 	// multiples of it plus its own number.
 	versionStride = 1 << 20
@@ -115,6 +112,9 @@
 	draining         bool
 	// maxPrepareBytes bounds the maps that are on their way at one time.
 	maxPrepareBytes int
+	// encoded is the encoded target of the version encodedVersion.
+	encoded        []byte
+	encodedVersion int64
 	// nextRank is the rank that is considered first for the next order.
 	nextRank int
 	// tookOverOwnHold is set when the pass that is taken over was held at rank
@@ -156,6 +156,8 @@
 type AddressedOrder struct {
 	Rank  int
 	Order core.RankOrder
+	// Layout is the encoded layout of an OrderPrepare.
+	Layout []byte
 }
 
 // NewChangeCoordinator returns the coordinator of the agent of rank self. Leaders
--- a/core/expertmap/change_orders_test.go
+++ b/core/expertmap/change_orders_test.go
@@ -56,7 +56,7 @@
 		g, c, start := proposeMap(t, tc.ranks, tc.sets, tc.experts)
 		c.SetMaxPrepareBytes(int(tc.bytesPerSecond / 20))
 		// Counts and reports of ranks take the rest of the link.
-		transfer := time.Duration(float64(tc.ranks*tc.sets*(expertListBytes+5*expertBytes)) / (0.4 * tc.bytesPerSecond) * float64(time.Second))
+		transfer := time.Duration(float64(len(c.encodedTarget())) / (0.4 * tc.bytesPerSecond) * float64(time.Second))
 		within := transfer*time.Duration(tc.ranks)*5/4 + 200*time.Millisecond
 		now, linkFree := start, start
 		var sent []*orderOnLink
--- a/core/expertmap/change_phases.go
+++ b/core/expertmap/change_phases.go
@@ -11,7 +11,11 @@
 // orders that carry a map are outstanding at one time as SetMaxPrepareBytes allows.
 func (c *ChangeCoordinator) Poll(now time.Time) []AddressedOrder {
 	c.advance(now)
-	prepares := maxPreparesInFlight(c.target, c.maxPrepareBytes)
+	encoded := c.encodedTarget()
+	prepares := minPreparesInFlight
+	if len(encoded) > 0 {
+		prepares = max(prepares, c.maxPrepareBytes/len(encoded))
+	}
 	for i := range c.ranks {
 		if c.ranks[i].orderPending && c.ranks[i].pendingKind == core.OrderPrepare {
 			prepares--
@@ -39,20 +43,24 @@
 		}
 		o.Epoch = c.epoch
 		v.orderPending, v.pendingKind = true, o.Kind
-		out = append(out, AddressedOrder{Rank: i, Order: o})
+		a := AddressedOrder{Rank: i, Order: o}
+		if o.Kind == core.OrderPrepare {
+			a.Layout = encoded
+		}
+		out = append(out, a)
 	}
 	return out
 }
 
-// maxPreparesInFlight returns how many orders with a layout may be outstanding.
-func maxPreparesInFlight(l Layout, maxBytes int) int {
-	size := 0
-	for _, rank := range l {
-		for _, list := range rank {
-			size += expertListBytes + expertBytes*len(list)
-		}
-	}
-	return max(minPreparesInFlight, maxBytes/max(1, size))
+// encodedTarget returns the encoded layout of the change in progress.
+func (c *ChangeCoordinator) encodedTarget() []byte {
+	if c.encodedVersion != c.version {
+		c.encodedVersion = c.version
+		// Planned layouts are complete, so encoding does not fail. Without its result,
+		// agents get the lists themselves.
+		c.encoded, _ = c.target.Encode()
+	}
+	return c.encoded
 }
 
 // advance enters the next phase when the current one is complete.
--- a/rankagent/orders.go
+++ b/rankagent/orders.go
@@ -50,7 +50,7 @@
 	case local:
 		res, err = a.orderEngine(ctx, a.cfg.EngineAddress, order.Order, orderTimeout(order.Order.Kind, true))
 	case session != nil:
-		res, err = relayOrder(ctx, session, order.Order)
+		res, err = relayOrder(ctx, session, order)
 	case engineAddress != "":
 		res, err = a.orderEngine(ctx, engineAddress, order.Order, orderTimeout(order.Order.Kind, false))
 	default:
@@ -74,7 +74,8 @@
 }
 
 // relayOrder sends an order through the agent at the other end of a session.
-func relayOrder(ctx context.Context, s *peer.Session, o core.RankOrder) (core.OrderResult, error) {
+func relayOrder(ctx context.Context, s *peer.Session, order expertmap.AddressedOrder) (core.OrderResult, error) {
+	o := order.Order
 	st, err := s.Open(peerpb.StreamKind_STREAM_KIND_RANK_ORDER, "")
 	if err != nil {
 		return core.OrderUnknown, fmt.Errorf("relay order: %w", err)
@@ -87,7 +88,7 @@
 	if err := st.SetDeadline(deadline); err != nil {
 		return core.OrderUnknown, fmt.Errorf("relay order: %w", err)
 	}
-	if err := st.Send(&peerpb.Frame{Body: &peerpb.Frame_RankOrder{RankOrder: encodeOrder(o)}}); err != nil {
+	if err := st.Send(&peerpb.Frame{Body: &peerpb.Frame_RankOrder{RankOrder: encodeOrder(order)}}); err != nil {
 		return core.OrderUnknown, fmt.Errorf("relay order: %w", err)
 	}
 	f, err := st.Receive()
@@ -97,8 +98,12 @@
 	return core.OrderResult(f.GetRankOrderAnswer().GetResult()), nil
 }
 
-func encodeOrder(o core.RankOrder) *peerpb.RankOrder {
-	m := &peerpb.RankOrder{Kind: int32(o.Kind), Epoch: o.Epoch, Version: o.Version, Pass: o.Pass}
+func encodeOrder(order expertmap.AddressedOrder) *peerpb.RankOrder {
+	o := order.Order
+	m := &peerpb.RankOrder{Kind: int32(o.Kind), Epoch: o.Epoch, Version: o.Version, Pass: o.Pass, Layout: order.Layout}
+	if len(order.Layout) > 0 {
+		return m
+	}
 	for _, rank := range o.Experts {
 		m.Sets = int32(len(rank))
 		for _, list := range rank {
@@ -111,6 +116,14 @@
 // decodeOrder is the inverse of encodeOrder.
 func decodeOrder(m *peerpb.RankOrder) (core.RankOrder, error) {
 	o := core.RankOrder{Kind: core.OrderKind(m.GetKind()), Epoch: m.GetEpoch(), Version: m.GetVersion(), Pass: m.GetPass()}
+	if len(m.GetLayout()) > 0 {
+		l, err := expertmap.DecodeLayout(m.GetLayout())
+		if err != nil {
+			return o, fmt.Errorf("decode order: %w", err)
+		}
+		o.Experts = l
+		return o, nil
+	}
 	sets := int(m.GetSets())
 	if len(m.GetExperts()) > 0 && (sets <= 0 || len(m.GetExperts())%sets != 0) {
 		return o, fmt.Errorf("order has %d lists for %d sets: %w", len(m.GetExperts()), sets, core.ErrInvalid)
