Let a frame or a record that fails cost its session or itself only

Cause: what a peer sends is handled in the process's task, where a panic ends the process.

Change: task.Try returns the panic of an operation as an error. Frames of peers use it at gateways and rank agents: the session is closed, the failure logged with the peer and counted (gateway_failures, rank_agent_invalid_messages). Records of the store use it at gateways: the failure is logged with its position, and what follows is read. Heartbeats of leaders with a rank that cannot lead are ignored.

--- a/gateway/frames_fuzz_test.go
+++ b/gateway/frames_fuzz_test.go
@@ -94,7 +94,7 @@
 			if err := (protodelim.UnmarshalOptions{MaxSize: peer.MaxFrameBytes}).UnmarshalFrom(r, m); err != nil {
 				break
 			}
-			g.control(from, m)
+			g.task.Do(func() { g.onFrame(from, m, time.Now()) })
 		}
 		now := time.Now()
 		g.task.Do(func() {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -52,6 +52,8 @@
 	reloadable gateway.ReloadableConfig
 	// forgetAfter is that of the next gateways; 0 means the default.
 	forgetAfter time.Duration
+	// decoder is that of the next gateways; nil means the platform's.
+	decoder core.RecordDecoder
 	// engine is the engine configuration of the model service; nil means none.
 	engine map[string]any
 }
@@ -156,12 +158,16 @@
 	if d.links != nil {
 		store = d.links(client)
 	}
+	decoder := d.decoder
+	if decoder == nil {
+		decoder = platform.RecordDecoder{}
+	}
 	g := gateway.New(gateway.Config{
 		ID: "gateway-" + strconv.Itoa(d.started), Incarnation: p.address, FailureDomain: "z1", Deployment: "test",
 		CallerAddress: p.address, ReadyAddress: p.ready, PeerAddress: p.peer, ServersInterval: 50 * time.Millisecond,
 		ForgetAfter:     d.forgetAfter,
 		Reloadable:      reloadable,
-		BodyMemoryBytes: 1 << 20, Store: store, Decoder: platform.RecordDecoder{}, Headers: platform.Headers{}, Logger: zap.New(logs),
+		BodyMemoryBytes: 1 << 20, Store: store, Decoder: decoder, Headers: platform.Headers{}, Logger: zap.New(logs),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,7 +23,9 @@
 	// an event.
 	replyEnds        = expvar.NewMap("gateway_reply_ends")
 	quarantineEvents = expvar.NewMap("gateway_quarantine")
-	latencies        = &latencyHistograms{byName: map[string]*hdrhistogram.Histogram{}}
+	// failures counts input whose handling ended in a panic, by its source.
+	failures  = expvar.NewMap("gateway_failures")
+	latencies = &latencyHistograms{byName: map[string]*hdrhistogram.Histogram{}}
 )
 
 func init() { expvar.Publish("gateway_latency_ms", expvar.Func(latencies.summary)) }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -45,23 +46,35 @@
 	g.log.Info("peer session down", zap.String("peer", s.Hello.GetId()))
 }
 
-// control handles a control frame of a peer.
+// control handles a control frame of a peer. A frame that cannot be handled ends the
+// session only.
 func (g *Gateway) control(from *peer.Session, f *peerpb.Frame) {
+	err := g.task.Try(func() { g.onFrame(from, f, time.Now()) })
+	if err != nil {
+		failures.Add("peer_frames", 1)
+		g.log.Error("handling a frame of a peer failed; closing the session", zap.String("peer", from.Hello.GetId()),
+			zap.String("peer_role", from.Hello.GetRole()), zap.String("frame", fmt.Sprintf("%T", f.GetBody())), zap.Error(err))
+		from.Close()
+	}
+}
+
+// onFrame handles a control frame of a peer. It runs in the task.
+func (g *Gateway) onFrame(from *peer.Session, f *peerpb.Frame, now time.Time) {
 	switch b := f.GetBody().(type) {
 	case *peerpb.Frame_DirectoryBeat:
-		g.task.Do(func() { g.onHeartbeat(from, b.DirectoryBeat, time.Now()) })
+		g.onHeartbeat(from, b.DirectoryBeat, now)
 	case *peerpb.Frame_DirectoryPull:
-		g.task.Do(func() { g.onPull(from, b.DirectoryPull) })
+		g.onPull(from, b.DirectoryPull)
 	case *peerpb.Frame_DirectoryRecords:
-		g.task.Do(func() { g.onRecords(from, b.DirectoryRecords, time.Now()) })
+		g.onRecords(from, b.DirectoryRecords, now)
 	case *peerpb.Frame_EngineState:
-		g.task.Do(func() { g.onEngineState(b.EngineState, time.Now()) })
+		g.onEngineState(b.EngineState, now)
 	case *peerpb.Frame_EngineStates:
-		g.task.Do(func() { g.applyEngineStates(time.Now(), b.EngineStates.GetStates()...) })
+		g.applyEngineStates(now, b.EngineStates.GetStates()...)
 	case *peerpb.Frame_ServerStates:
-		g.task.Do(func() { g.onServerStates(from, b.ServerStates, time.Now()) })
+		g.onServerStates(from, b.ServerStates, now)
 	case *peerpb.Frame_CrashRecords:
-		g.task.Do(func() { g.applyCrashRecords(b.CrashRecords, from.Hello.GetId(), time.Now()) })
+		g.applyCrashRecords(b.CrashRecords, from.Hello.GetId(), now)
 	}
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -240,7 +240,7 @@
 func (g *Gateway) applyFunc(t core.Topic) func(topicRead) {
 	return func(r topicRead) {
 		now := time.Now()
-		g.task.Do(func() {
+		err := g.task.Try(func() {
 			if t == core.TopicServers {
 				g.state.directory.StoreAnswered(now)
 			}
@@ -250,6 +250,10 @@
 				g.serversChanged(now)
 			}
 		})
+		if err != nil {
+			failures.Add("store_records", 1)
+			g.log.Error("applying records of the store failed", zap.Int("topic", int(t)), zap.Int64("next_offset", r.Next.Offset), zap.Error(err))
+		}
 	}
 }
 
--- a/rankagent/frames_fuzz_test.go
+++ b/rankagent/frames_fuzz_test.go
@@ -108,7 +108,7 @@
 			if err := (protodelim.UnmarshalOptions{MaxSize: peer.MaxFrameBytes}).UnmarshalFrom(r, m); err != nil {
 				return
 			}
-			a.control(from, m)
+			a.task.Do(func() { a.onFrame(from, m, time.Now()) })
 			poll()
 		}
 	})
--- a/rankagent/session.go
+++ b/rankagent/session.go
@@ -104,23 +104,32 @@
 	}
 }
 
-// control handles a control frame of a peer.
+// control handles a control frame of a peer. A frame that cannot be handled ends the
+// session only.
 func (a *Agent) control(from *peer.Session, f *peerpb.Frame) {
+	err := a.task.Try(func() { a.onFrame(from, f, time.Now()) })
+	if err != nil {
+		invalidMessages.Add("peer_frames", 1)
+		a.log.Error("handling a frame of a peer failed; closing the session", zap.String("peer", from.Hello.GetId()),
+			zap.String("peer_role", from.Hello.GetRole()), zap.String("frame", fmt.Sprintf("%T", f.GetBody())), zap.Error(err))
+		from.Close()
+	}
+}
+
+// onFrame handles a control frame of a peer. It runs in the task.
+func (a *Agent) onFrame(from *peer.Session, f *peerpb.Frame, now time.Time) {
 	switch b := f.GetBody().(type) {
 	case *peerpb.Frame_GroupView:
-		a.task.Do(func() { a.onGroupView(from, b.GroupView) })
+		a.onGroupView(from, b.GroupView)
 	case *peerpb.Frame_LeaderBeat:
-		a.task.Do(func() {
-			if b.LeaderBeat.GetGroup() == a.state.report.Place.Group {
-				a.state.leaders[int(b.LeaderBeat.GetRank())] = &knownLeader{session: from, lastHeartbeat: time.Now()}
-			}
-		})
+		rank := int(b.LeaderBeat.GetRank())
+		if rank >= 0 && rank < leaderCandidates && b.LeaderBeat.GetGroup() == a.state.report.Place.Group {
+			a.state.leaders[rank] = &knownLeader{session: from, lastHeartbeat: now}
+		}
 	case *peerpb.Frame_RankStatus:
-		a.task.Do(func() {
-			if now := time.Now(); a.isLeader(now) && b.RankStatus.GetGroup() == a.state.report.Place.Group {
-				a.handleRankStatus(from, b.RankStatus, now)
-			}
-		})
+		if a.isLeader(now) && b.RankStatus.GetGroup() == a.state.report.Place.Group {
+			a.handleRankStatus(from, b.RankStatus, now)
+		}
 	}
 }
 
--- a/task/task.go
+++ b/task/task.go
@@ -2,7 +2,11 @@
 // the state they use needs no locks.
 package task
 
-import "context"
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+)
 
 // Task runs operations sequentially in its own goroutine. State that is used by
 // its operations only needs no other synchronization.
@@ -55,5 +59,20 @@
 	}
 }
 
+// Try is like Do, but a panic of op is returned as an error and does not end the process.
+// It is for what comes from others. The state must bear an op that ends halfway.
+func (t *Task) Try(op func()) error {
+	var err error
+	t.Do(func() {
+		defer func() {
+			if p := recover(); p != nil {
+				err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
+			}
+		}()
+		op()
+	})
+	return err
+}
+
 // Done returns a channel that is closed when the task has ended.
 func (t *Task) Done() <-chan struct{} { return t.done }
--- a/task/task_test.go
+++ b/task/task_test.go
@@ -26,3 +26,22 @@
 		t.Errorf("do before the start: got %t, want false", got)
 	}
 }
+
+// Guards against an operation that ends the process, or the task for later ones.
+func TestTryReturnsPanics(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	tk := task.New()
+	tk.Start(ctx)
+	defer func() {
+		cancel()
+		<-tk.Done()
+	}()
+	var list []int
+	if err := tk.Try(func() { list[3] = 1 }); err == nil {
+		t.Error("operation that panics: got no error, want one")
+	}
+	ran := false
+	if err := tk.Try(func() { ran = true }); err != nil || !ran {
+		t.Errorf("next operation: got %v and ran %t, want no error and true", err, ran)
+	}
+}
