Let the ranks of a group take turns with their counts

Besides, the counts were those of the last 700 ms, longer than it takes demand to shift.

Change: the turn of a rank follows its number, and counts are those of the last two polls. Groups whose agents send counts at each poll or at each second one are not affected by the second part.

TestRanksTakeTurnsWithTheirCounts: counts of at most 5 of 64 ranks at a poll.

--- a/rankagent/link.go
+++ b/rankagent/link.go
@@ -27,6 +27,17 @@
 	return max(1+counts/maxCountsPerPoll, 1+int(forGroup))
 }
 
+// countsWindow is the number of polls in which the counts are taken that are sent, where
+// they are not sent at each poll. Older counts would hide a shift of demand.
+const countsWindow = 2
+
+// countsPoll reports whether the n-th poll of a rank reads the counts, and whether it sends
+// those since it last read them. The ranks of a group take turns.
+func countsPoll(n, rank, every int) (read, send bool) {
+	turn := (n + rank) % every
+	return turn == 0 || turn == every-countsWindow, turn == 0
+}
+
 // maxPrepareBytes returns how many bytes of maps may be on their way at one time.
 func maxPrepareBytes(linkRate float64) int {
 	return int(linkRate * maxMapTransfer.Seconds())
--- a/rankagent/link_test.go
+++ b/rankagent/link_test.go
@@ -27,3 +27,37 @@
 		}
 	}
 }
+
+// Guards against ranks that all send their counts at the same poll, and against counts of
+// a time that is longer than it takes demand to shift.
+func TestRanksTakeTurnsWithTheirCounts(t *testing.T) {
+	for _, c := range []struct{ counts, ranks, every, window int }{
+		{288, 12, 1, 1},
+		{1536, 24, 3, 2},
+		{3072, 64, 14, 2},
+	} {
+		const rate = 0.75e6
+		if got := pollsPerCounts(c.counts, c.ranks, rate); got != c.every {
+			t.Errorf("%d ranks: counts every %d polls, want %d", c.ranks, got, c.every)
+		}
+		lastRead := make([]int, c.ranks)
+		for n := range 3 * c.every {
+			sent := 0
+			for rank := range c.ranks {
+				read, send := countsPoll(n, rank, c.every)
+				if send {
+					sent++
+					if got := n - lastRead[rank]; n >= c.every && got != c.window {
+						t.Errorf("%d ranks: counts of %d polls, want %d", c.ranks, got, c.window)
+					}
+				}
+				if read {
+					lastRead[rank] = n
+				}
+			}
+			if got, most := sent, (c.ranks+c.every-1)/c.every; got > most {
+				t.Errorf("%d ranks, poll %d: got counts of %d ranks, want at most %d", c.ranks, n, got, most)
+			}
+		}
+	}
+}
--- a/rankagent/status.go
+++ b/rankagent/status.go
@@ -75,12 +75,19 @@
 		}
 	}
 	var counts []int64
-	if n%every == 0 {
+	read, send := countsPoll(n, r.Place.Rank, every)
+	if read {
 		if counts, _, err = a.cfg.Engine.Counts(ctx, a.cfg.EngineAddress); err != nil {
 			return fmt.Errorf("poll engine: %w", err)
 		}
 	}
-	a.task.Do(func() { a.applyPoll(r, counts, placement, time.Now()) })
+	a.task.Do(func() {
+		if !send && counts != nil {
+			a.state.newChoices(counts, r.StartedUnixMS)
+			counts = nil
+		}
+		a.applyPoll(r, counts, placement, time.Now())
+	})
 	return nil
 }
 
