Do not take a slow group's engines for silent ones

Cause: an engine counts as silent after 400 ms without an event.

Change: an engine is not silent before three times the median gap of its group within the last second.

TestSlowGroupIsNotUnresponsive fails without it: an engine with gaps of 450 ms in a group with 220 ms is excluded after 400 ms. The bounds of the other tests are unchanged.

--- a/core/dispatch/concurrency.go
+++ b/core/dispatch/concurrency.go
@@ -37,6 +37,9 @@
 	// timePerRequest is the measured time that one request adds to a pass; 0 until
 	// the first measurement.
 	timePerRequest time.Duration
+	// medianGap is the median of the recent gaps, as of medianAt.
+	medianGap time.Duration
+	medianAt  time.Time
 }
 
 type gapSample struct {
@@ -69,7 +72,8 @@
 		sorted[i] = s.gap
 	}
 	slices.Sort(sorted)
-	l.timePerRequest = max(time.Microsecond, (sorted[len(sorted)/2]-base)/time.Duration(requests))
+	l.medianGap, l.medianAt = sorted[len(sorted)/2], now
+	l.timePerRequest = max(time.Microsecond, (l.medianGap-base)/time.Duration(requests))
 }
 
 // limit returns the number of requests that the group may run, which is slots
--- a/core/dispatch/unresponsive.go
+++ b/core/dispatch/unresponsive.go
@@ -14,6 +14,11 @@
 	// long prompts takes longer.
 	eventTimeout      = 400 * time.Millisecond
 	firstEventTimeout = 500 * time.Millisecond
+	// slowGapFactor makes both longer in a slow group: no engine is excluded that is silent
+	// for less than this many times the usual gap of its group, as measured within
+	// maxGapAge.
+	slowGapFactor = 3
+	maxGapAge     = time.Second
 	// maxActivityGap is the longest time without any event for which a group
 	// counts as active. In a stalled group no rank sends events.
 	maxActivityGap = 200 * time.Millisecond
@@ -79,5 +84,8 @@
 	if sv.hasSentEvent {
 		timeout = eventTimeout
 	}
+	if l := &sv.group.limiter; now.Sub(l.medianAt) <= maxGapAge {
+		timeout = max(timeout, slowGapFactor*l.medianGap)
+	}
 	return now.Sub(sv.lastEvent) >= timeout && now.Sub(a.since) >= timeout
 }
--- a/core/dispatch/unresponsive_test.go
+++ b/core/dispatch/unresponsive_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -59,6 +60,33 @@
 	}
 }
 
+// Guards against engines of a slow but sound group that are excluded one after the other,
+// so that their streams begin anew elsewhere.
+func TestSlowGroupIsNotUnresponsive(t *testing.T) {
+	const gap, longest = 220 * time.Millisecond, 450 * time.Millisecond
+	d := newBusyDispatcher(t, 12)
+	for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		for i := range 12 {
+			every := gap
+			if i == 0 {
+				every = longest
+			}
+			if phase := time.Duration(i) * 20 * time.Millisecond; at >= phase && (at-phase)%every == 0 {
+				d.ObserveEvent("s", fmt.Sprintf("s%d", i), every, 200*time.Millisecond, now)
+			}
+		}
+		id := uint64(1000 + at/time.Millisecond)
+		if v, ok := d.Offer(request(id, at), now); ok && v.Rejected == "" {
+			d.Finished("s", v.Server, 100, dispatch.OutcomeServed, now)
+		}
+		d.RemoveWaiting("s", id)
+		if got := d.DetectUnresponsive(now); len(got) > 0 {
+			t.Fatalf("unresponsive servers after %v: got %v, want none in a group with gaps of %v to %v", at, got, gap, longest)
+		}
+	}
+}
+
 // Guards against an engine that is excluded during the prefill of long prompts, and
 // against one that is never excluded because it has sent no event.
 func TestServerBeforeFirstEventGetsMoreTime(t *testing.T) {
