Read the registrations of gateways together

Cause: each registration ended the long poll of the members' topic at every gateway, so that the calls to the store while all start grow with the square of their number.

Change: at least 2 s between two reads of that topic. Gateways hear of each other from the seeds and in heartbeats meanwhile.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -17,6 +17,9 @@
 // Timing of reads from the store.
 const (
 	membersReadWait = 20 * time.Second
+	// membersReadSpacing is the time between two reads of the members' topic. While many
+	// gateways start, each registration would else end the long polls of all.
+	membersReadSpacing = 2 * time.Second
 	// minServersInterval is the minimum interval between reads of the servers'
 	// topic, also when a refresh is requested.
 	minServersInterval = 150 * time.Millisecond
@@ -38,7 +41,9 @@
 	topic    core.Topic
 	wait     time.Duration
 	interval time.Duration
-	apply    func(r topicRead)
+	// spacing is the least time between two reads.
+	spacing time.Duration
+	apply   func(r topicRead)
 	// refresh ends the wait between two reads early; it may be nil.
 	refresh <-chan struct{}
 	// readAt is when the last read has ended.
@@ -63,6 +68,7 @@
 		if err == nil {
 			backoff = minBackoff
 			w.readAt = time.Now()
+			w.sleep(ctx, w.spacing)
 			w.sleep(ctx, min(w.interval, minServersInterval))
 			if w.interval > minServersInterval {
 				w.sleepUntilDue(ctx)
@@ -226,7 +232,7 @@
 	list := []*topicWatcher{
 		{gateway: g, topic: core.TopicOperator, apply: g.applyFunc(core.TopicOperator)},
 		{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, refresh: g.refreshServersSignal, apply: g.applyFunc(core.TopicServers)},
-		{gateway: g, topic: core.TopicMembers, wait: membersReadWait, apply: g.applyMembers},
+		{gateway: g, topic: core.TopicMembers, wait: membersReadWait, spacing: membersReadSpacing, apply: g.applyMembers},
 		{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, apply: g.applyCrashes},
 	}
 	for _, w := range list {
