Play restarts of all gateways after servers and keys have been withdrawn

Three gateways restart one after the other while the store rejects calls, hangs or answers. None accepts the withdrawn key or sends to the server that leaves or has left.

make fuzz and make bench run the new fuzz targets and benchmarks.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 bench:
 	go test -run XXX -bench . -benchtime 0.3s ./core/retry ./core/config ./core/claim ./core/rendezvous ./core/admission ./io/configlog ./io/claimlog
 	go test -run XXX -bench 'Memory|Choose|Subset' -benchtime 0.3s ./core/share ./core/routing
+	go test -run XXX -bench 'Offer|PeerLoad' -benchtime 0.3s ./core/dispatch
 	go test -tags measure ./systemtest -run TestMeasure -v -timeout 20m
 
 # Fuzzes what comes from peers, from the log and from settings files.
@@ -51,6 +52,9 @@
 	go test ./core/claim -run XXX -fuzz FuzzRecord -fuzztime $(FUZZ_TIME)
 	go test ./io/peer -run XXX -fuzz FuzzReceive -fuzztime $(FUZZ_TIME)
 	go test ./core/eventstream -run XXX -fuzz FuzzEventEnd -fuzztime $(FUZZ_TIME)
+	go test ./core/expertmap -run XXX -fuzz FuzzDecodeLayout -fuzztime $(FUZZ_TIME)
+	go test ./gateway -run XXX -fuzz FuzzControl -fuzztime $(FUZZ_TIME)
+	go test ./rankagent -run XXX -fuzz FuzzControl -fuzztime $(FUZZ_TIME)
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "run gofmt"; exit 1; }
--- /dev/null
+++ b/gateway/restart_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"nutmegnotch/emulator/metastore"
+	"nutmegnotch/emulator/runner"
+)
+
+// Guards against a server that has left, or a key that was withdrawn, which is in use
+// again after gateways have restarted one by one while the store does not answer, so that
+// each knows only what its peers know.
+func TestRestartsDoNotBringBackWhatIsGone(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault metastore.Fault
+	}{
+		{"store rejects calls", metastore.FaultUnavailable},
+		{"store does not answer", metastore.FaultHang},
+		{"store answers", metastore.FaultNone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.keys = []string{"key-a", "key-b"}
+			d.publish()
+			leaving := d.addRunner(runner.Config{ID: "d1", Body: "ok"}, "desk")
+			gone := d.addRunner(runner.Config{ID: "d2", Body: "ok"}, "desk")
+			d.addRunner(runner.Config{ID: "d3", Body: "ok"}, "desk")
+			for range 3 {
+				d.startReady()
+			}
+			eventually(t, "gateways are connected", d.connected)
+			d.announce("d1", "desk", "draining")
+			d.store.Put("keyed.servers", "d2", nil)
+			d.keys = []string{"key-a"}
+			d.publish()
+			withdrawn := func(p *process) int {
+				return send(newRequest(p, http.MethodGet, "/lookup/1", "key-b", "")).status
+			}
+			for i, p := range d.gateways {
+				eventually(t, fmt.Sprintf("gateway %d refuses the key", i), func() bool { return withdrawn(p) == http.StatusUnauthorized })
+			}
+			time.Sleep(300 * time.Millisecond)
+			before := len(leaving.Runs()) + len(gone.Runs())
+			d.store.SetFault(c.fault)
+			for i := range d.gateways {
+				p := d.restart(i)
+				for range 10 {
+					if got := withdrawn(p); got != http.StatusUnauthorized {
+						t.Errorf("withdrawn key at gateway %d after its restart: got %d, want 401", i, got)
+					}
+					if got := send(newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")).status; got != http.StatusOK {
+						t.Errorf("request at gateway %d after its restart: got %d, want 200", i, got)
+					}
+				}
+			}
+			if got := len(leaving.Runs()) + len(gone.Runs()) - before; got > 0 {
+				t.Errorf("runs at servers that leave or have left: got %d, want none", got)
+			}
+		})
+	}
+}
