Deliver what came of a reply before its connection is reset

Gateway and entry now wait until the caller has acknowledged everything, for 2 s at most, after the server's slot has been given back.

--- a/gateway/broken_reply_test.go
+++ b/gateway/broken_reply_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -146,6 +148,57 @@
 	}
 }
 
+// Guards against a broken reply whose bytes were discarded before a slow caller had got
+// them.
+func TestBrokenReplyReachesSlowCaller(t *testing.T) {
+	t.Parallel()
+	large := strings.Repeat("0123456789abcdef", 20<<10)
+	d := newDeployment(t)
+	d.publish()
+	d.addRunner(runner.Config{ID: "s1", Body: large}, "desk").Fail(runner.FaultCloseDelimitedReset)
+	p := d.startReady()
+	c := dialSlow(t, p.address)
+	id := newRequest(p, http.MethodGet, "/lookup/1", "", "").Header.Get("Nutmegnotch-Request-Id")
+	if _, err := fmt.Fprintf(c, "GET /lookup/1 HTTP/1.1\r\nHost: a.example\r\nNutmegnotch-Request-Id: %s\r\nNutmegnotch-Key: key-a\r\n"+
+		"Nutmegnotch-Deadline-Ms: 3000\r\n\r\n", id); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	eventually(t, "the reply is broken off", func() bool { return p.logs.FilterMessage("attempt failed").Len() > 0 })
+	time.Sleep(200 * time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("read the head: %v", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if got, want := string(body), large[:len(large)/2]; got != want || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("body: got %d bytes (%v), want the %d that the server sent and a reset", len(got), err, len(want))
+	}
+}
+
+// dialSlow connects with a small receive buffer.
+func dialSlow(t *testing.T, address string) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if ctlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10)
+		}); ctlErr != nil {
+			return ctlErr
+		}
+		return err
+	}}
+	c, err := dialer.Dial("tcp", address)
+	if err != nil {
+		t.Fatalf("connect: %v", err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(waitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // String describes r without the whole of a large body.
 func (r rawReply) String() string {
 	return fmt.Sprintf("{%d %s, ended %t, %d bytes %.200q}", r.status, r.framing, r.ended, len(r.body), r.body)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -356,8 +356,7 @@
 	switch {
 	case a.relay != nil && a.relay.started:
 		g.recordEnd(a, reason)
-		// Abort the connection, so that the caller sees that the stream is incomplete.
-		panic(http.ErrAbortHandler)
+		a.abort()
 	case a.fallback != nil:
 		g.sendBuffered(a, a.fallback)
 	case a.mayHaveRun && time.Until(a.deadline) < minSendTimeLeft:
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -59,6 +59,8 @@
 	callerDeadline time.Time
 	// closeDelimited is set if the reply to the caller ends with its connection.
 	closeDelimited bool
+	// aborted is set if a reply that had begun was broken off.
+	aborted bool
 }
 
 // refusal is an error response that the gateway itself sends.
@@ -73,6 +75,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	c := &call{w: w, r: r, arrived: time.Now()}
+	defer g.flushAborted(c)
 	defer c.observe()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -46,7 +46,7 @@
 	}
 	if a.relay != nil && a.relay.started {
 		g.recordEnd(a, "resumed_stream_failed")
-		panic(http.ErrAbortHandler)
+		a.abort()
 	}
 	if len(body) > maxBufferedReplyBytes {
 		return g.forwardLarge(a, v, buffered, reply), true
@@ -107,7 +107,7 @@
 	if err != nil {
 		g.logAttempt(a, v, "reply_cut_short", head.status, err)
 		g.runBroke(a, v.Server, false)
-		panic(http.ErrAbortHandler)
+		a.abort()
 	}
 	reply.MarkBodyRead()
 	g.logForwarded(a, head.status, head.framing)
@@ -142,6 +142,24 @@
 	return caller.EndCloseDelimited(c.w, c.r)
 }
 
+// abort ends a handler whose reply has begun, so that the caller sees that the reply is
+// incomplete.
+func (c *call) abort() {
+	c.aborted = true
+	panic(http.ErrAbortHandler)
+}
+
+// flushAborted sends what was written of an aborted reply before the caller's
+// connection is reset.
+func (g *Gateway) flushAborted(c *call) {
+	if !c.aborted || !c.closeDelimited || c.r.Context().Err() != nil {
+		return
+	}
+	if err := caller.FlushUnsent(c.w, c.r); err != nil {
+		g.log.Info("the caller does not get all of a reply that broke off", zap.String("request_id", c.id()), zap.Error(err))
+	}
+}
+
 // copyReplyHeaders copies the headers of a reply except the hop-by-hop ones.
 func copyReplyHeaders(w http.ResponseWriter, from http.Header) {
 	to := w.Header()
--- a/io/caller/close_delimited.go
+++ b/io/caller/close_delimited.go
@@ -5,10 +5,20 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"nutmegnotch/core"
 )
 
+// Limits of FlushUnsent.
+const (
+	// maxFlushTime bounds the wait for a caller that does not read.
+	maxFlushTime  = 2 * time.Second
+	flushInterval = 5 * time.Millisecond
+)
+
 type connKey struct{}
 
 // ConnContext returns a context with a caller's connection. It is for the field of
@@ -37,15 +47,77 @@
 	return setLinger(r, -1)
 }
 
+// FlushUnsent waits until the caller has acknowledged what was written of a
+// close-delimited reply that is broken off, since the reset of its connection discards
+// unsent data. It must be called before the handler ends.
+func FlushUnsent(w http.ResponseWriter, r *http.Request) error {
+	c, err := callerConn(r)
+	if err != nil {
+		return err
+	}
+	rc := http.NewResponseController(w)
+	giveUp := time.Now().Add(maxFlushTime)
+	if err := rc.SetWriteDeadline(giveUp); err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
+	if err := rc.Flush(); err != nil {
+		return fmt.Errorf("flush reply: %w", err)
+	}
+	t := time.NewTicker(flushInterval)
+	defer t.Stop()
+	for {
+		n, err := unsentBytes(c)
+		if err != nil {
+			return fmt.Errorf("count unsent bytes: %w", err)
+		}
+		if n == 0 {
+			return nil
+		}
+		if time.Now().After(giveUp) {
+			return fmt.Errorf("%d bytes are unsent after %v: %w", n, maxFlushTime, core.ErrUnavailable)
+		}
+		select {
+		case <-r.Context().Done():
+			return fmt.Errorf("caller left with %d bytes unsent: %w", n, r.Context().Err())
+		case <-t.C:
+		}
+	}
+}
+
+// unsentBytes returns the number of bytes that the other end has not acknowledged.
+func unsentBytes(c *net.TCPConn) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, fmt.Errorf("get socket: %w", err)
+	}
+	n := 0
+	var ioctlErr error
+	if err := raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }); err != nil {
+		return 0, fmt.Errorf("use socket: %w", err)
+	}
+	if ioctlErr != nil {
+		return 0, fmt.Errorf("read length of send queue: %w", ioctlErr)
+	}
+	return n, nil
+}
+
 // setLinger sets what closing the connection of r does with data that is not sent yet,
 // as net.TCPConn.SetLinger does.
 func setLinger(r *http.Request, sec int) error {
-	c, ok := r.Context().Value(connKey{}).(*net.TCPConn)
-	if !ok {
-		return fmt.Errorf("connection of the caller is not known: %w", core.ErrInvalid)
+	c, err := callerConn(r)
+	if err != nil {
+		return err
 	}
 	if err := c.SetLinger(sec); err != nil {
 		return fmt.Errorf("set linger time: %w", err)
 	}
 	return nil
 }
+
+func callerConn(r *http.Request) (*net.TCPConn, error) {
+	c, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	if !ok {
+		return nil, fmt.Errorf("connection of the caller is not known: %w", core.ErrInvalid)
+	}
+	return c, nil
+}
--- a/io/caller/close_delimited_test.go
+++ b/io/caller/close_delimited_test.go
@@ -1,13 +1,18 @@
 package caller_test
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"syscall"
 	"testing"
+	"time"
 
+	"nutmegnotch/core"
 	"nutmegnotch/io/caller"
 )
 
@@ -67,3 +72,53 @@
 		})
 	}
 }
+
+// Guards against an aborted reply whose last bytes are discarded before a slow caller
+// has got them.
+func TestAbortedReplyReachesSlowCaller(t *testing.T) {
+	const size = 200 << 10
+	aborted := make(chan struct{})
+	s := httptest.NewUnstartedServer(caller.New(caller.Config{
+		Source: source{configuration()}, StallTimeout: 5 * time.Second,
+		Reserve: func(context.Context, string, int64, int64) (func(), bool) { return func() {}, true },
+		Serve: func(_ context.Context, _ *caller.Request, reply *caller.Reply) {
+			if err := reply.StartUnverified(http.StatusOK, http.Header{}); err != nil {
+				t.Errorf("start the reply: %v", err)
+			}
+			if err := reply.Write(make([]byte, size)); err != nil {
+				t.Errorf("write the reply: %v", err)
+			}
+			reply.Abort(core.CodeConnectionBroken)
+			close(aborted)
+		},
+	}))
+	s.Config.ConnContext = caller.ConnContext
+	s.Start()
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatalf("connect: %v", err)
+	}
+	defer c.Close()
+	if err := c.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "GET /desk HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\n\r\n"); err != nil {
+		t.Fatalf("send: %v", err)
+	}
+	select {
+	case <-aborted:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the reply is not written, although the kernel has room for it")
+	}
+	time.Sleep(100 * time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("read the head: %v", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if len(body) != size || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("body: got %d bytes (%v), want %d and a reset", len(body), err, size)
+	}
+}
--- a/io/caller/frontend.go
+++ b/io/caller/frontend.go
@@ -148,7 +148,7 @@
 	f.cfg.Serve(r.Context(), req, reply)
 	f.logRequestEnd(reply, req.Organisation, req.Service)
 	f.reportOutcome(reply, req.Subject())
-	reply.finish()
+	reply.finish(f.cfg.Log)
 }
 
 // logRequestEnd logs the outcome of a request.
--- a/io/caller/reply.go
+++ b/io/caller/reply.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"nutmegnotch/core"
 )
 
@@ -111,8 +113,13 @@
 
 // finish must be called last: it panics with http.ErrAbortHandler if the reply was
 // aborted.
-func (p *Reply) finish() {
+func (p *Reply) finish(log *zap.Logger) {
 	if p.aborted {
+		if p.closeDelimited && !p.callerGone {
+			if err := FlushUnsent(p.w, p.r); err != nil {
+				log.Info("the caller does not get all of a reply that broke off", zap.String("request_id", p.id), zap.Error(err))
+			}
+		}
 		panic(http.ErrAbortHandler)
 	}
 	// The deadline of the last write must not apply to the final chunk.
