Answer requests that arrive together with a planned stop

At the end of its drain a gateway closed its listener and all connections at once. Connections in the accept queue were reset, and so were requests whose head was read in part and those that a handler had begun after the last look at the number of requests in progress. It now accepts what is queued for 50 ms, waits up to 250 ms for requests that have arrived in part, and ends idle connections by closing their reading side, so that net/http decides between a request and the end of the connection.

--- /dev/null
+++ b/gateway/caller_conns.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/sys/unix"
+)
+
+// callerConn is a caller's connection that counts what was read from it.
+type callerConn struct {
+	*net.TCPConn
+	readBytes atomic.Int64
+	// answeredBytes is the value of readBytes at the end of the last answer, and active
+	// is set from the end of a request's head to that of its answer.
+	answeredBytes atomic.Int64
+	active        atomic.Bool
+}
+
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.readBytes.Add(int64(n))
+	return n, err
+}
+
+// hasRequest reports whether any part of a request has arrived that is not answered yet.
+func (c *callerConn) hasRequest() bool {
+	return c.active.Load() || c.readBytes.Load() > c.answeredBytes.Load() || c.unreadBytes() > 0
+}
+
+// unreadBytes returns the number of bytes that the kernel has received and nobody has
+// read. On a connection that cannot be asked it is 0.
+func (c *callerConn) unreadBytes() int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) {
+		if got, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
+			n = got
+		}
+	}); err != nil {
+		return 0
+	}
+	return n
+}
+
+// callerConns is the set of open connections of an http.Server.
+type callerConns struct {
+	mu   sync.Mutex
+	open map[*callerConn]bool
+}
+
+func (s *callerConns) add(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = true
+}
+
+func (s *callerConns) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// stateChanged is the ConnState of an http.Server.
+func (s *callerConns) stateChanged(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.active.Store(true)
+	case http.StateIdle:
+		c.answeredBytes.Store(c.readBytes.Load())
+		c.active.Store(false)
+	case http.StateClosed, http.StateHijacked:
+		s.remove(c)
+	}
+}
+
+// endIdle ends the reading of connections without a request, so that their server closes
+// them. To close them here would cut off a request whose head is read at the same moment.
+// It returns the numbers of open connections and of those with a request.
+func (s *callerConns) endIdle() (open, busy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.hasRequest() {
+			busy++
+			continue
+		}
+		// An error means that the connection is closed already.
+		_ = c.CloseRead()
+	}
+	return len(s.open), busy
+}
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +32,16 @@
 	maxAcceptDelay = time.Second
 )
 
+// Timing of a planned stop, after which a connection is cut off.
+const (
+	// acceptQueueTime is how long connections are still accepted, so that those in the
+	// listener's queue are not reset.
+	acceptQueueTime = 50 * time.Millisecond
+	// maxCloseTime bounds the wait for requests that have arrived in part.
+	maxCloseTime  = 250 * time.Millisecond
+	closeInterval = 5 * time.Millisecond
+)
+
 // callerServer serves callers' connections. The limits of an http.Server cannot
 // change while it runs, so there is one server for each set of limits. A
 // connection keeps the limits under which it was accepted.
@@ -41,10 +54,12 @@
 	servers map[core.CallerLimits]*limitedServer
 	closed  bool
 	wg      *conc.WaitGroup
+	// accepted is closed when no more connections are accepted.
+	accepted chan struct{}
 }
 
 func newCallerServer(handler http.Handler, address net.Addr, log *zap.Logger) *callerServer {
-	c := &callerServer{handler: handler, log: log, address: address, servers: map[core.CallerLimits]*limitedServer{}, wg: conc.NewWaitGroup()}
+	c := &callerServer{handler: handler, log: log, address: address, servers: map[core.CallerLimits]*limitedServer{}, wg: conc.NewWaitGroup(), accepted: make(chan struct{})}
 	c.setLimits(core.CallerLimits{})
 	return c
 }
@@ -69,14 +84,15 @@
 	c.current.Store(s)
 }
 
-// serve accepts connections until the listener is closed. After other errors,
+// serve accepts connections until close ends it. After other errors,
 // such as a lack of file descriptors, it accepts again after a delay.
 func (c *callerServer) serve(l net.Listener) {
+	defer close(c.accepted)
 	delay := minAcceptDelay
 	for {
 		conn, err := l.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return
 		case err != nil:
 			c.log.Error("accept failed; retrying", zap.Stringer("address", c.address), zap.Duration("delay", delay), zap.Error(err))
@@ -89,35 +105,70 @@
 	}
 }
 
-// close closes the listener and all connections, and waits for the servers to
-// end.
+// close accepts the connections in the listener's queue, closes it, waits until the
+// requests that have arrived are answered, and closes all connections.
 func (c *callerServer) close(l net.Listener) {
 	c.mu.Lock()
 	c.closed = true
-	l.Close()
-	for _, s := range c.servers {
+	servers := slices.Collect(maps.Values(c.servers))
+	c.mu.Unlock()
+	c.endAccept(l)
+	for begun := time.Now(); ; time.Sleep(closeInterval) {
+		open, busy := 0, 0
+		for _, s := range servers {
+			o, b := s.open.endIdle()
+			open, busy = open+o, busy+b
+		}
+		if open == 0 {
+			break
+		}
+		if time.Since(begun) > maxCloseTime {
+			c.log.Warn("connections are cut off", zap.Int("connections", open), zap.Int("with_request", busy))
+			break
+		}
+	}
+	for _, s := range servers {
 		s.http.Close()
 	}
-	c.mu.Unlock()
 	c.wg.Wait()
 }
 
+// endAccept closes the listener once its queue is empty.
+func (c *callerServer) endAccept(l net.Listener) {
+	defer l.Close()
+	d, ok := l.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return
+	}
+	if err := d.SetDeadline(time.Now().Add(acceptQueueTime)); err != nil {
+		c.log.Error("connections in the accept queue are cut off", zap.Error(err))
+		return
+	}
+	select {
+	case <-c.accepted:
+	case <-time.After(2 * acceptQueueTime):
+	}
+}
+
 // limitedServer is an http.Server for one set of limits. It is also the
 // net.Listener of that server and returns the connections passed to handOff.
 type limitedServer struct {
 	http    *http.Server
 	address net.Addr
 	log     *zap.Logger
+	open    *callerConns
 	conns   chan net.Conn
 	once    sync.Once
 	done    chan struct{}
 }
 
 func newLimitedServer(l core.CallerLimits, handler http.Handler, address net.Addr, log *zap.Logger) *limitedServer {
-	s := &limitedServer{address: address, log: log, conns: make(chan net.Conn), done: make(chan struct{})}
+	s := &limitedServer{address: address, log: log, open: &callerConns{open: map[*callerConn]bool{}},
+		conns: make(chan net.Conn), done: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           handler,
 		ConnContext:       caller.ConnContext,
+		ConnState:         s.open.stateChanged,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -143,10 +194,17 @@
 
 // handOff passes a connection to the server, or closes it if the server is closed.
 func (s *limitedServer) handOff(conn net.Conn) {
+	tracked := &callerConn{}
+	if c, ok := conn.(*net.TCPConn); ok {
+		tracked.TCPConn = c
+		s.open.add(tracked)
+		conn = tracked
+	}
 	select {
 	case s.conns <- conn:
 	case <-s.done:
 		conn.Close()
+		s.open.remove(tracked)
 	}
 }
 
--- a/io/caller/close_delimited.go
+++ b/io/caller/close_delimited.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -85,7 +86,7 @@
 }
 
 // unsentBytes returns the number of bytes that the other end has not acknowledged.
-func unsentBytes(c *net.TCPConn) (int, error) {
+func unsentBytes(c tcpConn) (int, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, fmt.Errorf("get socket: %w", err)
@@ -114,8 +115,14 @@
 	return nil
 }
 
-func callerConn(r *http.Request) (*net.TCPConn, error) {
-	c, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+// tcpConn is the part of a net.TCPConn that a close-delimited reply needs.
+type tcpConn interface {
+	syscall.Conn
+	SetLinger(sec int) error
+}
+
+func callerConn(r *http.Request) (tcpConn, error) {
+	c, ok := r.Context().Value(connKey{}).(tcpConn)
 	if !ok {
 		return nil, fmt.Errorf("connection of the caller is not known: %w", core.ErrInvalid)
 	}
