Pass on states of engines once instead of once per gateway and report

A rank agent reports to 8 gateways, and each of them passed on each report to all others at its next tick: while the groups of the large site are closed, 192 agents repeat their state every second, which makes up to 28 broadcasts a second of each of 54 gateways. Repetitions now wait up to 500 ms for each other, and a gateway does not pass on what two others have passed on, unless it told otherwise before. Changes still go at once.

A report is applied to the servers at its address by an index instead of a search.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -84,8 +84,10 @@
 	// listed holds the listed servers by id, and busy those with requests of this
 	// gateway, listed or not.
 	listed map[string]*server
-	busy   map[*server]bool
-	peers  peerLoads
+	// byAddress holds the listed servers by address.
+	byAddress map[string][]*server
+	busy      map[*server]bool
+	peers     peerLoads
 	// choices counts calls of choose.
 	choices uint64
 }
@@ -94,7 +96,7 @@
 // equal choices.
 func New(domain string, seed uint64) *Dispatcher {
 	return &Dispatcher{domain: domain, services: map[string]*service{}, rnd: rand.New(rand.NewPCG(seed, seed)), gateways: 1, engines: newEngines(),
-		listed: map[string]*server{}, busy: map[*server]bool{}, peers: newPeerLoads()}
+		listed: map[string]*server{}, byAddress: map[string][]*server{}, busy: map[*server]bool{}, peers: newPeerLoads()}
 }
 
 // SetGateways sets the number of gateways that share the servers.
@@ -105,6 +107,7 @@
 // leaves the list for a time: the same process may be listed again.
 func (d *Dispatcher) SetServers(dep *core.Deployment, list []directory.Server, now time.Time) {
 	clear(d.listed)
+	clear(d.byAddress)
 	for _, s := range d.services {
 		s.serverList, s.slots = nil, 0
 		s.clearGroups()
@@ -126,6 +129,7 @@
 		}
 		s.serverList = append(s.serverList, sv)
 		d.listed[item.ID] = sv
+		d.byAddress[item.Address] = append(d.byAddress[item.Address], sv)
 		sv.peerRequests = d.peers.totals[item.ID]
 		sv.group.add(sv)
 		if sv.Usable {
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -61,17 +61,12 @@
 // than normal, and whether its group serves requests.
 func (d *Dispatcher) SetEngineState(address string, slowdown float64, groupServing bool, now time.Time) {
 	d.engines.set(address, engineStatus{slowdown, groupServing, now})
-	for _, s := range d.services {
-		for _, sv := range s.serverList {
-			if sv.Address != address {
-				continue
-			}
-			switch o := sv.outage(); {
-			case groupServing:
-				o.end()
-			case !o.active():
-				o.begin(now)
-			}
+	for _, sv := range d.byAddress[address] {
+		switch o := sv.outage(); {
+		case groupServing:
+			o.end()
+		case !o.active():
+			o.begin(now)
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"nutmegnotch/core"
 	"nutmegnotch/core/directory"
 	"nutmegnotch/core/dispatch"
+	"nutmegnotch/core/enginestate"
 	"nutmegnotch/core/retry"
 	"nutmegnotch/io/backend"
 	"nutmegnotch/io/peer"
@@ -144,8 +145,7 @@
 	serversLearnedAt time.Time
 	// membersSentAt is when the addresses of the gateways were last sent to all.
 	membersSentAt time.Time
-	// newEngineStates holds what rank agents have sent and other gateways were not told.
-	newEngineStates map[string]*peerpb.EngineState
+	engineStates  *enginestate.Relay
 	// sentView is the group view last sent to rank agents. It was last compared at
 	// groupViewAt, and groupViewDue is set when it may have changed since.
 	sentView     *peerpb.GroupView
@@ -187,7 +187,7 @@
 		crashWrites: newCrashWrites(),
 		trials:      map[uint64]bool{},
 
-		newEngineStates: map[string]*peerpb.EngineState{},
+		engineStates: enginestate.New(),
 	}
 	g.node = peer.New(peer.Config{
 		Self: &peerpb.Hello{
@@ -318,7 +318,7 @@
 				if g.state.directory.Expire(now) == directory.ChangeServers {
 					g.serversChanged(now)
 				}
-				g.passOnEngineStates()
+				g.passOnEngineStates(now)
 				g.broadcastGroupView(now)
 				g.cancelUnresponsiveSends(now)
 				g.expireBrokenRuns(now)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"nutmegnotch/core"
+	"nutmegnotch/core/enginestate"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
 )
@@ -70,7 +69,7 @@
 	case *peerpb.Frame_EngineState:
 		g.onEngineState(b.EngineState, now)
 	case *peerpb.Frame_EngineStates:
-		g.applyEngineStates(now, b.EngineStates.GetStates()...)
+		g.onEngineStates(b.EngineStates.GetStates(), now)
 	case *peerpb.Frame_ServerStates:
 		g.onServerStates(from, b.ServerStates, now)
 	case *peerpb.Frame_CrashRecords:
@@ -78,13 +77,26 @@
 	}
 }
 
-// onEngineState applies the state of an engine that its rank agent has sent, and passes
-// it on to other gateways at the next tick. It runs in the task.
+// onEngineState applies the state of an engine that its rank agent has sent. It runs in
+// the task.
 func (g *Gateway) onEngineState(s *peerpb.EngineState, now time.Time) {
-	g.state.newEngineStates[s.GetEngineAddress()] = s
+	g.state.engineStates.FromAgent(engineState(s), now)
 	g.applyEngineStates(now, s)
 }
 
+// onEngineStates applies the states of engines that another gateway passes on. It runs in
+// the task.
+func (g *Gateway) onEngineStates(states []*peerpb.EngineState, now time.Time) {
+	for _, s := range states {
+		g.state.engineStates.FromGateway(engineState(s), now)
+	}
+	g.applyEngineStates(now, states...)
+}
+
+func engineState(s *peerpb.EngineState) enginestate.State {
+	return enginestate.State{Address: s.GetEngineAddress(), Pace: s.GetPace(), Open: s.GetOpen()}
+}
+
 // applyEngineStates applies the states of engines. It runs in the task.
 func (g *Gateway) applyEngineStates(now time.Time, states ...*peerpb.EngineState) {
 	d := g.state.dispatcher
@@ -96,15 +108,16 @@
 	}
 }
 
-// passOnEngineStates sends the other gateways what rank agents have sent since the last
-// call. A rank agent has sessions with some gateways only. It runs in the task.
-func (g *Gateway) passOnEngineStates() {
-	if len(g.state.newEngineStates) == 0 {
-		return
+// passOnEngineStates sends the other gateways the states that are due. A rank agent has
+// sessions with some gateways only. It runs in the task.
+func (g *Gateway) passOnEngineStates(now time.Time) {
+	f := &peerpb.EngineStates{}
+	for _, s := range g.state.engineStates.Take(now) {
+		f.States = append(f.States, &peerpb.EngineState{EngineAddress: s.Address, Pace: s.Pace, Open: s.Open})
+	}
+	if len(f.States) > 0 {
+		g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_EngineStates{EngineStates: f}})
 	}
-	states := &peerpb.EngineStates{States: slices.Collect(maps.Values(g.state.newEngineStates))}
-	clear(g.state.newEngineStates)
-	g.node.Broadcast(core.RoleGateway, &peerpb.Frame{Body: &peerpb.Frame_EngineStates{EngineStates: states}})
 }
 
 // onPull sends a peer the records of a topic from a position on, or all of them if it
