Confirm what a gateway knows after a pause of its process

A gateway that was stopped for 3 s and woke served all 20 requests with a key that had been withdrawn meanwhile, and sent 2 to 7 of 40 to a server that had left: requests that wait in its sockets are handled before the answers of the store. After a gap of more than 1 s between two ticks, requests now wait until the operators' topic and the servers have been read by reads that began after the gap, for 1 s at most. A request that had a server assigned chooses anew.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -213,6 +213,10 @@
 // attempt sends the request to one server. It reports true if the caller has got
 // its response or has disconnected, so that no further attempt is made.
 func (g *Gateway) attempt(a *attempts, v dispatch.Decision) (dispatch.Outcome, bool) {
+	if g.ownPauses.await(a.ctx) {
+		// The server was chosen before the pause, and may have left.
+		return dispatch.OutcomeCancelled, a.ctx.Err() != nil && g.contextEnded(a)
+	}
 	left := time.Until(a.callerDeadline)
 	if time.Until(a.deadline) < minSendTimeLeft {
 		g.giveUp(a, "deadline", g.retryAfter(a.service))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,7 @@
 	// activeGateways is the number of gateways that send heartbeats, with this one.
 	activeGateways atomic.Int64
 	callerServer   *callerServer
+	ownPauses      *ownPauses
 	cancel         context.CancelFunc
 	wg             *conc.WaitGroup
 	done           chan struct{}
@@ -168,6 +169,7 @@
 	g.era.Store(noEra)
 	g.activeGateways.Store(1)
 	g.watchers = g.newWatchers()
+	g.ownPauses = newOwnPauses(g.woken)
 	g.client = backend.New(backend.Config{
 		MaxIdleConnsPerServer: maxIdleConnsPerServer,
 		RequestID:             func(h http.Header) string { return cfg.Headers.Reply(0, h).RequestID },
@@ -251,6 +253,7 @@
 			g.log.Error("peer listener failed", zap.Error(err))
 		}
 	})
+	g.ownPauses.tick()
 	g.dialSeeds()
 	loops := []func(context.Context){g.registerMember, g.forgetMembers, g.tick, g.sendHeartbeats, g.checkLiveness, g.syncCrashRecords, g.saveCrashes}
 	for _, w := range g.watchers {
@@ -314,6 +317,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
+			g.ownPauses.tick()
 			g.task.Do(func() {
 				if g.state.directory.Expire(now) == directory.ChangeServers {
 					g.serversChanged(now)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -94,6 +94,7 @@
 	if g.rejecting.Load() {
 		return &refusal{http.StatusServiceUnavailable, "leaving", drainingRetryAfter}
 	}
+	g.ownPauses.await(c.r.Context())
 	snap := g.currentConfig.Load()
 	if snap == nil {
 		return &refusal{http.StatusServiceUnavailable, "no_configuration", unavailableRetryAfter}
--- a/gateway/intervals.go
+++ b/gateway/intervals.go
@@ -99,6 +99,9 @@
 
 // readWait returns the long-poll timeout of the next read of a topic.
 func (w *topicWatcher) readWait() time.Duration {
+	if w.gateway.ownPauses.waking.Load() != nil {
+		return 0
+	}
 	if w.topic == core.TopicOperator {
 		return operatorWait(int(w.gateway.activeGateways.Load()), rand.Float64())
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,8 +24,10 @@
 	replyEnds        = expvar.NewMap("gateway_reply_ends")
 	quarantineEvents = expvar.NewMap("gateway_quarantine")
 	// failures counts input whose handling ended in a panic, by its source.
-	failures  = expvar.NewMap("gateway_failures")
-	latencies = &latencyHistograms{byName: map[string]*hdrhistogram.Histogram{}}
+	failures = expvar.NewMap("gateway_failures")
+	// ownPauseCount counts pauses of this process.
+	ownPauseCount = expvar.NewInt("gateway_own_pauses")
+	latencies     = &latencyHistograms{byName: map[string]*hdrhistogram.Histogram{}}
 )
 
 func init() { expvar.Publish("gateway_latency_ms", expvar.Func(latencies.summary)) }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -51,9 +51,9 @@
 	next   core.Position
 	loaded bool
 	failed bool
-	// cancelRead ends the read in progress early, and newEra the wait for the next one.
+	// cancelRead ends the read in progress early, and interrupt the wait for the next one.
 	cancelRead atomic.Pointer[context.CancelFunc]
-	newEra     chan struct{}
+	interrupt  chan struct{}
 }
 
 // run reads until ctx is done. It retries failed reads with exponential backoff and
@@ -62,7 +62,7 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := w.readOnce(ctx)
-		if errors.Is(err, errNewEra) {
+		if errors.Is(err, errReadAnew) {
 			continue
 		}
 		if err == nil {
@@ -89,27 +89,27 @@
 	}
 }
 
-// sleep waits for a time. A new era of the store ends it early.
+// sleep waits for a time, which an interruption ends early.
 func (w *topicWatcher) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
 	select {
 	case <-time.After(d):
-	case <-w.newEra:
+	case <-w.interrupt:
 	case <-ctx.Done():
 	}
 }
 
-// sleepUntilDue waits until this gateway has to read the servers itself. refresh and a
-// new era end it early.
+// sleepUntilDue waits until this gateway has to read the servers itself. refresh and
+// an interruption end it early.
 func (w *topicWatcher) sleepUntilDue(ctx context.Context) {
 	for d := w.serversDue(time.Now()); d > 0; d = w.serversDue(time.Now()) {
 		select {
 		case <-time.After(d):
 			continue
 		case <-w.refresh:
-		case <-w.newEra:
+		case <-w.interrupt:
 		case <-ctx.Done():
 		}
 		return
@@ -128,19 +128,19 @@
 	}
 }
 
-// errNewEra ends a read when the store has begun a new era, which has to be read from
-// its beginning.
-const errNewEra = errors.ConstError("store has begun a new era")
+// errReadAnew ends a read when the store has begun a new era, which has to be read from
+// its beginning, and after a pause of this process.
+const errReadAnew = errors.ConstError("topic has to be read anew")
 
-// readOnce makes one read, which newEra ends early.
+// readOnce makes one read, which an interruption ends early.
 func (w *topicWatcher) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.cancelRead.Store(&cancel)
-	era := w.gateway.era.Load()
+	era, begun := w.gateway.era.Load(), time.Now()
 	err := w.read(ctx)
-	if err != nil && w.gateway.era.Load() > era {
-		return errNewEra
+	if err != nil && (w.gateway.era.Load() > era || w.gateway.ownPauses.wokenSince(begun)) {
+		return errReadAnew
 	}
 	return err
 }
@@ -161,6 +161,7 @@
 		w.readSucceeded()
 		w.gateway.seeEra(b.Next.Era, sourceStore)
 		w.apply(topicRead{b, true, begun})
+		w.gateway.ownPauses.confirm(w.topic, begun)
 		return nil
 	}
 	b, err := w.gateway.cfg.Store.Read(ctx, w.topic, w.next, w.readWait())
@@ -170,10 +171,13 @@
 	w.readSucceeded()
 	if b.Next.Era != w.next.Era {
 		w.gateway.seeEra(b.Next.Era, sourceStore)
-		return errNewEra
+		return errReadAnew
 	}
 	w.next = b.Next
 	w.apply(topicRead{b, false, begun})
+	if b.AtEnd {
+		w.gateway.ownPauses.confirm(w.topic, begun)
+	}
 	return nil
 }
 
@@ -192,16 +196,21 @@
 		}
 		g.log.Warn("the store has come back from a copy; reading it anew", zap.Int64("era", era), zap.Int64("before", known),
 			zap.String("source", source))
-		for _, w := range g.watchers {
-			if cancel := w.cancelRead.Load(); cancel != nil {
-				(*cancel)()
-			}
-			signal(w.newEra)
-		}
+		g.interruptReads()
 		return
 	}
 }
 
+// interruptReads makes all watchers read their topics now.
+func (g *Gateway) interruptReads() {
+	for _, w := range g.watchers {
+		if cancel := w.cancelRead.Load(); cancel != nil {
+			(*cancel)()
+		}
+		signal(w.interrupt)
+	}
+}
+
 func (w *topicWatcher) readFailed(err error) {
 	if !w.failed {
 		w.gateway.log.Warn("store lost", zap.Int("topic", int(w.topic)), zap.Error(err))
@@ -236,7 +245,7 @@
 		{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, apply: g.applyCrashes},
 	}
 	for _, w := range list {
-		w.newEra = make(chan struct{}, 1)
+		w.interrupt = make(chan struct{}, 1)
 	}
 	return list
 }
--- a/systemtest/gateway_test.go
+++ b/systemtest/gateway_test.go
@@ -62,13 +62,20 @@
 	return g
 }
 
-func (g *gatewayProc) get(path string) int {
+func (g *gatewayProc) get(path string) int { return g.send(path, "") }
+
+func (g *gatewayProc) getWithKey(key string) int { return g.send("/a/1", key) }
+
+func (g *gatewayProc) send(path, key string) int {
 	r, err := http.NewRequest(http.MethodGet, "http://"+g.callerAddr+path, nil)
 	if err != nil {
 		return 0
 	}
 	r.Host = "a.example"
 	r.Header.Set("Nutmegnotch-Request-Id", "r1")
+	if key != "" {
+		r.Header.Set("Nutmegnotch-Key", key)
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0
