--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -115,6 +115,7 @@
 	// encoded is the encoded target of the version encodedVersion.
 	encoded        []byte
 	encodedVersion int64
+	encodeErr      error
 	// nextRank is the rank that is considered first for the next order.
 	nextRank int
 	// tookOverOwnHold is set when the pass that is taken over was held at rank
--- a/core/expertmap/change_phases.go
+++ b/core/expertmap/change_phases.go
@@ -52,17 +52,20 @@
 	return out
 }
 
-// encodedTarget returns the encoded layout of the change in progress.
+// encodedTarget returns the encoded layout of the change in progress. Without one, agents
+// get the lists themselves.
 func (c *ChangeCoordinator) encodedTarget() []byte {
 	if c.encodedVersion != c.version {
 		c.encodedVersion = c.version
-		// Planned layouts are complete, so encoding does not fail. Without its result,
-		// agents get the lists themselves.
-		c.encoded, _ = c.target.Encode()
+		c.encoded, c.encodeErr = c.target.Encode()
 	}
 	return c.encoded
 }
 
+// EncodeError returns why the layout of the change in progress has no compact form, or
+// nil.
+func (c *ChangeCoordinator) EncodeError() error { return c.encodeErr }
+
 // advance enters the next phase when the current one is complete.
 func (c *ChangeCoordinator) advance(now time.Time) {
 	switch c.phase {
--- a/core/expertmap/encoding_test.go
+++ b/core/expertmap/encoding_test.go
@@ -78,3 +78,15 @@
 		}
 	})
 }
+
+// Guards against a layout without a compact form whose error is lost.
+func TestErrorOfTheEncodingIsKept(t *testing.T) {
+	c := &ChangeCoordinator{version: 1, target: Layout{{{1}}, {}}}
+	if got := c.encodedTarget(); got != nil || c.EncodeError() == nil {
+		t.Errorf("incomplete layout: got %d bytes (%v), want an error", len(got), c.EncodeError())
+	}
+	c.version, c.target = 2, Layout{{{1}}, {{2}}}
+	if got := c.encodedTarget(); len(got) == 0 || c.EncodeError() != nil {
+		t.Errorf("complete layout: got %d bytes (%v), want its compact form", len(got), c.EncodeError())
+	}
+}
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -35,6 +35,8 @@
 	// plannedShifts is the number of demand shifts at the time the current change was
 	// planned.
 	plannedShifts int
+	// encodeErrVersion is the version for which an error of its encoding was logged last.
+	encodeErrVersion int64
 	// lastApplied and lastDropped are the numbers of applied and dropped changes that
 	// were last logged.
 	lastApplied int
@@ -272,6 +274,10 @@
 	a := l.agent
 	before := l.coordinator.Phase()
 	orders := l.coordinator.Poll(now)
+	if err := l.coordinator.EncodeError(); err != nil && l.encodeErrVersion != l.coordinator.Version() {
+		l.encodeErrVersion = l.coordinator.Version()
+		a.log.Error("map has no compact form; sending lists", zap.Int64("version", l.encodeErrVersion), zap.Error(err))
+	}
 	if p := l.coordinator.Phase(); p != before {
 		a.log.Info("map change phase", zap.Int("phase", int(p)), zap.Int("from", int(before)), zap.Int64("version", l.coordinator.Version()))
 	}
