Read a topic without a wait only until it is confirmed after a pause

While one topic could not be read after a pause, the other was read again and again without a long poll, until a request gave up waiting. Found by reading; TestTopicIsReadOnceAfterAPause.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -214,8 +214,11 @@
 // its response or has disconnected, so that no further attempt is made.
 func (g *Gateway) attempt(a *attempts, v dispatch.Decision) (dispatch.Outcome, bool) {
 	if g.ownPauses.await(a.ctx) {
+		if a.ctx.Err() != nil {
+			return dispatch.OutcomeCancelled, g.contextEnded(a)
+		}
 		// The server was chosen before the pause, and may have left.
-		return dispatch.OutcomeCancelled, a.ctx.Err() != nil && g.contextEnded(a)
+		return dispatch.OutcomeCancelled, false
 	}
 	left := time.Until(a.callerDeadline)
 	if time.Until(a.deadline) < minSendTimeLeft {
--- a/gateway/intervals.go
+++ b/gateway/intervals.go
@@ -99,7 +99,7 @@
 
 // readWait returns the long-poll timeout of the next read of a topic.
 func (w *topicWatcher) readWait() time.Duration {
-	if w.gateway.ownPauses.waking.Load() != nil {
+	if w.gateway.ownPauses.isPending(w.topic) {
 		return 0
 	}
 	if w.topic == core.TopicOperator {
--- a/gateway/own_pause.go
+++ b/gateway/own_pause.go
@@ -47,7 +47,9 @@
 
 // tick records that the process runs. It is called at an interval far below maxTickGap.
 func (p *ownPauses) tick() {
-	p.detect()
+	if w := p.detect(); w != nil && time.Since(w.since) > maxConfirmTime {
+		p.waking.CompareAndSwap(w, nil)
+	}
 	p.tickedAt.Store(int64(time.Since(p.start)))
 }
 
@@ -86,6 +88,17 @@
 	return w != nil && w.since.After(t)
 }
 
+// isPending reports whether a topic has to be read after a pause.
+func (p *ownPauses) isPending(t core.Topic) bool {
+	w := p.waking.Load()
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pending[t]
+}
+
 // await waits after a pause until what the gateway knows has been confirmed, or for
 // maxConfirmTime. It reports whether it had to wait.
 func (p *ownPauses) await(ctx context.Context) bool {
--- a/gateway/own_pause_test.go
+++ b/gateway/own_pause_test.go
@@ -72,3 +72,26 @@
 		})
 	}
 }
+
+// Guards against a topic that is read again and again without a wait, because the other
+// one cannot be read after a pause.
+func TestTopicIsReadOnceAfterAPause(t *testing.T) {
+	p := newOwnPauses(func(time.Duration) {})
+	p.start = p.start.Add(-time.Minute)
+	p.tickedAt.Store(int64(time.Since(p.start) - 2*maxTickGap))
+	p.detect()
+	p.confirm(core.TopicOperator, time.Now())
+	for _, c := range []struct {
+		topic core.Topic
+		want  bool
+	}{{core.TopicOperator, false}, {core.TopicServers, true}, {core.TopicMembers, false}} {
+		if got := p.isPending(c.topic); got != c.want {
+			t.Errorf("topic %d has to be read: got %t, want %t", c.topic, got, c.want)
+		}
+	}
+	p.waking.Load().since = time.Now().Add(-2 * maxConfirmTime)
+	p.tick()
+	if p.isPending(core.TopicServers) {
+		t.Errorf("topic %d has to be read after %v: got true, want false", core.TopicServers, 2*maxConfirmTime)
+	}
+}
