--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
@@ -26,30 +29,35 @@
 }
 
 // hasRequest reports whether any part of a request has arrived that is not answered yet.
-func (c *callerConn) hasRequest() bool {
-	return c.active.Load() || c.readBytes.Load() > c.answeredBytes.Load() || c.unreadBytes() > 0
+func (c *callerConn) hasRequest() (bool, error) {
+	if c.active.Load() || c.readBytes.Load() > c.answeredBytes.Load() {
+		return true, nil
+	}
+	n, err := c.unreadBytes()
+	return n > 0, err
 }
 
 // unreadBytes returns the number of bytes that the kernel has received and nobody has
-// read. On a connection that cannot be asked it is 0.
-func (c *callerConn) unreadBytes() int {
+// read.
+func (c *callerConn) unreadBytes() (int, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return 0
+		return 0, fmt.Errorf("get socket: %w", err)
 	}
 	n := 0
-	if err := raw.Control(func(fd uintptr) {
-		if got, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
-			n = got
-		}
-	}); err != nil {
-		return 0
+	var ioctlErr error
+	if err := raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
+		return 0, fmt.Errorf("use socket: %w", err)
 	}
-	return n
+	if ioctlErr != nil {
+		return 0, fmt.Errorf("read length of receive queue: %w", ioctlErr)
+	}
+	return n, nil
 }
 
 // callerConns is the set of open connections of an http.Server.
 type callerConns struct {
+	log  *zap.Logger
 	mu   sync.Mutex
 	open map[*callerConn]bool
 }
@@ -90,7 +98,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if c.hasRequest() {
+		has, err := c.hasRequest()
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			s.log.Warn("whether a connection has a request is not known; ending it", zap.Error(err))
+		}
+		if has {
 			busy++
 			continue
 		}
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -163,7 +163,7 @@
 }
 
 func newLimitedServer(l core.CallerLimits, handler http.Handler, address net.Addr, log *zap.Logger) *limitedServer {
-	s := &limitedServer{address: address, log: log, open: &callerConns{open: map[*callerConn]bool{}},
+	s := &limitedServer{address: address, log: log, open: &callerConns{log: log, open: map[*callerConn]bool{}},
 		conns: make(chan net.Conn), done: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           handler,
