Count gateways that were not heard yet when cold servers are shared

By reading: a gateway that has just started knows from heartbeats alone how many share a server, counts itself as the only one until the first comes, and takes the whole rate. For 5 s after its start it now counts all gateways that it knows of, as the retry budget does. TestStartedGatewayCountsThoseItHasNotHeard got 11 gateways instead of 54.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 	activeGateways atomic.Int64
 	callerServer   *callerServer
 	ownPauses      *ownPauses
+	startedAt      time.Time
 	cancel         context.CancelFunc
 	wg             *conc.WaitGroup
 	done           chan struct{}
@@ -170,6 +171,7 @@
 	g.activeGateways.Store(1)
 	g.watchers = g.newWatchers()
 	g.ownPauses = newOwnPauses(g.woken)
+	g.startedAt = time.Now()
 	g.client = backend.New(backend.Config{
 		MaxIdleConnsPerServer: maxIdleConnsPerServer,
 		RequestID:             func(h http.Header) string { return cfg.Headers.Reply(0, h).RequestID },
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -72,7 +72,7 @@
 	for _, a := range b.GetGateways() {
 		g.addMember(a)
 	}
-	g.state.dispatcher.SetGateways(m.countLive(now))
+	g.updateSharers(now)
 	loads := make(map[string]int, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
 		loads[l.GetServerId()] = int(l.GetRequests())
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -16,6 +16,9 @@
 	// memberTimeout is the time after its last heartbeat for which a gateway counts as
 	// live.
 	memberTimeout = 30 * time.Second
+	// introductionTime is how long after its start a gateway may not have heard others
+	// that share the servers with it.
+	introductionTime = 5 * time.Second
 	// defaultForgetAfter is the time without a heartbeat after which a gateway is no
 	// longer dialled. Its record in the store is removed within as much time again.
 	defaultForgetAfter = time.Minute
@@ -107,6 +110,17 @@
 // countLive returns the number of live gateways, including this one.
 func (m *members) countLive(now time.Time) int { return m.countHeard(now, memberTimeout) }
 
+// countSharers returns the number of gateways, including this one, that may share the
+// servers. One that was started a short time ago also counts those that it knows and has
+// not heard: after a loss of power all start at the same time.
+func (m *members) countSharers(now, startedAt time.Time) int {
+	n := m.countLive(now)
+	if now.Sub(startedAt) < introductionTime {
+		n = max(n, len(m.known)+1)
+	}
+	return n
+}
+
 // countHeard returns the number of gateways that have sent a heartbeat within a time,
 // including this one.
 func (m *members) countHeard(now time.Time, within time.Duration) int {
@@ -172,6 +186,12 @@
 	return out
 }
 
+// updateSharers tells the dispatcher how many gateways share the servers. It runs in the
+// task.
+func (g *Gateway) updateSharers(now time.Time) {
+	g.state.dispatcher.SetGateways(g.state.members.countSharers(now, g.startedAt))
+}
+
 // addMember adds the address of a gateway and starts to dial it. It runs in the
 // task.
 func (g *Gateway) addMember(address string) {
@@ -206,6 +226,7 @@
 			}
 			g.addMember(address)
 		}
+		g.updateSharers(time.Now())
 	})
 	if !listed {
 		signal(g.registerSignal)
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -105,3 +105,25 @@
 		}
 	}
 }
+
+// Guards against gateways that start at the same time, do not know how many share a cold
+// server, and send it more than it bears.
+func TestStartedGatewayCountsThoseItHasNotHeard(t *testing.T) {
+	begun := time.Now()
+	m := newMembers("127.0.0.1:1", nil, 0)
+	for i := range 53 {
+		m.add(fmt.Sprintf("127.0.0.1:%d", 100+i), begun)
+	}
+	for i := range 10 {
+		m.heard(fmt.Sprintf("127.0.0.1:%d", 100+i), begun)
+	}
+	cases := []struct {
+		age  time.Duration
+		want int
+	}{{0, 54}, {introductionTime - 1, 54}, {introductionTime, 11}}
+	for _, c := range cases {
+		if got := m.countSharers(begun.Add(c.age), begun); got != c.want {
+			t.Errorf("gateways %v after the start: got %d, want %d", c.age, got, c.want)
+		}
+	}
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -335,6 +335,7 @@
 func (g *Gateway) serversChanged(now time.Time) {
 	d := g.state.directory
 	list := d.Servers()
+	g.updateSharers(now)
 	g.state.dispatcher.SetServers(d.Deployment(), list, now)
 	g.deliver(g.state.dispatcher.DispatchWaiting(now))
 	if d.Deployment() != nil && len(list) > 0 && !g.ready.Swap(true) {
