--- a/gateway/accept_test.go
+++ b/gateway/accept_test.go
@@ -51,6 +51,6 @@
 	if resp.StatusCode != http.StatusOK {
 		t.Errorf("status: got %d, want 200", resp.StatusCode)
 	}
-	c.close(l)
+	c.close(l, maxCloseTime)
 	<-done
 }
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -106,8 +106,9 @@
 }
 
 // close accepts the connections in the listener's queue, closes it, waits until the
-// requests that have arrived are answered, and closes all connections.
-func (c *callerServer) close(l net.Listener) {
+// requests that have arrived are answered, for maxWait at most, and closes all
+// connections.
+func (c *callerServer) close(l net.Listener, maxWait time.Duration) {
 	c.mu.Lock()
 	c.closed = true
 	servers := slices.Collect(maps.Values(c.servers))
@@ -122,7 +123,7 @@
 		if open == 0 {
 			break
 		}
-		if time.Since(begun) > maxCloseTime {
+		if time.Since(begun) > min(maxCloseTime, maxWait) {
 			c.log.Warn("connections are cut off", zap.Int("connections", open), zap.Int("with_request", busy))
 			break
 		}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -22,8 +22,8 @@
 
 // drain keeps serving new requests for the drain delay. It then rejects new
 // requests and waits until those in progress have finished or the grace period
-// is over.
-func (g *Gateway) drain() {
+// is over. It returns how much of it is left for requests that arrive at the end.
+func (g *Gateway) drain() (left time.Duration) {
 	started := time.Now()
 	g.draining.Store(true)
 	g.log.Info("gateway is leaving", zap.Int64("in_progress", g.inFlight.Load()))
@@ -37,4 +37,5 @@
 	if n := g.inFlight.Load(); n > 0 {
 		g.log.Warn("grace period is over; aborting requests in progress", zap.Int64("in_progress", n))
 	}
+	return max(0, grace-shutdownReserve-time.Since(started))
 }
--- a/gateway/frames_fuzz_test.go
+++ b/gateway/frames_fuzz_test.go
@@ -47,7 +47,7 @@
 		local.Stop()
 		remote.Stop()
 		<-served
-		g.callerServer.close(l)
+		g.callerServer.close(l, maxCloseTime)
 	})
 	return g, <-up
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -267,8 +267,8 @@
 	g.log.Info("gateway started", zap.String("id", g.cfg.ID), zap.String("incarnation", g.cfg.Incarnation),
 		zap.String("caller_address", g.cfg.CallerAddress))
 	<-ctx.Done()
-	g.drain()
-	g.callerServer.close(listeners[0])
+	left := g.drain()
+	g.callerServer.close(listeners[0], left)
 	health.Close()
 	cancel()
 	g.node.Stop()
--- a/gateway/planned_stop_test.go
+++ b/gateway/planned_stop_test.go
@@ -144,7 +144,7 @@
 			stopped := make(chan struct{})
 			go func() {
 				defer close(stopped)
-				s.close(s.l)
+				s.close(s.l, maxCloseTime)
 			}()
 			tc.after(s, c)
 			if got, err := answer(r); got != http.StatusServiceUnavailable {
@@ -179,7 +179,7 @@
 			write(t, c, tc.sent)
 			time.Sleep(50 * time.Millisecond)
 			begun := time.Now()
-			s.close(s.l)
+			s.close(s.l, maxCloseTime)
 			if got := time.Since(begun); got > tc.want {
 				t.Errorf("close: took %v, want at most %v", got, tc.want)
 			}
@@ -189,3 +189,18 @@
 		})
 	}
 }
+
+// Guards against a planned stop that waits for requests although its grace is over.
+func TestPlannedStopEndsWithItsGrace(t *testing.T) {
+	t.Parallel()
+	s := startStopping(t)
+	close(s.l.gate)
+	write(t, s.dial(t), "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-s.entered
+	defer close(s.release)
+	begun := time.Now()
+	s.close(s.l, 0)
+	if got, want := time.Since(begun), 2*acceptQueueTime+maxCloseTime/4; got > want {
+		t.Errorf("close: took %v, want at most %v", got, want)
+	}
+}
