Keep one copy of what the change wrote twice

Behaviour is unchanged. - io/caller: the length of a socket's queue is asked for in one place, for bytes that are unread and unsent. - task.Every replaces four equal loops of gateways and rank agents. - peer.Session.CloseFailed replaces two equal reports of a frame that failed. - members.countKnown serves the retry budget and the sharing of cold servers; the maximum with the live ones was always the known ones. - callerConns.track replaces an empty connection that was made only to be removed. - core/enginestate looks at all known states when one may be due, not at each tick of 20 ms.

--- a/core/enginestate/enginestate.go
+++ b/core/enginestate/enginestate.go
@@ -60,6 +60,8 @@
 type Relay struct {
 	known     map[string]*entry
 	nextSweep time.Time
+	// nextDue is not after the first time at which a state is due, or zero if none waits.
+	nextDue time.Time
 }
 
 // New returns a relay that knows no states.
@@ -75,6 +77,7 @@
 	}
 	if e.due.IsZero() || due.Before(e.due) {
 		e.due = due
+		r.expect(due)
 	}
 }
 
@@ -119,17 +122,31 @@
 		e.due, e.sent, e.wasSent = time.Time{}, e.State, true
 		out = append(out, e.State)
 	}
+	r.nextDue = time.Time{}
 	slices.SortFunc(out, func(a, b State) int { return strings.Compare(a.Address, b.Address) })
 	return out
 }
 
+// expect records that a state is due at a time.
+func (r *Relay) expect(due time.Time) {
+	if r.nextDue.IsZero() || due.Before(r.nextDue) {
+		r.nextDue = due
+	}
+}
+
+// isDue reports whether a state is due. It looks at all of them only at the time at which
+// the first was due, since it is called at each tick.
 func (r *Relay) isDue(now time.Time) bool {
+	if r.nextDue.IsZero() || now.Before(r.nextDue) {
+		return false
+	}
+	r.nextDue = time.Time{}
 	for _, e := range r.known {
-		if !e.due.IsZero() && !e.due.After(now) {
-			return true
+		if !e.due.IsZero() {
+			r.expect(e.due)
 		}
 	}
-	return false
+	return !r.nextDue.IsZero() && !now.Before(r.nextDue)
 }
 
 // sweep forgets states that were not heard for a while.
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -2,14 +2,14 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
+
+	"nutmegnotch/io/caller"
 )
 
 // callerConn is a caller's connection that counts what was read from it.
@@ -33,28 +33,10 @@
 	if c.active.Load() || c.readBytes.Load() > c.answeredBytes.Load() {
 		return true, nil
 	}
-	n, err := c.unreadBytes()
+	n, err := caller.UnreadBytes(c)
 	return n > 0, err
 }
 
-// unreadBytes returns the number of bytes that the kernel has received and nobody has
-// read.
-func (c *callerConn) unreadBytes() (int, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, fmt.Errorf("get socket: %w", err)
-	}
-	n := 0
-	var ioctlErr error
-	if err := raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
-		return 0, fmt.Errorf("use socket: %w", err)
-	}
-	if ioctlErr != nil {
-		return 0, fmt.Errorf("read length of receive queue: %w", ioctlErr)
-	}
-	return n, nil
-}
-
 // callerConns is the set of open connections of an http.Server.
 type callerConns struct {
 	log  *zap.Logger
@@ -62,16 +44,17 @@
 	open map[*callerConn]bool
 }
 
-func (s *callerConns) add(c *callerConn) {
+// track adds a connection to the set and returns what stands for it.
+func (s *callerConns) track(conn net.Conn) net.Conn {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn
+	}
+	c := &callerConn{TCPConn: tcp}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = true
-}
-
-func (s *callerConns) remove(c *callerConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.open, c)
+	return c
 }
 
 // stateChanged is the ConnState of an http.Server.
@@ -87,7 +70,9 @@
 		c.answeredBytes.Store(c.readBytes.Load())
 		c.active.Store(false)
 	case http.StateClosed, http.StateHijacked:
-		s.remove(c)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.open, c)
 	}
 }
 
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -195,17 +195,12 @@
 
 // handOff passes a connection to the server, or closes it if the server is closed.
 func (s *limitedServer) handOff(conn net.Conn) {
-	tracked := &callerConn{}
-	if c, ok := conn.(*net.TCPConn); ok {
-		tracked.TCPConn = c
-		s.open.add(tracked)
-		conn = tracked
-	}
+	conn = s.open.track(conn)
 	select {
 	case s.conns <- conn:
 	case <-s.done:
 		conn.Close()
-		s.open.remove(tracked)
+		s.open.stateChanged(conn, http.StateClosed)
 	}
 }
 
--- a/gateway/crash_sync.go
+++ b/gateway/crash_sync.go
@@ -8,6 +8,7 @@
 	"nutmegnotch/core"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // Limits of the exchange of crash records.
@@ -26,14 +27,7 @@
 
 // syncCrashRecords periodically sends the crash records to another gateway.
 func (g *Gateway) syncCrashRecords(ctx context.Context) {
-	t := time.NewTicker(crashSyncInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	task.Every(ctx, crashSyncInterval, func() {
 		var peers []*peer.Session
 		for _, s := range g.node.Sessions() {
 			if s.Hello.GetRole() == core.RoleGateway {
@@ -43,7 +37,7 @@
 		if len(peers) > 0 {
 			g.sendCrashRecords(peers[rand.IntN(len(peers))])
 		}
-	}
+	})
 }
 
 // sendServedParts tells a gateway that has connected which parts of prompts were served
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
+	"nutmegnotch/task"
 )
 
 const (
@@ -114,13 +115,16 @@
 // servers. One that was started a short time ago also counts those that it knows and has
 // not heard: after a loss of power all start at the same time.
 func (m *members) countSharers(now, startedAt time.Time) int {
-	n := m.countLive(now)
 	if now.Sub(startedAt) < introductionTime {
-		n = max(n, len(m.known)+1)
+		return m.countKnown()
 	}
-	return n
+	return m.countLive(now)
 }
 
+// countKnown returns the number of gateways that are known, heard or not, including this
+// one.
+func (m *members) countKnown() int { return len(m.known) + 1 }
+
 // countHeard returns the number of gateways that have sent a heartbeat within a time,
 // including this one.
 func (m *members) countHeard(now time.Time, within time.Duration) int {
@@ -258,14 +262,7 @@
 // forgetMembers stops dialling the gateways that have been gone for long and removes
 // their records from the store, until ctx is done.
 func (g *Gateway) forgetMembers(ctx context.Context) {
-	t := time.NewTicker(min(forgetInterval, g.state.members.forgetAfter))
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	task.Every(ctx, min(forgetInterval, g.state.members.forgetAfter), func() {
 		var gone, remove []string
 		g.task.Do(func() {
 			m := g.state.members
@@ -285,5 +282,5 @@
 			}
 			g.log.Info("record of a gateway removed", zap.String("id", id))
 		}
-	}
+	})
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,9 +50,7 @@
 	err := g.task.Try(func() { g.onFrame(from, f, time.Now()) })
 	if err != nil {
 		failures.Add("peer_frames", 1)
-		g.log.Error("handling a frame of a peer failed; closing the session", zap.String("peer", from.Hello.GetId()),
-			zap.String("peer_role", from.Hello.GetRole()), zap.String("frame", fmt.Sprintf("%T", f.GetBody())), zap.Error(err))
-		from.Close()
+		from.CloseFailed(f, err)
 	}
 }
 
--- a/gateway/planned_stop_test.go
+++ b/gateway/planned_stop_test.go
@@ -93,6 +93,14 @@
 		// later is after the listener has been closed.
 		later = 2 * acceptQueueTime
 	)
+	sendHalf := func(c net.Conn) {
+		write(t, c, whole[:half])
+		time.Sleep(later)
+	}
+	sendRest := func(_ *stopping, c net.Conn) {
+		time.Sleep(later)
+		write(t, c, whole[half:])
+	}
 	cases := []struct {
 		name string
 		// before plays a connection up to the stop, and after from then on.
@@ -106,12 +114,8 @@
 			}},
 		{"half of the head", func(s *stopping, c net.Conn, _ *bufio.Reader) {
 			close(s.l.gate)
-			write(t, c, whole[:half])
-			time.Sleep(later)
-		}, func(_ *stopping, c net.Conn) {
-			time.Sleep(later)
-			write(t, c, whole[half:])
-		}},
+			sendHalf(c)
+		}, sendRest},
 		{"half of the head on a kept connection", func(s *stopping, c net.Conn, r *bufio.Reader) {
 			close(s.l.gate)
 			write(t, c, whole)
@@ -119,12 +123,8 @@
 				t.Errorf("first answer: got %d (%v), want 503", got, err)
 			}
 			<-s.entered
-			write(t, c, whole[:half])
-			time.Sleep(later)
-		}, func(_ *stopping, c net.Conn) {
-			time.Sleep(later)
-			write(t, c, whole[half:])
-		}},
+			sendHalf(c)
+		}, sendRest},
 		{"in the handler", func(s *stopping, c net.Conn, _ *bufio.Reader) {
 			close(s.l.gate)
 			write(t, c, slow)
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -27,7 +27,7 @@
 	share, gateways := retryBudgetShare, s.members.countLive(now)
 	if now.Sub(s.budgetStart) < s.reloadable.RetryWindow {
 		// Other gateways that were started at the same time are not heard yet.
-		share, gateways = restartSlackShare, max(gateways, len(s.members.known)+1)
+		share, gateways = restartSlackShare, s.members.countKnown()
 	}
 	s.retryBudget.SetLimits(s.reloadable.RetryRatio*retryBudgetShare, s.reloadable.RetrySlack*share/float64(gateways))
 	return s.retryBudget.AllowRetry(service, now)
--- a/io/caller/close_delimited.go
+++ b/io/caller/close_delimited.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"nutmegnotch/core"
 )
 
@@ -85,23 +83,6 @@
 	}
 }
 
-// unsentBytes returns the number of bytes that the other end has not acknowledged.
-func unsentBytes(c tcpConn) (int, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, fmt.Errorf("get socket: %w", err)
-	}
-	n := 0
-	var ioctlErr error
-	if err := raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }); err != nil {
-		return 0, fmt.Errorf("use socket: %w", err)
-	}
-	if ioctlErr != nil {
-		return 0, fmt.Errorf("read length of send queue: %w", ioctlErr)
-	}
-	return n, nil
-}
-
 // setLinger sets what closing the connection of r does with data that is not sent yet,
 // as net.TCPConn.SetLinger does.
 func setLinger(r *http.Request, sec int) error {
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -39,6 +39,14 @@
 // Close ends the session and all its streams.
 func (s *Session) Close() { s.mux.Close() }
 
+// CloseFailed logs that a control frame of the peer could not be handled and ends the
+// session.
+func (s *Session) CloseFailed(f *peerpb.Frame, err error) {
+	s.node.cfg.Log.Error("handling a frame of a peer failed; closing the session", zap.String("peer", s.Hello.GetId()),
+		zap.String("peer_role", s.Hello.GetRole()), zap.String("frame", fmt.Sprintf("%T", f.GetBody())), zap.Error(err))
+	s.Close()
+}
+
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
 
--- a/rankagent/gateways.go
+++ b/rankagent/gateways.go
@@ -9,6 +9,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/rendezvous"
+	"nutmegnotch/task"
 )
 
 // Choice of the gateways that an agent reports to. They pass on what it reports.
@@ -58,14 +59,7 @@
 // keepGateways ends the sessions with gateways that were not chosen once those that were
 // can be reached, until ctx is done.
 func (a *Agent) keepGateways(ctx context.Context) {
-	t := time.NewTicker(gatewaysInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	task.Every(ctx, gatewaysInterval, func() {
 		connected := map[string]bool{}
 		for _, s := range a.node.Sessions() {
 			if s.Hello.GetRole() == core.RoleGateway {
@@ -73,7 +67,7 @@
 			}
 		}
 		a.task.Do(func() { a.checkGateways(connected) })
-	}
+	})
 }
 
 // checkGateways compares the chosen gateways with the connected ones. It runs in the
--- a/rankagent/session.go
+++ b/rankagent/session.go
@@ -13,6 +13,7 @@
 	"nutmegnotch/core"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // Limits of what peers and engines state.
@@ -82,14 +83,7 @@
 // sendHeartbeats periodically sends heartbeats to the other agents while this agent
 // leads.
 func (a *Agent) sendHeartbeats(ctx context.Context) {
-	t := time.NewTicker(leaderHeartbeatInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	task.Every(ctx, leaderHeartbeatInterval, func() {
 		var f *peerpb.Frame
 		a.task.Do(func() {
 			if !a.isLeader(time.Now()) {
@@ -101,7 +95,7 @@
 		if f != nil {
 			a.node.Broadcast(core.RoleRankAgent, f)
 		}
-	}
+	})
 }
 
 // control handles a control frame of a peer. A frame that cannot be handled ends the
@@ -110,9 +104,7 @@
 	err := a.task.Try(func() { a.onFrame(from, f, time.Now()) })
 	if err != nil {
 		invalidMessages.Add("peer_frames", 1)
-		a.log.Error("handling a frame of a peer failed; closing the session", zap.String("peer", from.Hello.GetId()),
-			zap.String("peer_role", from.Hello.GetRole()), zap.String("frame", fmt.Sprintf("%T", f.GetBody())), zap.Error(err))
-		from.Close()
+		from.CloseFailed(f, err)
 	}
 }
 
