Ask as a returning caller in the test of engine states that are passed on

Cause: the test. A group that is reported closed gets a first attempt as a probe 100 ms after the report, the engine of this test serves it, and the group counts as open for good.

The requests are retries of a caller now, which are not used as probes, so that the check does not depend on when they come. The check is the same.

--- a/gateway/engine_state_test.go
+++ b/gateway/engine_state_test.go
@@ -35,6 +35,10 @@
 		EngineAddress: r.Address(), Pace: 1, Open: false,
 	}}})
 	eventually(t, "the other gateway refuses requests to the group", func() bool {
-		return send(newRequest(second, "POST", "/draft/x", "key-a", "")).status == http.StatusServiceUnavailable
+		// The time left marks the request as a caller's retry. A first attempt is sent
+		// to the group as a probe, which this engine serves.
+		r := newRequest(second, "POST", "/draft/x", "key-a", "")
+		r.Header.Set("Nutmegnotch-Deadline-Ms", "500")
+		return send(r).status == http.StatusServiceUnavailable
 	})
 }
