Measure how long a group's engines take until their first event

Cause: an engine had 0.5 s for its first event, and more only if gaps between events had been measured within a second. One of 54 gateways has so few streams at a group that it rarely measures any, and in a loaded group first events come later than 0.5 s everywhere.

Now the time is three times the median of the times to a first event that the gateway saw in its group within 2 s, those that it cut short among them, up to 2 s.

Only where first events are late is a frozen engine found later.

--- a/core/dispatch/concurrency.go
+++ b/core/dispatch/concurrency.go
@@ -59,20 +59,11 @@
 // measure updates timePerRequest from the median of the recent gaps, the number
 // of running requests and base, the time of a pass without requests.
 func (l *concurrencyLimiter) measure(requests int, base time.Duration, now time.Time) {
-	i := 0
-	for i < len(l.gaps) && now.Sub(l.gaps[i].at) > gapSampleWindow {
-		i++
-	}
-	l.gaps = l.gaps[i:]
+	l.gaps = recent(l.gaps, gapSampleWindow, now)
 	if len(l.gaps) < minGapSamples || requests == 0 {
 		return
 	}
-	sorted := make([]time.Duration, len(l.gaps))
-	for i, s := range l.gaps {
-		sorted[i] = s.gap
-	}
-	slices.Sort(sorted)
-	l.medianGap, l.medianAt = sorted[len(sorted)/2], now
+	l.medianGap, l.medianAt = medianGap(l.gaps), now
 	l.timePerRequest = max(time.Microsecond, (l.medianGap-base)/time.Duration(requests))
 }
 
@@ -90,3 +81,23 @@
 	workTime := time.Duration(target*float64(l.maxGap)) - base
 	return min(slots, max(minRequestsPerServer*servers, int(workTime/l.timePerRequest)))
 }
+
+// recent returns the samples, which are ordered by time, without those that are older than
+// a window.
+func recent(samples []gapSample, window time.Duration, now time.Time) []gapSample {
+	i := 0
+	for i < len(samples) && now.Sub(samples[i].at) > window {
+		i++
+	}
+	return samples[i:]
+}
+
+// medianGap returns the median gap of samples, of which there must be one.
+func medianGap(samples []gapSample) time.Duration {
+	sorted := make([]time.Duration, len(samples))
+	for i, s := range samples {
+		sorted[i] = s.gap
+	}
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
--- a/core/dispatch/group.go
+++ b/core/dispatch/group.go
@@ -12,6 +12,8 @@
 	activity groupActivity
 	outage   outage
 	limiter  concurrencyLimiter
+	// firstEvents tells how long the engines take until their first event.
+	firstEvents firstEvents
 	// servers are the listed servers, and requests and slots their totals.
 	servers         []*server
 	requests, slots int
--- a/core/dispatch/unresponsive.go
+++ b/core/dispatch/unresponsive.go
@@ -16,9 +16,15 @@
 	firstEventTimeout = 500 * time.Millisecond
 	// slowGapFactor makes both longer in a slow group: no engine is excluded that is silent
 	// for less than this many times the usual gap of its group, as measured within
-	// maxGapAge.
+	// maxGapAge, or the usual time to a first event.
 	slowGapFactor = 3
 	maxGapAge     = time.Second
+	// maxSilence bounds both. Callers leave a stream that is silent for longer.
+	maxSilence = 2 * time.Second
+	// firstEventWindow is how long a time to a first event is used, and minFirstEvents how
+	// many are needed.
+	firstEventWindow = 2 * time.Second
+	minFirstEvents   = 3
 	// maxActivityGap is the longest time without any event for which a group
 	// counts as active. In a stalled group no rank sends events.
 	maxActivityGap = 200 * time.Millisecond
@@ -38,6 +44,22 @@
 	a.last = now
 }
 
+// firstEvents holds the recent times to the first event of the engines of a group.
+type firstEvents struct{ samples []gapSample }
+
+func (f *firstEvents) observe(wait time.Duration, now time.Time) {
+	f.samples = append(f.samples, gapSample{wait, now})
+}
+
+// median returns the median of the recent times, or 0 if there are too few.
+func (f *firstEvents) median(now time.Time) time.Duration {
+	f.samples = recent(f.samples, firstEventWindow, now)
+	if len(f.samples) < minFirstEvents {
+		return 0
+	}
+	return medianGap(f.samples)
+}
+
 // ObserveEvent records an event of a stream. gap is the time since the previous
 // event, or 0 for the first one, and maxGap the longest gap that is on time.
 func (d *Dispatcher) ObserveEvent(name, serverID string, gap, maxGap time.Duration, now time.Time) {
@@ -46,9 +68,12 @@
 	if sv == nil {
 		return
 	}
+	g := sv.group
+	if !sv.hasSentEvent {
+		g.firstEvents.observe(now.Sub(sv.lastEvent), now)
+	}
 	sv.lastEvent, sv.hasSentEvent = now, true
 	sv.health.include()
-	g := sv.group
 	g.activity.recordEvent(now)
 	sv.outage().end()
 	if gap > 0 {
@@ -66,6 +91,10 @@
 			continue
 		}
 		out = append(out, sv.ID)
+		if !sv.hasSentEvent {
+			// Without those that were cut short the group would look faster than it is.
+			sv.group.firstEvents.observe(now.Sub(sv.lastEvent), now)
+		}
 		sv.lastEvent = now
 		sv.health.excludeUnresponsive(now)
 	}
@@ -80,12 +109,13 @@
 	if sv.requests == 0 || now.Sub(a.last) > maxActivityGap {
 		return false
 	}
-	timeout := firstEventTimeout
+	timeout := max(firstEventTimeout, slowGapFactor*sv.group.firstEvents.median(now))
 	if sv.hasSentEvent {
 		timeout = eventTimeout
 	}
 	if l := &sv.group.limiter; now.Sub(l.medianAt) <= maxGapAge {
 		timeout = max(timeout, slowGapFactor*l.medianGap)
 	}
+	timeout = min(timeout, maxSilence)
 	return now.Sub(sv.lastEvent) >= timeout && now.Sub(a.since) >= timeout
 }
--- a/core/dispatch/unresponsive_test.go
+++ b/core/dispatch/unresponsive_test.go
@@ -87,6 +87,68 @@
 	}
 }
 
+// Guards against engines of a loaded group that are excluded one after the other because
+// their first events come late, as all of the group do, so that the load grows further.
+func TestLateFirstEventsAreNotUnresponsive(t *testing.T) {
+	const (
+		servers, perServer       = 12, 10
+		firstEvent, gap, streams = 900 * time.Millisecond, 50 * time.Millisecond, time.Second
+		step, frozen             = 10 * time.Millisecond, "s3"
+	)
+	for _, freeze := range []bool{false, true} {
+		d := newDispatcher(servers, perServer, true)
+		begun, excluded := map[string]time.Duration{}, map[string]int{}
+		var foundAfter time.Duration
+		for at := time.Duration(0); at < 8*time.Second; at += step {
+			now := start.Add(at)
+			isFrozen := func(id string) bool { return freeze && id == frozen && at >= 4*time.Second }
+			if at%(80*time.Millisecond) == 0 {
+				id := uint64(at / step)
+				if v, ok := d.Offer(request(id, at), now); ok && v.Rejected == "" {
+					if _, busy := begun[v.Server.ID]; busy {
+						d.Finished("s", v.Server, 100, dispatch.OutcomeFailed, now)
+					} else {
+						begun[v.Server.ID] = at
+					}
+				}
+				d.RemoveWaiting("s", id)
+			}
+			for id, from := range begun {
+				age := at - from
+				switch {
+				case isFrozen(id):
+				case age >= firstEvent+streams:
+					d.Finished("s", backend(id), 100, dispatch.OutcomeServed, now)
+					delete(begun, id)
+				case age == firstEvent:
+					d.ObserveEvent("s", id, 0, 200*time.Millisecond, now)
+				case age > firstEvent && (age-firstEvent)%gap == 0:
+					d.ObserveEvent("s", id, gap, 200*time.Millisecond, now)
+				}
+			}
+			for _, id := range d.DetectUnresponsive(now) {
+				if isFrozen(id) {
+					foundAfter = at - 4*time.Second
+				} else {
+					excluded[id]++
+				}
+				d.Finished("s", backend(id), 100, dispatch.OutcomeFailed, now)
+				delete(begun, id)
+			}
+		}
+		n := 0
+		for _, times := range excluded {
+			n += times
+		}
+		if n > 3 {
+			t.Errorf("freeze %v: sound servers excluded: got %d times (%v), want at most 3", freeze, n, excluded)
+		}
+		if freeze && (foundAfter == 0 || foundAfter > 3500*time.Millisecond) {
+			t.Errorf("frozen server: found after %v, want at most 3.5s", foundAfter)
+		}
+	}
+}
+
 // Guards against an engine that is excluded during the prefill of long prompts, and
 // against one that is never excluded because it has sent no event.
 func TestServerBeforeFirstEventGetsMoreTime(t *testing.T) {
