Probe closed groups together as often as few gateways do

Cause: each of 54 gateways sent a request every 100 to 200 ms to each group that was out of service, to find out whether it serves again, up to 380 a second for a group.

Now all gateways together send about 50 a second. They learn from the engines' agents at once when the group serves again; a gateway that hears of none finds out by itself within 1.6 s with 54 gateways.

TestManyGatewaysProbeAClosedGroup: 54 gateways with 10 requests a second each sent 288 a second to the closed group before, at most 120 are allowed now; each gateway uses the group within 0.2 s after a report and within 2 s without one.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -125,7 +125,7 @@
 		sv.Server, sv.unlistedSince = item, time.Time{}
 		sv.group = s.group(item.Place.Group)
 		if e, ok := d.engines.current(item.Address, now); isNew && ok && !e.groupServing {
-			sv.outage().begin(now)
+			sv.outage().begin(now, d.probeSpread())
 		}
 		s.serverList = append(s.serverList, sv)
 		d.listed[item.ID] = sv
@@ -183,7 +183,7 @@
 	sv.tokens += r.Tokens
 	sv.cold.take(sv.ColdUntil, now)
 	sv.health.sent(now)
-	sv.outage().sent(now)
+	sv.outage().sent(now, d.probeSpread())
 	return v
 }
 
@@ -217,7 +217,7 @@
 		sv.outage().end()
 		sv.pause.replied(sv.Slots, now)
 	case o == OutcomeShed && s.config.Engine != nil:
-		sv.outage().rejected(now)
+		sv.outage().rejected(now, d.probeSpread())
 	}
 }
 
--- a/core/dispatch/engine.go
+++ b/core/dispatch/engine.go
@@ -66,7 +66,7 @@
 		case groupServing:
 			o.end()
 		case !o.active():
-			o.begin(now)
+			o.begin(now, d.probeSpread())
 		}
 	}
 }
--- a/core/dispatch/outage.go
+++ b/core/dispatch/outage.go
@@ -11,6 +11,9 @@
 	// a group that is out of service.
 	minProbeInterval = 100 * time.Millisecond
 	maxProbeInterval = 200 * time.Millisecond
+	// probeSpacing is the mean time between the requests of all gateways together. All of
+	// them learn from the engines' agents when the group serves again.
+	probeSpacing = 20 * time.Millisecond
 )
 
 // outage tracks whether a lock-step group, or a server without a group, rejects
@@ -31,25 +34,32 @@
 	return !o.active() || !r.CallerRetry && !now.Before(o.nextProbe)
 }
 
-// sent records a send, which is a probe when the group is out of service.
-func (o *outage) sent(now time.Time) {
+// sent records a send, which is a probe when the group is out of service. spread is from
+// probeSpread.
+func (o *outage) sent(now time.Time, spread time.Duration) {
 	if o.active() {
-		o.nextProbe = now.Add(o.probeInterval)
+		o.nextProbe = now.Add(max(o.probeInterval, spread))
 	}
 }
 
 // rejected records that an engine has rejected a request.
-func (o *outage) rejected(now time.Time) {
+func (o *outage) rejected(now time.Time, spread time.Duration) {
 	o.rejections++
 	if o.rejections >= minOutageRejections {
-		o.begin(now)
+		o.begin(now, spread)
 	}
 }
 
 // begin marks the group as out of service.
-func (o *outage) begin(now time.Time) {
+func (o *outage) begin(now time.Time, spread time.Duration) {
 	o.probeInterval = min(maxProbeInterval, max(minProbeInterval, 2*o.probeInterval))
-	o.nextProbe = now.Add(o.probeInterval)
+	o.nextProbe = now.Add(max(o.probeInterval, spread))
+}
+
+// probeSpread returns a random time of which the mean is probeSpacing for each gateway, so
+// that many gateways do not probe a group more often than few.
+func (d *Dispatcher) probeSpread() time.Duration {
+	return time.Duration((0.5 + d.rnd.Float64()) * float64(d.sharers.Gateways) * float64(probeSpacing))
 }
 
 // end marks the group as serving.
--- a/core/dispatch/outage_test.go
+++ b/core/dispatch/outage_test.go
@@ -119,3 +119,72 @@
 		t.Errorf("request after another server has replied: got %+v, want %s", v, dispatch.ReasonNoServer)
 	}
 }
+
+// Guards against many gateways that fill a group which does not serve with requests to find
+// out whether it does, and against gateways that use it late once it does.
+func TestManyGatewaysProbeAClosedGroup(t *testing.T) {
+	const (
+		closed, length, step = 3 * time.Second, 6 * time.Second, 10 * time.Millisecond
+		perSecond            = 10
+	)
+	cases := []struct {
+		gateways int
+		// reported is set if the engines' agents report when the group serves.
+		reported bool
+		// probes bounds the requests to the closed group in a second. Those of few gateways
+		// have a least interval.
+		probes int
+		// back is when each gateway has to use the group, after it serves.
+		back time.Duration
+	}{
+		{4, true, 45, 200 * time.Millisecond},
+		{54, true, 120, 200 * time.Millisecond},
+		{54, false, 120, 2 * time.Second},
+	}
+	for _, c := range cases {
+		var list []*dispatch.Dispatcher
+		for i := range c.gateways {
+			d := dispatch.New("z0", uint64(i))
+			d.SetSharers(dispatch.Sharers{Gateways: c.gateways, Index: i})
+			dep, servers := servers(3, 1000, true)
+			for i := range servers {
+				servers[i].Address = servers[i].ID
+				servers[i].Place = core.RankPlace{Group: "g", Rank: i, Size: 3}
+			}
+			d.SetEngineState("s0", 1, false, start)
+			d.SetServers(dep, servers, start)
+			list = append(list, d)
+		}
+		sends, late := 0, 0
+		for at := time.Duration(0); at < length; at += step {
+			now := start.Add(at)
+			for i, d := range list {
+				switch {
+				case at < closed && at%time.Second == 0:
+					d.SetEngineState("s0", 1, false, now)
+				case at == closed && c.reported:
+					d.SetEngineState("s0", 1, true, now)
+				}
+				if (at/step+time.Duration(i))%(time.Second/perSecond/step) != 0 {
+					continue
+				}
+				v, ok := d.Offer(request(uint64(at/step), at), now)
+				switch {
+				case ok && v.Rejected == "" && at < closed:
+					sends++
+					d.Finished("s", v.Server, 100, dispatch.OutcomeShed, now)
+				case ok && v.Rejected == "":
+					d.Finished("s", v.Server, 100, dispatch.OutcomeServed, now)
+				case at >= closed+c.back:
+					late++
+				}
+			}
+		}
+		if got := sends / int(closed/time.Second); got > c.probes {
+			t.Errorf("%d gateways, requests to the closed group in a second: got %d, want at most %d", c.gateways, got, c.probes)
+		}
+		if late > 0 {
+			t.Errorf("%d gateways, reported %v: got %d requests not served later than %v after the group serves, want 0", c.gateways, c.reported, late, c.back)
+		}
+	}
+}
