Count the first run of a request at a server that ended, not a moved copy

Cause: crashes at the same time do not block a request, crashes one after the other do. The servers end within milliseconds; a copy that breaks off at the first is moved to one that still runs and ends next. Both copies there break off together, and the one that was recorded first counted. If that was the moved copy, the end looked later than the first. The test shows it only if some server has room for a moved copy.

Now the run that began first counts, also when another gateway reports it. Parts of prompts are left as they are: requests with a popular part follow each other on every server.

--- a/core/retry/broken_runs.go
+++ b/core/retry/broken_runs.go
@@ -146,8 +146,8 @@
 	return n
 }
 
-// Ended returns the runs that broke off at a process that has ended, and removes
-// them.
+// Ended returns the runs that broke off at a process that has ended, and removes them.
+// Those of whole requests come first, in the order in which they began.
 func (b *BrokenRuns) Ended(processID string, now time.Time) []Crash {
 	p := b.byProcess[processID]
 	if p == nil {
@@ -160,6 +160,17 @@
 		}
 		return true
 	})
+	slices.SortStableFunc(out, func(a, b Crash) int {
+		switch {
+		case a.PromptPart && !b.PromptPart:
+			return 1
+		case b.PromptPart && !a.PromptPart:
+			return -1
+		case a.PromptPart:
+			return 0
+		}
+		return a.Started.Compare(b.Started)
+	})
 	return out
 }
 
--- a/core/retry/crash_test.go
+++ b/core/retry/crash_test.go
@@ -46,6 +46,8 @@
 		{"many at once and one later", append(atOnce(40), crash("last", 20, 30)), core.QuarantineBlocked, false},
 		{"one process by two gateways", []retry.Crash{crash("a", 0, 10), crash("a", 5, 11), crash("b", 20, 30)}, core.QuarantineSuspect, false},
 		{"one process, broken runs at short intervals", []retry.Crash{crash("a", 0, 10), crash("a", 1000, 1010), crash("a", 1500, 1510)}, core.QuarantineSuspect, false},
+		{"three in turn, with copies that were moved there", []retry.Crash{crash("a", 0, 10), crash("b", 11, 30), crash("b", 0, 30), crash("c", 31, 50), crash("c", 5, 50)}, core.QuarantineSuspect, true},
+		{"three in turn, one after an earlier run had ended", []retry.Crash{crash("a", 0, 10), crash("b", 20, 30), crash("b", 0, 15), crash("c", 40, 50)}, core.QuarantineBlocked, false},
 		{"an id that is kept, in an outdated list", []retry.Crash{crash("a", 0, 10), crash("a", 3000, 3010), crash("a", 6000, 6010)}, core.QuarantineBlocked, false},
 	}
 	for _, c := range cases {
--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -50,6 +50,13 @@
 	Started, Ended time.Time
 }
 
+// beganBefore reports whether a run at the same process began before another one and went
+// on beside it. It is false for parts of prompts: requests with a popular one follow each
+// other on every server, so that the first to begin says nothing.
+func (c Crash) beganBefore(other Crash) bool {
+	return !c.PromptPart && !c.Started.IsZero() && c.Started.Before(other.Started) && !c.Ended.Before(other.Started)
+}
+
 // Record holds what is known of one request. CompletedAt is when it was last served
 // to its end, or zero; crashes before it do not count.
 type Record struct {
@@ -94,8 +101,10 @@
 
 var _ core.Quarantine = (*Quarantine)(nil)
 
-// Add records a crash and reports whether it is new and counts. It returns the crash
-// with the id under which it is recorded.
+// Add records a crash and reports whether that changes what counts. It returns the crash
+// with the id under which it is recorded. Of several runs of a request at the process that
+// ended, the one that began first counts: a copy that was moved there does not show that
+// the crash came after another one.
 func (q *Quarantine) Add(c Crash, now time.Time) (Crash, bool) {
 	rec := q.records[c.Fingerprint]
 	if q.IsCleared(c) {
@@ -107,8 +116,12 @@
 		q.records[c.Fingerprint] = rec
 	}
 	c.ID = rec.crashID(c)
-	if _, known := rec.crashes[c.ID]; known {
-		return c, false
+	if known, ok := rec.crashes[c.ID]; ok {
+		if !c.beganBefore(known) {
+			return c, false
+		}
+		known.Started = c.Started
+		c = known
 	}
 	rec.crashes[c.ID] = c
 	if q.byCrash[c.ID] == nil {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -144,16 +144,18 @@
 }
 
 // countCrash counts the end of a server's process against the request that it ran.
-// It reports whether the crash was not known before. It runs in the task.
+// It reports whether that tells the other gateways something new. It runs in the task.
 func (g *Gateway) countCrash(c retry.Crash, source, evidence string) bool {
 	q, now := g.state.quarantine, time.Now()
-	before := isBlocked(q, c, now)
+	before, crashes := isBlocked(q, c, now), q.Crashes(c.Fingerprint)
 	c, counted := q.Add(c, now)
 	if !counted {
 		return false
 	}
 	g.hasCrashes.Store(true)
-	quarantineEvents.Add("crashes_counted", 1)
+	if q.Crashes(c.Fingerprint) > crashes {
+		quarantineEvents.Add("crashes_counted", 1)
+	}
 	blocked := isBlocked(q, c, now)
 	g.log.Info("crash counted", fingerprintField(c.Fingerprint), zap.Bool("prompt_part", c.PromptPart), zap.String("process", c.ID),
 		zap.Int("crashes", q.Crashes(c.Fingerprint)), zap.Bool("quarantined", blocked),
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -241,31 +241,43 @@
 			}
 		})
 	}
-	t.Run("all servers end at the same moment", func(t *testing.T) {
-		t.Parallel()
-		d := newDeployment(t)
-		d.publish()
-		d.addServers(6, "desk", runner.ProcessConfig{Config: runner.Config{ProcessingTime: 300 * time.Millisecond}})
-		p := d.startReady()
-		var wg sync.WaitGroup
-		for range 12 {
-			r := newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")
-			wg.Go(func() { send(r) })
-		}
-		eventually(t, "each server runs a copy", func() bool {
-			return !slices.ContainsFunc(d.servers, func(s *runner.Process) bool { return len(s.Runs()) == 0 })
-		})
-		for _, s := range d.servers {
-			s.Runner().Crash(false)
-		}
-		wg.Wait()
-		time.Sleep(crashSettleTime)
-		for i := range 3 {
-			if got := send(newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")); got.status != http.StatusOK {
-				t.Errorf("copy %d after the servers are back: got %d %q (%v), want 200", i, got.status, got.body, got.err)
+	ends := []struct {
+		name string
+		// copies is their number, and gap the time between the ends of two servers.
+		copies int
+		gap    time.Duration
+	}{
+		{"all servers end at the same moment", 12, 0},
+		{"all servers end in turn, and copies are moved", 8, 20 * time.Millisecond},
+	}
+	for _, c := range ends {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.publish()
+			d.addServers(6, "desk", runner.ProcessConfig{Config: runner.Config{ProcessingTime: 300 * time.Millisecond}})
+			p := d.startReady()
+			var wg sync.WaitGroup
+			for range c.copies {
+				r := newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")
+				wg.Go(func() { send(r) })
 			}
-		}
-	})
+			eventually(t, "each server runs a copy", func() bool {
+				return !slices.ContainsFunc(d.servers, func(s *runner.Process) bool { return len(s.Runs()) == 0 })
+			})
+			for _, s := range d.servers {
+				s.Runner().Crash(false)
+				time.Sleep(c.gap)
+			}
+			wg.Wait()
+			time.Sleep(crashSettleTime)
+			for i := range 3 {
+				if got := send(newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")); got.status != http.StatusOK {
+					t.Errorf("copy %d after the servers are back: got %d %q (%v), want 200", i, got.status, got.body, got.err)
+				}
+			}
+		})
+	}
 }
 
 // Guards against copies that crash one server each because all of them are sent at
