Let an unexpected error end the request or restart the loop it is in, not the process

Cause: a task ran operations in its own goroutine without a guard, and the wait groups keep panics until they are waited for.

TestGatewayOutlivesPanicsOfItsOwn: before, the gateway ends with the panic of a loop when it stops. TestPanicIsThatOfTheCaller, TestKeepStartsALoopAgain.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"nutmegnotch/io/engine"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // Default values of Config fields.
@@ -191,6 +192,11 @@
 // Done returns a channel that is closed when Run has ended.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
+// loopFailed logs a panic of one of the agent's loops, which is started again.
+func (a *Agent) loopFailed(err error) {
+	a.log.Error("a loop of the agent failed; starting it again", zap.Error(err))
+}
+
 // Run serves requests until ctx is done or Leave is called, then completes the
 // admitted requests and returns. The node must keep serving until Run returns.
 func (a *Agent) Run(ctx context.Context) error {
@@ -199,11 +205,12 @@
 	var wg conc.WaitGroup
 	a.admission.Start(workCtx)
 	a.runs.Start(workCtx)
-	wg.Go(func() { a.releases.run(workCtx) })
-	wg.Go(func() { a.health.run(workCtx) })
-	wg.Go(func() { a.reportLoad(workCtx) })
+	loops := []func(context.Context){a.releases.run, a.health.run, a.reportLoad}
 	if a.cfg.Hosts != nil {
-		wg.Go(func() { a.watchHostList(workCtx) })
+		loops = append(loops, a.watchHostList)
+	}
+	for _, loop := range loops {
+		wg.Go(func() { task.Keep(workCtx, loop, a.loopFailed) })
 	}
 	select {
 	case <-ctx.Done():
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"nutmegnotch/io/caller"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // Default values of Config fields.
@@ -203,6 +204,11 @@
 // stopped.
 func (e *Entry) Done() <-chan struct{} { return e.done }
 
+// loopFailed logs a panic of one of the entry's loops, which is started again.
+func (e *Entry) loopFailed(err error) {
+	e.log.Error("a loop of the entry failed; starting it again", zap.Error(err))
+}
+
 // Run serves callers until ctx is done and then shuts down gracefully: the entry
 // is not ready during the drain delay, then refuses new requests, and returns when
 // all running replies have ended. The node must keep serving until Run returns.
@@ -224,8 +230,9 @@
 	var wg conc.WaitGroup
 	pollCtx, stopPolls := context.WithCancel(context.Background())
 	wg.Go(func() { failed <- srv.Serve(l) })
-	wg.Go(func() { e.pollHosts(pollCtx) })
-	wg.Go(func() { e.watchConfig(pollCtx) })
+	for _, loop := range []func(context.Context){e.pollHosts, e.watchConfig} {
+		wg.Go(func() { task.Keep(pollCtx, loop, e.loopFailed) })
+	}
 	select {
 	case <-ctx.Done():
 		err = e.shutdown(srv)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -262,7 +262,7 @@
 		loops = append(loops, w.run)
 	}
 	for _, loop := range loops {
-		g.wg.Go(func() { loop(run) })
+		g.wg.Go(func() { task.Keep(run, loop, g.loopFailed) })
 	}
 	g.log.Info("gateway started", zap.String("id", g.cfg.ID), zap.String("incarnation", g.cfg.Incarnation),
 		zap.String("caller_address", g.cfg.CallerAddress))
@@ -299,6 +299,12 @@
 	}
 }
 
+// loopFailed logs a panic of one of the gateway's loops, which is started again.
+func (g *Gateway) loopFailed(err error) {
+	failures.Add("loops", 1)
+	g.log.Error("a loop of the gateway failed; starting it again", zap.Error(err))
+}
+
 // serveReady answers the health checks of the load balancer in front of the
 // gateways.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,6 +54,7 @@
 	forgetAfter time.Duration
 	// decoder is that of the next gateways; nil means the platform's.
 	decoder core.RecordDecoder
+	headers core.HeaderCodec
 	// engine is the engine configuration of the model service; nil means none.
 	engine map[string]any
 }
@@ -162,12 +163,16 @@
 	if decoder == nil {
 		decoder = platform.RecordDecoder{}
 	}
+	headers := d.headers
+	if headers == nil {
+		headers = platform.Headers{}
+	}
 	g := gateway.New(gateway.Config{
 		ID: "gateway-" + strconv.Itoa(d.started), Incarnation: p.address, FailureDomain: "z1", Deployment: "test",
 		CallerAddress: p.address, ReadyAddress: p.ready, PeerAddress: p.peer, ServersInterval: 50 * time.Millisecond,
 		ForgetAfter:     d.forgetAfter,
 		Reloadable:      reloadable,
-		BodyMemoryBytes: 1 << 20, Store: store, Decoder: decoder, Headers: platform.Headers{}, Logger: zap.New(logs),
+		BodyMemoryBytes: 1 << 20, Store: store, Decoder: decoder, Headers: headers, Logger: zap.New(logs),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -75,6 +75,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	c := &call{w: w, r: r, arrived: time.Now()}
+	defer g.requestPanicked(c)
 	defer g.flushAborted(c)
 	defer c.observe()
 	if g.draining.Load() {
@@ -88,6 +89,20 @@
 	g.forward(c)
 }
 
+// requestPanicked logs an unexpected panic of the handler, which costs the caller's
+// connection only.
+func (g *Gateway) requestPanicked(c *call) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p != http.ErrAbortHandler {
+		failures.Add("requests", 1)
+		g.log.Error("handling a request failed; closing its connection", zap.String("request_id", c.id()), zap.Any("panic", p), zap.Stack("stack"))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // admit validates a request, finds its route and service and reads its body. It
 // returns nil if the request may be forwarded.
 func (g *Gateway) admit(c *call) *refusal {
--- a/gateway/panic_test.go
+++ b/gateway/panic_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"nutmegnotch/core"
 	"nutmegnotch/emulator/runner"
@@ -68,3 +71,58 @@
 	d.addRunner(runner.Config{ID: "d2", Body: "ok"}, "desk")
 	eventually(t, "requests are served again", served)
 }
+
+// faultyHeaders panics at the requests with one id.
+type faultyHeaders struct {
+	platform.Headers
+	id string
+}
+
+func (h faultyHeaders) Backend(in http.Header, f core.BackendFields) http.Header {
+	if in.Get("Nutmegnotch-Request-Id") == h.id {
+		panic("fault in the headers")
+	}
+	return h.Headers.Backend(in, f)
+}
+
+// faultyStore panics once at a read of each topic.
+type faultyStore struct {
+	core.KeyedStore
+	read map[core.Topic]*atomic.Bool
+}
+
+func (s faultyStore) Read(ctx context.Context, t core.Topic, from core.Position, wait time.Duration) (core.KeyedBatch, error) {
+	if r := s.read[t]; r != nil && !r.Swap(true) {
+		panic("fault in the store's client")
+	}
+	return s.KeyedStore.Read(ctx, t, from, wait)
+}
+
+// Guards against an unexpected error in a request's handler that costs more than that
+// request, and against one in a loop that ends it while the gateway lives on.
+func TestGatewayOutlivesPanicsOfItsOwn(t *testing.T) {
+	d := newDeployment(t)
+	d.headers = faultyHeaders{id: "bad-request"}
+	read := map[core.Topic]*atomic.Bool{core.TopicOperator: {}, core.TopicServers: {}, core.TopicMembers: {}}
+	d.links = func(s core.KeyedStore) core.KeyedStore { return faultyStore{s, read} }
+	d.addRunner(runner.Config{ID: "d1", Body: "ok"}, "desk")
+	d.publish()
+	p := d.startReady()
+	bad := newRequest(p, "GET", "/lookup/x", "key-a", "")
+	bad.Header.Set("Nutmegnotch-Request-Id", "bad-request")
+	if got := send(bad); got.err == nil {
+		t.Errorf("request whose handler fails: got %d, want a closed connection", got.status)
+	}
+	if got := p.logs.FilterMessage("handling a request failed; closing its connection").Len(); got != 1 {
+		t.Errorf("log lines of the request: got %d, want 1", got)
+	}
+	served := func() bool { return send(newRequest(p, "GET", "/lookup/x", "key-a", "")).status == http.StatusOK }
+	if !served() {
+		t.Error("next request: got it not served")
+	}
+	eventually(t, "each loop that failed is logged", func() bool {
+		return p.logs.FilterMessage("a loop of the gateway failed; starting it again").Len() == len(read)
+	})
+	d.announce("d1", "desk", "draining")
+	eventually(t, "the list of servers is still read", func() bool { return !served() })
+}
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -11,6 +11,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/io/peer/peerpb"
+	"nutmegnotch/task"
 )
 
 // Session is one live connection to a peer.
@@ -141,5 +142,8 @@
 	if err := st.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	h(s.node.ctx, st)
+	if err := task.Catch(func() { h(s.node.ctx, st) }); err != nil {
+		s.node.cfg.Log.Error("handling a stream of a peer failed; closing it",
+			zap.String("peer", s.Hello.Id), zap.Stringer("kind", st.open.GetKind()), zap.Error(err))
+	}
 }
--- a/rankagent/agent.go
+++ b/rankagent/agent.go
@@ -176,9 +176,9 @@
 		}
 	})
 	a.task.Do(func() { a.dialGateways(a.cfg.Gateways) })
-	a.wg.Go(func() { a.keepGateways(run) })
-	a.wg.Go(func() { a.poll(run) })
-	a.wg.Go(func() { a.sendHeartbeats(run) })
+	for _, loop := range []func(context.Context){a.keepGateways, a.poll, a.sendHeartbeats} {
+		a.wg.Go(func() { task.Keep(run, loop, a.failed) })
+	}
 	a.log.Info("rank agent started", zap.String("id", a.cfg.ID), zap.String("incarnation", a.cfg.Incarnation),
 		zap.String("engine_address", a.cfg.EngineAddress))
 	<-ctx.Done()
@@ -190,6 +190,18 @@
 	return nil
 }
 
+// failed logs a panic in a goroutine of the agent.
+func (a *Agent) failed(err error) { a.log.Error("a part of the rank agent failed", zap.Error(err)) }
+
+// attempt runs f in a goroutine of the agent. A panic ends it only.
+func (a *Agent) attempt(f func()) {
+	a.wg.Go(func() {
+		if err := task.Catch(f); err != nil {
+			a.failed(err)
+		}
+	})
+}
+
 // Reload replaces the gateways that are dialled while none of the chosen ones can be
 // reached.
 func (a *Agent) Reload(gateways []string) {
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -232,7 +232,7 @@
 		}
 		r.lastPoll = now
 		rank, withPlacement := i, l.coordinator.Current() == nil
-		l.agent.wg.Go(func() { l.agent.pollRank(rank, engineAddress, withPlacement) })
+		l.agent.attempt(func() { l.agent.pollRank(rank, engineAddress, withPlacement) })
 	}
 }
 
@@ -288,7 +288,7 @@
 	for _, o := range orders {
 		local := o.Rank == a.state.report.Place.Rank
 		session, engineAddress := l.ranks[o.Rank].session, a.state.rankEngines[o.Rank]
-		a.wg.Go(func() {
+		a.attempt(func() {
 			res := a.sendOrder(context.Background(), o, local, session, engineAddress)
 			a.task.Do(func() {
 				if a.state.leading != l {
--- a/task/task.go
+++ b/task/task.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"fmt"
-	"runtime/debug"
 )
 
 // Task runs operations sequentially in its own goroutine. State that is used by
@@ -42,7 +40,8 @@
 
 // Do runs op in the task's goroutine and waits until it returns. It returns
 // false without running op if the task has not been started or has ended. An op
-// that calls Do of its own task deadlocks.
+// that calls Do of its own task deadlocks. If op panics, Do panics with a *Panic in the
+// caller's goroutine, and the task goes on.
 func (t *Task) Do(op func()) bool {
 	select {
 	case <-t.started:
@@ -50,28 +49,23 @@
 		return false
 	}
 	ran := make(chan struct{})
+	var err error
 	select {
-	case t.ops <- func() { op(); close(ran) }:
+	case t.ops <- func() { err = Catch(op); close(ran) }:
 		<-ran
+		if err != nil {
+			panic(err)
+		}
 		return true
 	case <-t.done:
 		return false
 	}
 }
 
-// Try is like Do, but a panic of op is returned as an error and does not end the process.
-// It is for what comes from others. The state must bear an op that ends halfway.
+// Try is like Do, but returns a panic of op as an error. It is for what comes from others.
+// The state must bear an op that ends halfway.
 func (t *Task) Try(op func()) error {
-	var err error
-	t.Do(func() {
-		defer func() {
-			if p := recover(); p != nil {
-				err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
-			}
-		}()
-		op()
-	})
-	return err
+	return Catch(func() { t.Do(op) })
 }
 
 // Done returns a channel that is closed when the task has ended.
