Read series of records together where there are many gateways

Cause: each record that is appended ends the long polls of all gateways.

Now a gateway waits up to 0.5 s between two reads of operators' records, by the number of gateways above 12, and pulls from others that much later; and 1 s between two reads of crash records, of which gateways tell each other anyway. With 12 gateways or fewer reads of operators' records are as before.

--- a/gateway/intervals.go
+++ b/gateway/intervals.go
@@ -56,6 +56,11 @@
 	// minWaitFraction is the least part of a longer wait. The waits differ, so that a few
 	// gateways end theirs soon after all connections have been lost.
 	minWaitFraction = 0.2
+	// operatorSpacingPerGateway is the least time between two reads of the operators' topic
+	// for each gateway above gatewaysPerWait, and maxOperatorSpacing its bound. In a series
+	// of changes each one would else be read by all gateways by itself.
+	operatorSpacingPerGateway = 12 * time.Millisecond
+	maxOperatorSpacing        = 500 * time.Millisecond
 	// maxSharedBackoff bounds the backoff of reads of the operators' topic and of the
 	// servers, which grows by maxBackoff for gatewaysPerWait gateways.
 	maxSharedBackoff = 2 * time.Second
@@ -84,6 +89,12 @@
 	return max(operatorReadWait/2, time.Duration((minWaitFraction+(1-minWaitFraction)*random)*float64(wait)))
 }
 
+// operatorSpacing returns the least time between two reads of the operators' topic by each
+// of a number of gateways.
+func operatorSpacing(gateways int) time.Duration {
+	return min(maxOperatorSpacing, time.Duration(max(0, gateways-gatewaysPerWait))*operatorSpacingPerGateway)
+}
+
 // readBackoff returns the longest backoff of reads of a topic by each of a number of
 // gateways.
 func readBackoff(t core.Topic, gateways int) time.Duration {
@@ -108,6 +119,14 @@
 	return w.wait
 }
 
+// readSpacing returns the least time between two reads of a topic.
+func (w *topicWatcher) readSpacing() time.Duration {
+	if w.topic == core.TopicOperator {
+		return operatorSpacing(int(w.gateway.activeGateways.Load()))
+	}
+	return w.spacing
+}
+
 // readsInTurn reports whether the gateways read the servers less often than their
 // settings say.
 func (g *Gateway) readsInTurn() bool {
@@ -119,7 +138,7 @@
 func (g *Gateway) pullDelay(t core.Topic, from *peer.Session) time.Duration {
 	switch {
 	case t == core.TopicOperator:
-		return operatorPullDelay
+		return operatorPullDelay + operatorSpacing(int(g.activeGateways.Load()))
 	case !g.readsInTurn():
 		return serversPullDelay
 	case from.Hello.GetFailureDomain() == g.cfg.FailureDomain:
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -17,9 +17,12 @@
 // Timing of reads from the store.
 const (
 	membersReadWait = 20 * time.Second
-	// membersReadSpacing is the time between two reads of the members' topic. While many
-	// gateways start, each registration would else end the long polls of all.
+	// membersReadSpacing is the time between two reads of the members' topic, and
+	// crashesReadSpacing of that of crashes. While many gateways start, and after the end
+	// of many servers, each record would else end the long polls of all. Gateways tell each
+	// other of crashes at once.
 	membersReadSpacing = 2 * time.Second
+	crashesReadSpacing = time.Second
 	// minServersInterval is the minimum interval between reads of the servers'
 	// topic, also when a refresh is requested.
 	minServersInterval = 150 * time.Millisecond
@@ -41,7 +44,8 @@
 	topic    core.Topic
 	wait     time.Duration
 	interval time.Duration
-	// spacing is the least time between two reads.
+	// spacing is the least time between two reads. That of the operators' topic follows
+	// from the number of gateways.
 	spacing time.Duration
 	apply   func(r topicRead)
 	// refresh ends the wait between two reads early; it may be nil.
@@ -68,7 +72,7 @@
 		if err == nil {
 			backoff = minBackoff
 			w.readAt = time.Now()
-			w.sleep(ctx, w.spacing)
+			w.sleep(ctx, w.readSpacing())
 			w.sleep(ctx, min(w.interval, minServersInterval))
 			if w.interval > minServersInterval {
 				w.sleepUntilDue(ctx)
@@ -242,7 +246,7 @@
 		{gateway: g, topic: core.TopicOperator, apply: g.applyFunc(core.TopicOperator)},
 		{gateway: g, topic: core.TopicServers, interval: g.cfg.ServersInterval, refresh: g.refreshServersSignal, apply: g.applyFunc(core.TopicServers)},
 		{gateway: g, topic: core.TopicMembers, wait: membersReadWait, spacing: membersReadSpacing, apply: g.applyMembers},
-		{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, apply: g.applyCrashes},
+		{gateway: g, topic: core.TopicCrashes, wait: crashesReadWait, spacing: crashesReadSpacing, apply: g.applyCrashes},
 	}
 	for _, w := range list {
 		w.interrupt = make(chan struct{}, 1)
