--- a/core/dispatch/concurrency.go
+++ b/core/dispatch/concurrency.go
@@ -16,8 +16,7 @@
 	// before their callers give up.
 	lateTargetGapRatio = 2.0
 	// gapSampleWindow is how long a gap sample is used, and minGapSamples how many
-	// samples a measurement needs. A gateway with few streams also uses the newest ones
-	// that are older, up to maxGapAge.
+	// samples a measurement needs.
 	gapSampleWindow = 200 * time.Millisecond
 	minGapSamples   = 5
 	// minStallGap is the gap above which a group counts as stalled. Such gaps say
@@ -60,8 +59,7 @@
 // measure updates timePerRequest from the median of the recent gaps, the number
 // of running requests and base, the time of a pass without requests.
 func (l *concurrencyLimiter) measure(requests int, base time.Duration, now time.Time) {
-	l.gaps = recent(l.gaps, gapSampleWindow, minGapSamples, now)
-	l.gaps = recent(l.gaps, maxGapAge, 0, now)
+	l.gaps = recent(l.gaps, gapSampleWindow, now)
 	if len(l.gaps) < minGapSamples || requests == 0 {
 		return
 	}
@@ -85,10 +83,10 @@
 }
 
 // recent returns the samples, which are ordered by time, without those that are older than
-// a window. Of these it keeps the newest if there were fewer than keep otherwise.
-func recent(samples []gapSample, window time.Duration, keep int, now time.Time) []gapSample {
+// a window.
+func recent(samples []gapSample, window time.Duration, now time.Time) []gapSample {
 	i := 0
-	for i < len(samples)-keep && now.Sub(samples[i].at) > window {
+	for i < len(samples) && now.Sub(samples[i].at) > window {
 		i++
 	}
 	return samples[i:]
--- a/core/dispatch/unresponsive.go
+++ b/core/dispatch/unresponsive.go
@@ -53,7 +53,7 @@
 
 // median returns the median of the recent times, or 0 if there are too few.
 func (f *firstEvents) median(now time.Time) time.Duration {
-	f.samples = recent(f.samples, firstEventWindow, 0, now)
+	f.samples = recent(f.samples, firstEventWindow, now)
 	if len(f.samples) < minFirstEvents {
 		return 0
 	}
