--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -96,7 +96,7 @@
 	if p == nil {
 		return
 	}
-	if p != http.ErrAbortHandler {
+	if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		failures.Add("requests", 1)
 		g.log.Error("handling a request failed; closing its connection", zap.String("request_id", c.id()), zap.Any("panic", p), zap.Stack("stack"))
 	}
