--- a/task/panic_test.go
+++ b/task/panic_test.go
@@ -10,13 +10,7 @@
 
 // Guards against an unexpected error in one operation that ends the process.
 func TestPanicIsThatOfTheCaller(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	tk := task.New()
-	tk.Start(ctx)
-	defer func() {
-		cancel()
-		<-tk.Done()
-	}()
+	tk := startTask(t)
 	var list []int
 	err := task.Catch(func() { tk.Do(func() { list[3] = 1 }) })
 	var p *task.Panic
--- a/task/task_test.go
+++ b/task/task_test.go
@@ -29,13 +29,7 @@
 
 // Guards against an operation that ends the process, or the task for later ones.
 func TestTryReturnsPanics(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	tk := task.New()
-	tk.Start(ctx)
-	defer func() {
-		cancel()
-		<-tk.Done()
-	}()
+	tk := startTask(t)
 	var list []int
 	if err := tk.Try(func() { list[3] = 1 }); err == nil {
 		t.Error("operation that panics: got no error, want one")
@@ -45,3 +39,16 @@
 		t.Errorf("next operation: got %v and ran %t, want no error and true", err, ran)
 	}
 }
+
+// startTask returns a task that runs until the test ends.
+func startTask(t *testing.T) *task.Task {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	tk := task.New()
+	tk.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-tk.Done()
+	})
+	return tk
+}
