--- a/gateway/planned_stop_test.go
+++ b/gateway/planned_stop_test.go
@@ -204,3 +204,28 @@
 		t.Errorf("close: took %v, want at most %v", got, want)
 	}
 }
+
+// Guards against a planned stop that cuts off the second of two requests which a caller has
+// sent one behind the other.
+func TestPlannedStopAnswersPipelinedRequests(t *testing.T) {
+	t.Parallel()
+	s := startStopping(t)
+	close(s.l.gate)
+	c := s.dial(t)
+	write(t, c, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-s.entered
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.close(s.l, maxCloseTime)
+	}()
+	time.Sleep(2 * acceptQueueTime)
+	close(s.release)
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		if got, err := answer(r); got != http.StatusServiceUnavailable {
+			t.Errorf("answer %d: got %d (%v), want 503", i, got, err)
+		}
+	}
+	<-stopped
+}
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -64,3 +64,32 @@
 		})
 	}
 }
+
+// Guards against a gateway that does not end when it is stopped while it starts.
+func TestStopDuringAStart(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		fault metastore.Fault
+		after time.Duration
+	}{
+		{"at once", metastore.FaultNone, 0},
+		{"while the configuration is read", metastore.FaultHang, 100 * time.Millisecond},
+		{"while the store rejects calls", metastore.FaultUnavailable, 300 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.publish()
+			d.store.SetFault(c.fault)
+			p := d.start()
+			time.Sleep(c.after)
+			begun := time.Now()
+			p.stop()
+			<-p.done
+			if got, want := time.Since(begun), d.reloadable.Grace; got > want {
+				t.Errorf("stop: took %v, want at most the grace of %v", got, want)
+			}
+		})
+	}
+}
