Compare ways to share cold servers among gateways in simulated time

nutmegnotch-emulator experiment cold-servers: the turns of the product's dispatcher beside a part of the rate for each gateway, the way before, for 4 to 216 gateways, with servers that begin to serve late and clocks that are off.

--- a/emulator/experiment/experiment_test.go
+++ b/emulator/experiment/experiment_test.go
@@ -34,6 +34,7 @@
 		{"slow-readers", func() any { return SlowReaders(reply.NewBudget(ReplyBudgetBytes), 3) }},
 		{"contract-course", func() any { return ContractCourse(Lending, 3) }},
 		{"admitted", func() any { return Admitted(3, 0.9, Lending, 3) }},
+		{"cold-servers", func() any { return ColdServers(ColdPlan{Gateways: 12}, ColdPolicies[1].New, 3) }},
 		{"rebalance-day", func() any { return RebalanceDay(3, shape, dayCost, dayPolicies(shape)[5].make()) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -46,7 +47,7 @@
 			}
 		})
 	}
-	if got, want := len(All()), 9; got != want {
+	if got, want := len(All()), 10; got != want {
 		t.Errorf("experiments: got %d, want the %d that this test runs", got, want)
 	}
 }
