--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	go test ./core/config -run XXX -fuzz FuzzDecodeState -fuzztime $(FUZZ_TIME)
 	go test ./core/claim -run XXX -fuzz FuzzRecord -fuzztime $(FUZZ_TIME)
 	go test ./io/peer -run XXX -fuzz FuzzReceive -fuzztime $(FUZZ_TIME)
+	go test ./io/backend -run XXX -fuzz FuzzReply -fuzztime $(FUZZ_TIME)
 	go test ./core/eventstream -run XXX -fuzz FuzzEventEnd -fuzztime $(FUZZ_TIME)
 	go test ./core/expertmap -run XXX -fuzz FuzzDecodeLayout -fuzztime $(FUZZ_TIME)
 	go test ./gateway -run XXX -fuzz FuzzControl -fuzztime $(FUZZ_TIME)
