Bound the time between two probes of one gateway

Found while reading the change: with 1,600 gateways one of them would have waited up to 48 s between two requests to a closed group, so that one which no agent reaches finds out late that the group serves again. The bound is 2 s, and does not matter below 67 gateways. TestManyGatewaysProbeAClosedGroup has the case of 1,600 gateways, which fails without the bound.

Beside it, without a change of what is done: the time to a first event is looked up only where it is used, and two conditions of members.sharers have names of their own.

--- a/core/dispatch/outage.go
+++ b/core/dispatch/outage.go
@@ -14,6 +14,9 @@
 	// probeSpacing is the mean time between the requests of all gateways together. All of
 	// them learn from the engines' agents when the group serves again.
 	probeSpacing = 20 * time.Millisecond
+	// maxProbeSpread bounds the time between two requests of one gateway, so that a gateway
+	// that no agent reaches finds out in time.
+	maxProbeSpread = 2 * time.Second
 )
 
 // outage tracks whether a lock-step group, or a server without a group, rejects
@@ -59,7 +62,7 @@
 // probeSpread returns a random time of which the mean is probeSpacing for each gateway, so
 // that many gateways do not probe a group more often than few.
 func (d *Dispatcher) probeSpread() time.Duration {
-	return time.Duration((0.5 + d.rnd.Float64()) * float64(d.sharers.Gateways) * float64(probeSpacing))
+	return min(maxProbeSpread, time.Duration((0.5+d.rnd.Float64())*float64(d.sharers.Gateways)*float64(probeSpacing)))
 }
 
 // end marks the group as serving.
--- a/core/dispatch/outage_test.go
+++ b/core/dispatch/outage_test.go
@@ -140,6 +140,7 @@
 		{4, true, 45, 200 * time.Millisecond},
 		{54, true, 120, 200 * time.Millisecond},
 		{54, false, 120, 2 * time.Second},
+		{1600, false, 1600, 2200 * time.Millisecond},
 	}
 	for _, c := range cases {
 		var list []*dispatch.Dispatcher
--- a/core/dispatch/unresponsive.go
+++ b/core/dispatch/unresponsive.go
@@ -109,9 +109,9 @@
 	if sv.requests == 0 || now.Sub(a.last) > maxActivityGap {
 		return false
 	}
-	timeout := max(firstEventTimeout, slowGapFactor*sv.group.firstEvents.median(now))
-	if sv.hasSentEvent {
-		timeout = eventTimeout
+	timeout := eventTimeout
+	if !sv.hasSentEvent {
+		timeout = max(firstEventTimeout, slowGapFactor*sv.group.firstEvents.median(now))
 	}
 	if l := &sv.group.limiter; now.Sub(l.medianAt) <= maxGapAge {
 		timeout = max(timeout, slowGapFactor*l.medianGap)
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -71,8 +71,8 @@
 	m.heard(from.Hello.GetAddress(), now)
 	for _, a := range b.GetGateways() {
 		g.addMember(a)
-		m.introduced = true
 	}
+	m.introduced = m.introduced || len(b.GetGateways()) > 0
 	g.updateSharers(now)
 	loads := make(map[string]int, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -119,14 +119,14 @@
 // not heard: after a loss of power all start at the same time. Until the store or another
 // gateway has told it of others, it does not know how many there are.
 func (m *members) sharers(now, startedAt time.Time) dispatch.Sharers {
-	introduced := now.Sub(startedAt) >= introductionTime
-	if !introduced && !m.introduced {
+	settled := now.Sub(startedAt) >= introductionTime
+	if !settled && !m.introduced {
 		return dispatch.Sharers{}
 	}
 	s := dispatch.Sharers{Gateways: 1}
 	for a := range m.known {
 		at, heard := m.lastHeard[a]
-		if introduced && (!heard || now.Sub(at) >= memberTimeout) {
+		if settled && (!heard || now.Sub(at) >= memberTimeout) {
 			continue
 		}
 		s.Gateways++
