--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -214,9 +214,8 @@
 	return p
 }
 
-// restartAll stops all gateways before it starts as many again.
-func (d *deployment) restartAll() []*process {
-	d.t.Helper()
+// stopAll stops all gateways and returns how many there were.
+func (d *deployment) stopAll() int {
 	old := d.gateways
 	for _, p := range old {
 		p.stop()
@@ -225,7 +224,13 @@
 		<-p.done
 	}
 	d.gateways = nil
-	for range old {
+	return len(old)
+}
+
+// restartAll stops all gateways before it starts as many again.
+func (d *deployment) restartAll() []*process {
+	d.t.Helper()
+	for range d.stopAll() {
 		d.startReady()
 	}
 	return d.gateways
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -93,3 +93,51 @@
 		})
 	}
 }
+
+// Guards against a withdrawn key, or a server that has left, which is in use again after all
+// gateways have restarted at the same time while the store does not answer.
+func TestAllGatewaysRestartWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.keys = []string{"key-a", "key-b"}
+	d.publish()
+	leaving := d.addRunner(runner.Config{ID: "d1", Body: "ok"}, "desk")
+	d.addRunner(runner.Config{ID: "d2", Body: "ok"}, "desk")
+	for range 3 {
+		d.startReady()
+	}
+	eventually(t, "gateways are connected", d.connected)
+	d.announce("d1", "desk", "draining")
+	d.keys = []string{"key-a"}
+	d.publish()
+	status := func(p *process, key string) int {
+		return send(newRequest(p, http.MethodGet, "/lookup/1", key, "")).status
+	}
+	for i, p := range d.gateways {
+		eventually(t, fmt.Sprintf("gateway %d refuses the key", i), func() bool { return status(p, "key-b") == http.StatusUnauthorized })
+	}
+	time.Sleep(300 * time.Millisecond)
+	before := len(leaving.Runs())
+	d.store.SetFault(metastore.FaultUnavailable)
+	for range d.stopAll() {
+		d.start()
+	}
+	for i, p := range d.gateways {
+		eventually(t, fmt.Sprintf("gateway %d answers", i), func() bool { return status(p, "key-a") != 0 })
+		for _, key := range []string{"key-a", "key-b"} {
+			if got := status(p, key); got != http.StatusServiceUnavailable {
+				t.Errorf("%s at gateway %d while nobody knows a configuration: got %d, want 503", key, i, got)
+			}
+		}
+	}
+	d.store.SetFault(metastore.FaultNone)
+	for i, p := range d.gateways {
+		eventually(t, fmt.Sprintf("gateway %d serves", i), func() bool { return status(p, "key-a") == http.StatusOK })
+		if got := status(p, "key-b"); got != http.StatusUnauthorized {
+			t.Errorf("withdrawn key at gateway %d after the store is back: got %d, want 401", i, got)
+		}
+	}
+	if got := len(leaving.Runs()) - before; got > 0 {
+		t.Errorf("runs at the server that leaves: got %d, want none", got)
+	}
+}
