Forget the longest time that a caller of a route has stated

Callers of a route all looked like retries for good after one of them had stated a much longer deadline, say an hour: the age of a caller is taken from the longest time left that the route has seen. They came last in the queue, were never used to find out whether a group serves again, and waited during an outage instead of being rejected.

Now that time counts for 10 to 20 s. TestCallerAge: 20 s after a caller with an hour left the others had an age of 59 min 52 s, and have 0 now.

--- a/gateway/caller_age.go
+++ b/gateway/caller_age.go
@@ -8,15 +8,22 @@
 // have less time left than at their first attempt.
 const routeLearningPeriod = 2 * time.Second
 
+// longestPeriod is how long the longest time left that a caller has stated counts, and up
+// to twice as long. One caller that waits for much longer than the others would else make
+// all of them look like retries for good.
+const longestPeriod = 10 * time.Second
+
 // callerAges estimates how long ago a caller made its first attempt, by route. A
 // caller that retries after a failure has less time left than at its first
 // attempt.
 type callerAges map[string]*routeTimeLeft
 
 type routeTimeLeft struct {
-	// longest is the longest time left that a caller has stated.
-	longest   time.Duration
-	firstSeen time.Time
+	// longest is the longest time left that a caller has stated since begun, and before the
+	// longest one in the period before that.
+	longest, before time.Duration
+	begun           time.Time
+	firstSeen       time.Time
 }
 
 // age returns how long ago a caller with this time left made its first attempt;
@@ -25,12 +32,19 @@
 func (p callerAges) age(route string, left, timeout time.Duration, now time.Time) time.Duration {
 	r := p[route]
 	if r == nil {
-		r = &routeTimeLeft{firstSeen: now}
+		r = &routeTimeLeft{firstSeen: now, begun: now}
 		p[route] = r
 	}
+	if age := now.Sub(r.begun); age >= longestPeriod {
+		r.before, r.longest, r.begun = r.longest, 0, now
+		if age >= 2*longestPeriod {
+			r.before = 0
+		}
+	}
 	r.longest = max(r.longest, left)
+	longest := max(r.longest, r.before)
 	if now.Sub(r.firstSeen) < routeLearningPeriod {
-		return max(r.longest, timeout) - left
+		longest = max(longest, timeout)
 	}
-	return r.longest - left
+	return longest - left
 }
--- a/gateway/caller_age_test.go
+++ b/gateway/caller_age_test.go
@@ -25,6 +25,16 @@
 			t.Errorf("age of a caller with %v left at %v: got %v, want %v", tt.left, tt.at, got, tt.want)
 		}
 	}
+	// A caller that waits for much longer than others makes them look older for a time only.
+	if got := p.age("r", time.Hour, timeout, start.Add(6*time.Second)); got != 0 {
+		t.Errorf("age of a caller with an hour left: got %v, want 0", got)
+	}
+	for at := 7 * time.Second; at < 40*time.Second; at += 500 * time.Millisecond {
+		got := p.age("r", 8*time.Second, timeout, start.Add(at))
+		if at >= 6*time.Second+2*longestPeriod && got != 0 {
+			t.Errorf("age of a caller with the usual time left at %v: got %v, want 0", at, got)
+		}
+	}
 	// A route whose callers wait for less than its timeout.
 	p = callerAges{}
 	p.age("r", 4*time.Second, timeout, start)
