--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -62,6 +63,30 @@
 
 const coldTime = 8 * time.Second
 
+// BenchmarkOfferToColdServers measures a choice among servers of which few may get a request
+// now.
+func BenchmarkOfferToColdServers(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("%dservers-%dgateways", n.servers, n.gateways), func(b *testing.B) {
+			d := dispatch.New("z0", 1)
+			d.SetSharers(dispatch.Sharers{Gateways: n.gateways})
+			dep, list := servers(n.servers, 1000, false)
+			cfg := dep.Services["s"]
+			cfg.ColdRequestsPerSecond = 14
+			dep.Services["s"] = cfg
+			for i := range list {
+				list[i].ColdUntil = start.Add(time.Hour)
+			}
+			d.SetServers(dep, list, start)
+			for i := 0; b.Loop(); i++ {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				d.Offer(request(uint64(i), time.Duration(i)*time.Millisecond), now)
+				d.RemoveWaiting("s", uint64(i))
+			}
+		})
+	}
+}
+
 // Guards against gateways that together send a cold server more in a second than it bears,
 // or much less.
 func TestManyGatewaysShareAColdServer(t *testing.T) {
