--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"nutmegnotch/core"
 	"nutmegnotch/core/directory"
+	"nutmegnotch/core/ratelimit"
 )
 
 // Limits of queues and server choice.
@@ -88,6 +89,7 @@
 	byAddress map[string][]*server
 	busy      map[*server]bool
 	peers     peerLoads
+	limits    *ratelimit.Table
 	// choices counts calls of choose.
 	choices uint64
 }
@@ -96,7 +98,14 @@
 // equal choices.
 func New(domain string, seed uint64) *Dispatcher {
 	return &Dispatcher{domain: domain, services: map[string]*service{}, rnd: rand.New(rand.NewPCG(seed, seed)), sharers: Sharers{Gateways: 1}, engines: newEngines(),
-		listed: map[string]*server{}, byAddress: map[string][]*server{}, busy: map[*server]bool{}, peers: newPeerLoads()}
+		listed: map[string]*server{}, byAddress: map[string][]*server{}, busy: map[*server]bool{}, peers: newPeerLoads(), limits: ratelimit.New()}
+}
+
+// Limits returns the rate limits of the servers.
+func (d *Dispatcher) Limits() *ratelimit.Table { return d.limits }
+
+func limitProcess(sv *server) ratelimit.Process {
+	return ratelimit.Process{ServerID: sv.ID, StartedUnixMS: sv.StartedUnixMS}
 }
 
 // SetSharers sets the gateways that share the servers.
@@ -182,6 +191,7 @@
 	d.addRequests(sv, 1)
 	sv.tokens += r.Tokens
 	sv.cold.take(sv.ColdUntil, now)
+	d.limits.Sent(limitProcess(sv))
 	sv.health.sent(now)
 	sv.outage().sent(now, d.probeSpread())
 	return v
--- a/core/store.go
+++ b/core/store.go
@@ -73,6 +73,12 @@
 	// used.
 	Pause        time.Duration
 	InvalidPause string
+	// RateLimit is the requests a second that the server takes from all gateways together.
+	// It is valid if HasRateLimit is set. InvalidRateLimit is a statement that cannot be
+	// used.
+	RateLimit        float64
+	HasRateLimit     bool
+	InvalidRateLimit string
 	// Sealed reports that the reply has the seal of a backend server.
 	Sealed bool
 	// Running, Waiting and Slots are the load of the server. They are valid if
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -22,6 +22,7 @@
 	headerSeal           = "Nutmegnotch-Response-Seal"
 	headerNotRun         = "Nutmegnotch-Not-Run"
 	headerLeaving        = "Server-Leaving"
+	headerLimit          = "Server-Limit"
 	headerRetryAfter     = "Retry-After"
 	headerPromptParts    = "Nutmegnotch-Prompt-Prefix"
 )
@@ -93,6 +94,10 @@
 	conns    map[net.Conn]bool
 	// leaving makes all replies say that the Runner leaves.
 	leaving bool
+	// limits are the values of the header in which all replies name a rate limit.
+	limits []string
+	// arrivals holds when requests arrived, those that were rejected too.
+	arrivals []time.Time
 	// pausedUntil is until when requests are rejected, with pauseHeader as Retry-After.
 	pausedUntil time.Time
 	pauseHeader string
@@ -243,6 +248,7 @@
 		writeReply(c, "421 Misdirected Request", id, "", r.stateHeaders(), "")
 		return true
 	}
+	r.arrived()
 	if r.rejectPaused(c, id) {
 		return true
 	}
--- a/emulator/runner/state.go
+++ b/emulator/runner/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"time"
 )
 
@@ -37,10 +38,35 @@
 func (r *Runner) stateHeaders() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var b strings.Builder
 	if r.leaving {
-		return headerLeaving + ": 1\r\n"
+		b.WriteString(headerLeaving + ": 1\r\n")
 	}
-	return ""
+	for _, v := range r.limits {
+		b.WriteString(headerLimit + ": " + v + "\r\n")
+	}
+	return b.String()
+}
+
+// NameLimit makes all further replies name a rate limit, in one header for each value.
+// Without values they name none.
+func (r *Runner) NameLimit(values ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = values
+}
+
+func (r *Runner) arrived() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, time.Now())
+}
+
+// Arrivals returns when requests arrived, those that were rejected too.
+func (r *Runner) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.arrivals...)
 }
 
 // rejectPaused rejects a request during a pause. It reports whether it did.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -262,7 +262,7 @@
 	defer reply.Close()
 	a.sends++
 	r := g.cfg.Headers.Reply(reply.Status, reply.Header)
-	g.observeServer(v.Server, r)
+	g.observeServer(v.Server, r, a.sentAt)
 	switch {
 	case r.Misdirected:
 		g.logAttempt(a, v, "misdirected", reply.Status, nil)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,9 @@
 	ready               atomic.Bool
 	// hasCrashes is set while there may be crashes or broken runs, so that requests
 	// need no call to the task otherwise.
-	hasCrashes           atomic.Bool
+	hasCrashes atomic.Bool
+	// hasLimits is set while a server has a rate limit, for the same reason.
+	hasLimits            atomic.Bool
 	inFlight             atomic.Int64
 	bodyBytes            atomic.Int64
 	nextID               atomic.Uint64
@@ -145,6 +147,9 @@
 	// serversLearnedAt is when the servers were last read from the store, or newer
 	// records came from another gateway.
 	serversLearnedAt time.Time
+	// limitsAt and limitsLoggedAt are when the rate limits of servers were last published
+	// and logged.
+	limitsAt, limitsLoggedAt time.Time
 	// membersSentAt is when the addresses of the gateways were last sent to all.
 	membersSentAt time.Time
 	engineStates  *enginestate.Relay
@@ -334,6 +339,7 @@
 				g.broadcastGroupView(now)
 				g.cancelUnresponsiveSends(now)
 				g.expireBrokenRuns(now)
+				g.expireLimits(now)
 				g.hasCrashes.Store(g.state.brokenRuns.Len() > 0 || g.state.quarantine.HasCrashes())
 				if g.state.dispatcher.Waiting() > 0 {
 					g.deliver(g.state.dispatcher.DispatchWaiting(now))
--- a/gateway/server_state.go
+++ b/gateway/server_state.go
@@ -14,8 +14,9 @@
 )
 
 // observeServer applies what a reply of a server says of the server itself: that it
-// leaves, or that it wants no requests for a time.
-func (g *Gateway) observeServer(server core.BackendServer, r core.ReplyFields) {
+// leaves, that it wants no requests for a time or how many it takes. sent is when the
+// request of the reply was sent.
+func (g *Gateway) observeServer(server core.BackendServer, r core.ReplyFields, sent time.Time) {
 	if r.Misdirected {
 		// The reply comes from another server.
 		return
@@ -29,6 +30,7 @@
 	if r.Pause > 0 {
 		g.serverPaused(server, r.Pause)
 	}
+	g.observeLimit(server, r, sent)
 }
 
 // serverLeaving takes a server that has said that it leaves out of use, here and at the
