--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,6 +45,15 @@
 	// second, at completionRateAt.
 	completionRate   float64
 	completionRateAt time.Time
+	// limited reports that the last waiting request that was looked at waits for permits
+	// of servers with rate limits only. permits measures those that it has got, and
+	// nextReturn is when the last of the callers that it turned away should return.
+	limited bool
+	permits permitRate
+	// holding reports that all waiting requests wait for the home of a rate limit to answer
+	// only, so that others need not wait behind them.
+	holding    bool
+	nextReturn time.Time
 	// groups holds the lock-step groups by name. Servers without a group share
 	// the group with the empty name.
 	groups map[string]*group
@@ -101,13 +110,6 @@
 		listed: map[string]*server{}, byAddress: map[string][]*server{}, busy: map[*server]bool{}, peers: newPeerLoads(), limits: ratelimit.New()}
 }
 
-// Limits returns the rate limits of the servers.
-func (d *Dispatcher) Limits() *ratelimit.Table { return d.limits }
-
-func limitProcess(sv *server) ratelimit.Process {
-	return ratelimit.Process{ServerID: sv.ID, StartedUnixMS: sv.StartedUnixMS}
-}
-
 // SetSharers sets the gateways that share the servers.
 func (d *Dispatcher) SetSharers(s Sharers) { d.sharers = s }
 
@@ -191,7 +193,9 @@
 	d.addRequests(sv, 1)
 	sv.tokens += r.Tokens
 	sv.cold.take(sv.ColdUntil, now)
-	d.limits.Sent(limitProcess(sv))
+	if d.limits.Take(limitProcess(sv), now) {
+		s.permits.taken(now)
+	}
 	sv.health.sent(now)
 	sv.outage().sent(now, d.probeSpread())
 	return v
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -10,27 +10,54 @@
 func (d *Dispatcher) Offer(r Request, now time.Time) (Decision, bool) {
 	s := d.service(r.Service)
 	allOut := s.allInOutage()
-	if len(s.queue) == 0 || !s.queuedBefore(r, now) || allOut {
-		sv, full, opens := d.choose(s, r, now)
+	c := choice{onlyLimits: s.limited, permitAt: now}
+	if len(s.queue) == 0 || s.holding || !s.queuedBefore(r, now) || allOut {
+		c = d.choose(s, r, now)
 		switch {
-		case sv != nil:
-			return d.assign(s, sv, r, now), true
-		case !full && !opens.IsZero() && opens.After(r.QueueDeadline):
+		case c.awaitsPermit && s.hold(r, d.sharers.Gateways, now):
+			return Decision{}, false
+		case c.server != nil:
+			return d.assign(s, c.server, r, now), true
+		case !c.full && !c.opens.IsZero() && c.opens.After(r.QueueDeadline):
 			return s.reject(r, ReasonPaused, now), true
-		case !full && opens.IsZero() && !s.waitsForRecovery(r):
+		case !c.full && c.opens.IsZero() && !s.waitsForRecovery(r):
 			return s.reject(r, ReasonNoServer, now), true
 		}
 	}
+	full := len(s.queue) >= s.maxQueueLength(d.sharers.Gateways)
+	if c.onlyLimits {
+		if full || d.permitWait(s, len(s.queue)+1, c.permitAt, now).After(s.permitDeadline(r, now)) {
+			return d.rejectLimited(s, r, c.permitAt, now), true
+		}
+		s.enqueue(r, now)
+		return Decision{}, false
+	}
 	// During an outage or a pause the completion rate says nothing about the wait.
 	if wait := s.expectedWait(len(s.queue)+1, now); !allOut && s.opensAt(now).IsZero() && now.Add(wait).After(r.QueueDeadline) {
 		return s.reject(r, ReasonTooLate, now), true
 	}
-	if len(s.queue) >= s.maxQueueLength(d.sharers.Gateways) {
+	if full {
 		return s.reject(r, ReasonQueueFull, now), true
 	}
+	s.enqueue(r, now)
+	return Decision{}, false
+}
+
+func (s *service) enqueue(r Request, now time.Time) {
+	s.holding = false
 	s.queue = append(s.queue, r)
 	slices.SortStableFunc(s.queue, func(a, b Request) int { return compareRequests(a, b, now) })
-	return Decision{}, false
+}
+
+// hold queues a request until the home of a rate limit has answered, or for permitHold. It
+// reports false if the request has no time for that, or others wait for longer.
+func (s *service) hold(r Request, gateways int, now time.Time) bool {
+	if len(s.queue) > 0 && !s.holding || len(s.queue) >= s.maxQueueLength(gateways) || now.Add(permitHold).After(r.QueueDeadline) {
+		return false
+	}
+	s.enqueue(r, now)
+	s.holding = true
+	return true
 }
 
 // allInOutage reports whether all usable servers are out of service with their
@@ -110,6 +137,7 @@
 		}
 		slices.SortStableFunc(s.queue, func(a, b Request) int { return compareRequests(a, b, now) })
 		kept := s.queue[:0]
+		s.holding = false
 		// blocked is set when no server can take a request that may go to any of
 		// them, so that the remaining requests need not be tried.
 		blocked := false
@@ -122,17 +150,20 @@
 				kept = append(kept, r)
 				continue
 			}
-			sv, full, opens := d.choose(s, r, now)
+			c := d.choose(s, r, now)
+			s.limited = c.onlyLimits
 			switch {
-			case sv != nil:
-				out = append(out, d.assign(s, sv, r, now))
-			case !full && !opens.IsZero() && opens.After(r.QueueDeadline):
+			case c.server != nil:
+				out = append(out, d.assign(s, c.server, r, now))
+			case c.onlyLimits && d.permitWait(s, len(kept)+1, c.permitAt, now).After(r.QueueDeadline):
+				out = append(out, d.rejectLimited(s, r, c.permitAt, now))
+			case !c.full && !c.opens.IsZero() && c.opens.After(r.QueueDeadline):
 				out = append(out, s.reject(r, ReasonPaused, now))
-			case !full && opens.IsZero() && !s.waitsForRecovery(r):
+			case !c.full && c.opens.IsZero() && !s.waitsForRecovery(r):
 				out = append(out, s.reject(r, ReasonNoServer, now))
 			default:
 				kept = append(kept, r)
-				blocked = full && len(r.Tried) == 0 && !r.Resumed
+				blocked = c.full && len(r.Tried) == 0 && !r.Resumed
 			}
 		}
 		s.queue = kept
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -38,6 +38,7 @@
 	ReasonBudget    Reason = "retry_budget"
 	ReasonLeaving   Reason = "leaving"
 	ReasonPaused    Reason = "servers_paused"
+	ReasonLimited   Reason = "servers_limited"
 )
 
 // Decision is the result for one request: a server, or the reason of its
--- a/emulator/experiment/experiment.go
+++ b/emulator/experiment/experiment.go
@@ -30,7 +30,7 @@
 func All() []Experiment {
 	return []Experiment{
 		overload(), domainLeaves(), clusterOverload(), reportInterval(), hog(),
-		slowReaders(), contractCourse(), admitted(), rebalanceDay(), coldServers(),
+		slowReaders(), contractCourse(), admitted(), rebalanceDay(), coldServers(), serverLimits(),
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -109,12 +109,14 @@
 	ch := make(chan dispatch.Decision, 1)
 	r := a.request(g.nextID.Add(1))
 	g.task.Do(func() {
-		v, decided := g.state.dispatcher.Offer(r, time.Now())
+		now := time.Now()
+		v, decided := g.state.dispatcher.Offer(r, now)
 		if decided {
 			ch <- v
-			return
+		} else {
+			g.state.waiting[r.ID] = ch
 		}
-		g.state.waiting[r.ID] = ch
+		g.askPermits(now)
 	})
 	select {
 	case v := <-ch:
@@ -329,9 +331,7 @@
 			g.requestCompleted(a.keys, now)
 		}
 		g.state.dispatcher.Finished(a.service, v.Server, a.fields.PromptTokens+a.expectedTokens(), o, now)
-		if g.state.dispatcher.Waiting() > 0 {
-			g.deliver(g.state.dispatcher.DispatchWaiting(now))
-		}
+		g.dispatchWaiting(now)
 	})
 }
 
--- a/gateway/frames_fuzz_test.go
+++ b/gateway/frames_fuzz_test.go
@@ -78,6 +78,14 @@
 		{Body: &peerpb.Frame_ServerStates{ServerStates: &peerpb.ServerStates{
 			Leaving: []*peerpb.ServerProcess{{ServerId: "a", StartedUnixMs: -1}}, Paused: []*peerpb.ServerPause{{ServerId: "a", Ms: math.MaxUint32}},
 		}}},
+		{Body: &peerpb.Frame_ServerStates{ServerStates: &peerpb.ServerStates{Limits: []*peerpb.ServerLimit{
+			{ServerId: "a", PerSecond: math.NaN()}, {ServerId: "b", PerSecond: math.Inf(1), MsAgo: math.MinInt64}, {ServerId: "c", PerSecond: -1},
+			{ServerId: "d", PerSecond: math.MaxFloat64, MsAgo: math.MaxInt64}, {ServerId: "e"}, {Ended: true, PerSecond: math.NaN()},
+		}}}},
+		{Body: &peerpb.Frame_Permits{Permits: &peerpb.Permits{
+			Requests: []*peerpb.PermitRequest{{}, {ServerId: "e", Seq: math.MaxUint64, Count: math.MaxUint32}},
+			Grants:   []*peerpb.PermitGrant{{}, {ServerId: "e", Count: math.MaxUint32, WaitMs: math.MaxUint32}},
+		}}},
 		{Body: &peerpb.Frame_CrashRecords{CrashRecords: &peerpb.CrashRecords{
 			Crashes: []*peerpb.RequestCrash{{StartedMsAgo: math.MinInt64, EndedMsAgo: math.MaxInt64}, {}}, Served: []*peerpb.ServedRequest{{MsAgo: math.MinInt64}},
 		}}},
@@ -102,6 +110,14 @@
 			g.heartbeatFrame(true)
 			g.groupView()
 			g.cancelUnresponsiveSends(now)
+			g.refreshLimitHomes(now)
+			g.askPermits(now)
+			g.expireLimits(now)
+			for _, l := range g.state.dispatcher.Limits().Limits(now) {
+				if !(l.Rate >= 0) || math.IsInf(l.Rate, 0) {
+					t.Errorf("limit of %v: got %v, want a rate", l.Process, l.Rate)
+				}
+			}
 			if got := len(g.state.members.known); got > maxMembers {
 				t.Errorf("known gateways: got %d, want at most %d", got, maxMembers)
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -341,14 +341,20 @@
 				g.expireBrokenRuns(now)
 				g.expireLimits(now)
 				g.hasCrashes.Store(g.state.brokenRuns.Len() > 0 || g.state.quarantine.HasCrashes())
-				if g.state.dispatcher.Waiting() > 0 {
-					g.deliver(g.state.dispatcher.DispatchWaiting(now))
-				}
+				g.dispatchWaiting(now)
 			})
 		}
 	}
 }
 
+// dispatchWaiting assigns servers to waiting requests. It runs in the task.
+func (g *Gateway) dispatchWaiting(now time.Time) {
+	if g.state.dispatcher.Waiting() > 0 {
+		g.deliver(g.state.dispatcher.DispatchWaiting(now))
+		g.askPermits(now)
+	}
+}
+
 // deliver passes decisions to the requests that wait for them. It runs in the task.
 func (g *Gateway) deliver(decisions []dispatch.Decision) {
 	for _, d := range decisions {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -209,6 +209,7 @@
 		fingerprintField(c.fingerprint), zap.Int("status", ref.status), zap.String("reason", ref.reason), zap.String("prompt_part", c.blockedPart), zap.Duration("retry_after", ref.retryAfter),
 		zap.Int64("version", c.version), zap.Duration("held", time.Since(c.arrived)))
 	c.outcome = "refused_" + strconv.Itoa(ref.status)
+	refusalsByReason.Add(ref.reason, 1)
 	h := c.w.Header()
 	if ref.retryAfter > 0 {
 		h.Set(headerRetryAfter, strconv.FormatFloat(ref.retryAfter.Seconds(), 'f', 2, 64))
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -34,7 +34,9 @@
 	m := g.state.members
 	interval := heartbeatInterval(m.countLive(now))
 	g.state.dispatcher.SetReportInterval(interval)
-	g.activeGateways.Store(int64(m.countHeard(now, max(minActiveAge, activeIntervals*interval))))
+	m.activeAge = max(minActiveAge, activeIntervals*interval)
+	g.activeGateways.Store(int64(m.countHeard(now, m.activeAge)))
+	g.refreshLimitHomes(now)
 	withMembers := m.changed || now.Sub(g.state.membersSentAt) >= membersRepeatInterval
 	if withMembers {
 		m.changed, g.state.membersSentAt = false, now
@@ -69,6 +71,7 @@
 func (g *Gateway) onHeartbeat(from *peer.Session, b *peerpb.DirectoryBeat, now time.Time) {
 	m := g.state.members
 	m.heard(from.Hello.GetAddress(), now)
+	m.ids[from.Hello.GetAddress()] = from.Hello.GetId()
 	for _, a := range b.GetGateways() {
 		g.addMember(a)
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -42,6 +42,10 @@
 	// known is when each address was last learned from the settings, the store or a
 	// gateway that hears it.
 	known map[string]time.Time
+	// ids are the ids of the gateways that were heard, by address.
+	ids map[string]string
+	// activeAge is the time after its last heartbeat for which a gateway counts as reached.
+	activeAge time.Duration
 	// seeds are addresses that are never forgotten.
 	seeds []string
 	// records are the addresses in the store by the id of the gateway, and removals the
@@ -60,7 +64,7 @@
 	}
 	m := &members{
 		self: self, forgetAfter: forgetAfter, lastHeard: map[string]time.Time{}, known: map[string]time.Time{},
-		records: map[string]string{}, removals: map[string]time.Time{},
+		records: map[string]string{}, removals: map[string]time.Time{}, ids: map[string]string{}, activeAge: minActiveAge,
 	}
 	m.setSeeds(seeds, time.Now())
 	return m
@@ -137,6 +141,34 @@
 	return s
 }
 
+// reached returns the gateways that this one hears, with itself, and the number of those
+// that may send requests to the same servers, heard or not. It returns none while it cannot
+// know which there are. An address that nobody has heard and the store does not list counts
+// only while this gateway hears no other.
+func (m *members) reached(now, startedAt time.Time) (addresses []string, sharing int) {
+	settled := now.Sub(startedAt) >= introductionTime
+	if !settled && !m.introduced {
+		return nil, 0
+	}
+	addresses = []string{m.self}
+	for a, at := range m.lastHeard {
+		if now.Sub(at) < m.activeAge {
+			addresses = append(addresses, a)
+		}
+	}
+	listed := make(map[string]bool, len(m.records))
+	for _, a := range m.records {
+		listed[a] = true
+	}
+	sharing = 1
+	for a := range m.known {
+		if _, heard := m.lastHeard[a]; heard || listed[a] || !settled || len(addresses) == 1 {
+			sharing++
+		}
+	}
+	return addresses, sharing
+}
+
 // countKnown returns the number of gateways that are known, heard or not, including this
 // one.
 func (m *members) countKnown() int { return len(m.known) + 1 }
@@ -172,6 +204,7 @@
 		out = append(out, a)
 		delete(m.known, a)
 		delete(m.lastHeard, a)
+		delete(m.ids, a)
 		for id, listed := range m.records {
 			if listed == a {
 				// The gateways that remain try at different times.
--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -140,3 +140,76 @@
 		}
 	}
 }
+
+// Guards against gateways that do not hear each other and together use more of a limit than
+// one and a half times of it, and against a lost minority that costs the others their part.
+func TestPartsOfALimitAddUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rnd := rand.New(rand.NewPCG(7, 7))
+	for range 500 {
+		n := 1 + rnd.IntN(20)
+		addresses, group := make([]string, n), make([]int, n)
+		for i := range n {
+			addresses[i], group[i] = fmt.Sprintf("127.0.0.1:%d", 1000+i), rnd.IntN(1+rnd.IntN(n))
+		}
+		parts := map[int]float64{}
+		for i, a := range addresses {
+			m := newMembers(a, addresses, 0)
+			m.introduced = true
+			for j, other := range addresses {
+				m.listed(other, other)
+				if group[i] == group[j] {
+					m.heard(other, now)
+				}
+			}
+			reached, sharing := m.reached(now, now.Add(-time.Hour))
+			parts[group[i]] = limitPart(len(reached), sharing)
+			if 2*len(reached) > n && parts[group[i]] != 1 {
+				t.Errorf("part of %d of %d gateways: got %v, want 1", len(reached), n, parts[group[i]])
+			}
+		}
+		sum := 0.0
+		for _, p := range parts {
+			sum += p
+		}
+		if sum > 1.5 {
+			t.Errorf("parts of %d gateways in groups %v: got %v, want at most 1.5", n, group, sum)
+		}
+	}
+}
+
+// Guards against a gateway that takes itself for the only one before it can know others, or
+// that counts addresses which nobody uses any more for good.
+func TestGatewaysThatShareALimit(t *testing.T) {
+	started := time.Unix(1000, 0)
+	const other, stale = "127.0.0.1:2", "127.0.0.1:3"
+	cases := []struct {
+		name       string
+		introduced bool
+		// heard is when the other gateway was last heard, or 0 if never.
+		heard, now    time.Duration
+		listed        bool
+		reached, sums int
+	}{
+		{"just started", false, 0, time.Second, false, 0, 0},
+		{"introduced", true, 0, time.Second, true, 1, 3},
+		{"hears another", true, time.Second, time.Second, true, 2, 3},
+		{"settled", true, 10 * time.Second, 10 * time.Second, true, 2, 2},
+		{"settled and cut off", true, time.Second, 10 * time.Second, true, 1, 3},
+		{"settled without having heard any", true, 0, 10 * time.Second, false, 1, 3},
+	}
+	for _, c := range cases {
+		m := newMembers("127.0.0.1:1", []string{other, stale}, 0)
+		m.introduced = c.introduced
+		if c.listed {
+			m.listed("b", other)
+		}
+		if c.heard > 0 {
+			m.heard(other, started.Add(c.heard))
+		}
+		reached, sharing := m.reached(started.Add(c.now), started)
+		if len(reached) != c.reached || sharing != c.sums {
+			t.Errorf("%s: got %d reached of %d, want %d of %d", c.name, len(reached), sharing, c.reached, c.sums)
+		}
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 var (
 	requestsByOutcome = expvar.NewMap("gateway_requests")
 	sendsByOutcome    = expvar.NewMap("gateway_sends")
+	refusalsByReason  = expvar.NewMap("gateway_refusals")
 	// replyEnds counts complete replies by their framing, and streams that ended inside
 	// an event.
 	replyEnds        = expvar.NewMap("gateway_reply_ends")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -31,6 +31,7 @@
 		g.sendCrashRecords(s)
 		g.sendServedParts(s)
 		g.sendLeaving(s)
+		g.sendLimits(s)
 		return
 	}
 	var f *peerpb.Frame
@@ -69,6 +70,8 @@
 		g.onEngineStates(b.EngineStates.GetStates(), now)
 	case *peerpb.Frame_ServerStates:
 		g.onServerStates(from, b.ServerStates, now)
+	case *peerpb.Frame_Permits:
+		g.onPermits(from, b.Permits, now)
 	case *peerpb.Frame_CrashRecords:
 		g.applyCrashRecords(b.CrashRecords, from.Hello.GetId(), now)
 	}
@@ -100,9 +103,7 @@
 	for _, s := range states {
 		d.SetEngineState(s.GetEngineAddress(), s.GetPace(), s.GetOpen(), now)
 	}
-	if d.Waiting() > 0 {
-		g.deliver(d.DispatchWaiting(now))
-	}
+	g.dispatchWaiting(now)
 }
 
 // passOnEngineStates sends the other gateways the states that are due. A rank agent has
--- a/gateway/server_limits_test.go
+++ b/gateway/server_limits_test.go
@@ -185,12 +185,6 @@
 		{"record written again", limitPlay{values: []string{"10"}, limit: 10, gateways: 4, meanwhile: record(0)}},
 		{"record gone and back", limitPlay{values: []string{"10"}, limit: 10, gateways: 4, meanwhile: record(400 * time.Millisecond)}},
 		{"new configuration", limitPlay{values: []string{"10"}, limit: 10, gateways: 4, meanwhile: func(d *deployment, _ *runner.Runner) { d.publish() }}},
-		{"rejections", limitPlay{values: []string{"10"}, limit: 10, gateways: 2, meanwhile: func(_ *deployment, limited *runner.Runner) {
-			for range 6 {
-				limited.Fail(runner.FaultNotRun)
-				time.Sleep(time.Second)
-			}
-		}}},
 		{"callers that leave", limitPlay{values: []string{"10"}, limit: 10, gateways: 2, meanwhile: func(d *deployment, _ *runner.Runner) {
 			for range 600 {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
@@ -219,18 +213,38 @@
 // Guards against callers that wait, or that all come back at the same time, although no
 // server may take their requests.
 func TestOnlyServerNamesALimit(t *testing.T) {
-	t.Parallel()
 	const length = 8500 * time.Millisecond
-	p := limitPlay{values: []string{"20"}, limit: 20, gateways: 4, servers: 1, method: http.MethodGet, path: "/lookup/1", length: length}
-	res := p.run(t)
-	res.check(t, p.limit, limitSettles, length)
-	if res.slow > len(res.refused)/10 {
-		t.Errorf("refusals after more than %v: got %d of %d, want at most a tenth", slowRefusal, res.slow, len(res.refused))
+	cases := []struct {
+		name      string
+		gateways  int
+		uneven    bool
+		meanwhile func(d *deployment, limited *runner.Runner)
+	}{
+		{"four gateways", 4, false, nil},
+		{"nearly all callers at one gateway", 4, true, nil},
+		{"rejections", 2, false, func(_ *deployment, limited *runner.Runner) {
+			for range 30 {
+				limited.Fail(runner.FaultNotRun)
+				time.Sleep(200 * time.Millisecond)
+			}
+		}},
 	}
-	for v, n := range res.retryAfter {
-		if s, err := strconv.ParseFloat(v, 64); err != nil || s <= 0 || n > len(res.refused)/4 {
-			t.Errorf("Retry-After %q: got it in %d of %d refusals, want times above 0 that differ", v, n, len(res.refused))
-		}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := limitPlay{values: []string{"20"}, limit: 20, gateways: c.gateways, uneven: c.uneven, servers: 1, method: http.MethodGet, path: "/lookup/1",
+				length: length, meanwhile: c.meanwhile}
+			res := p.run(t)
+			res.check(t, p.limit, limitSettles, length)
+			if res.slow > len(res.refused)/10 {
+				t.Errorf("refusals after more than %v: got %d of %d, want at most a tenth", slowRefusal, res.slow, len(res.refused))
+			}
+			for v, n := range res.retryAfter {
+				if s, err := strconv.ParseFloat(v, 64); err != nil || s <= 0 || n > len(res.refused)/4 {
+					t.Errorf("Retry-After %q: got it in %d of %d refusals, want times above 0 that differ", v, n, len(res.refused))
+				}
+			}
+		})
 	}
 }
 
--- a/gateway/server_state.go
+++ b/gateway/server_state.go
@@ -100,4 +100,13 @@
 	for _, p := range s.GetPaused() {
 		g.state.dispatcher.PeerPaused(p.GetServerId(), time.Duration(p.GetMs())*time.Millisecond, now)
 	}
+	for _, l := range s.GetLimits() {
+		st := limitStatement(l, now)
+		if !st.Valid() {
+			g.log.Warn("gateway passed on a rate limit that cannot be used", zap.String("peer", from.Hello.GetId()),
+				zap.String("server", l.GetServerId()), zap.Float64("per_second", l.GetPerSecond()))
+			continue
+		}
+		g.applyLimit(st, now)
+	}
 }
