--- a/emulator/day/day.go
+++ b/emulator/day/day.go
@@ -304,6 +304,8 @@
 	reports     int
 	// leftAt is when its answers began to say that it leaves.
 	leftAt time.Time
+	// limitedFrom and limitedUntil are when it began and stopped naming a rate limit.
+	limitedFrom, limitedUntil time.Time
 }
 
 func (d *day) addServer(service string) (*server, error) {
--- a/emulator/day/faults.go
+++ b/emulator/day/faults.go
@@ -24,6 +24,15 @@
 	maxOutage  = 400 * time.Millisecond
 	maxSpread  = 2 * time.Second
 	maxPause   = 2 * time.Second
+	// A server names a limit of limitRate requests a second for up to maxLimitTime. In any
+	// limitWindow, later than limitSlack after it began, it gets limitFactor times that and
+	// limitExtra requests at most.
+	limitRate    = 20
+	maxLimitTime = 8 * time.Second
+	limitWindow  = 4 * time.Second
+	limitSlack   = 3 * time.Second
+	limitFactor  = 1.5
+	limitExtra   = 5
 	// removedAfter is the time from the first word that a server leaves to its removal.
 	removedAfter = 2500 * time.Millisecond
 )
@@ -40,7 +49,8 @@
 }
 
 // schedule draws the faults of a day: two returns of the store, the restart of a gateway
-// around the first one, two servers that leave, two pauses, and configurations.
+// around the first one, two servers that leave, two pauses, configurations, and a server
+// that names a rate limit.
 func (d *day) schedule(length time.Duration) []fault {
 	var out []fault
 	add := func(at time.Duration, run func()) { out = append(out, fault{at, run}) }
@@ -64,9 +74,46 @@
 	for at := d.between(0, time.Second); at < length; at += d.between(700*time.Millisecond, 2*time.Second) {
 		add(at, func() { d.watchVersion(d.publish()) })
 	}
+	limits := rand.New(rand.NewPCG(uint64(first), 3))
+	limited := d.servers[2+limits.IntN(deskServers-2)]
+	from := time.Duration(limits.Int64N(int64(length / 3)))
+	add(from, func() { limited.nameLimit(limitRate) })
+	add(from+limitSlack+time.Duration(limits.Int64N(int64(maxLimitTime-limitSlack))), limited.endLimit)
 	return out
 }
 
+// nameLimit makes a server name a rate limit.
+func (s *server) nameLimit(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limitedFrom = time.Now()
+	s.runner.NameLimit(fmt.Sprint(rate))
+}
+
+func (s *server) endLimit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limitedUntil = time.Now()
+	s.runner.NameLimit()
+}
+
+// checkLimit checks that a server with a rate limit has got no more than that.
+func (d *day) checkLimit(s *server) {
+	var list []time.Time
+	for _, at := range s.runner.Arrivals() {
+		if !s.limitedFrom.IsZero() && at.After(s.limitedFrom.Add(limitSlack)) && at.Before(s.limitedUntil) {
+			list = append(list, at)
+		}
+	}
+	allowed := int(limitFactor*limitRate*limitWindow.Seconds() + limitExtra)
+	for i := allowed; i < len(list); i++ {
+		if list[i].Sub(list[i-allowed]) < limitWindow {
+			d.violate("%s got more than %d requests in %v, with a limit of %d a second", s.id, allowed, limitWindow, limitRate)
+			return
+		}
+	}
+}
+
 func (d *day) server(i int) *server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -158,6 +205,7 @@
 			}
 		}
 		d.checkPauses(s)
+		d.checkLimit(s)
 	}
 	for id, n := range runs {
 		if d.once[id] && n > 1 {
--- a/emulator/experiment/experiment_test.go
+++ b/emulator/experiment/experiment_test.go
@@ -35,6 +35,7 @@
 		{"contract-course", func() any { return ContractCourse(Lending, 3) }},
 		{"admitted", func() any { return Admitted(3, 0.9, Lending, 3) }},
 		{"cold-servers", func() any { return ColdServers(ColdPlan{Gateways: 12}, ColdPolicies[1].New, 3) }},
+		{"server-limits", func() any { return PlayServerLimit(LimitPlans[4], LimitPolicies[4].New, 3) }},
 		{"rebalance-day", func() any { return RebalanceDay(3, shape, dayCost, dayPolicies(shape)[5].make()) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -47,7 +48,7 @@
 			}
 		})
 	}
-	if got, want := len(All()), 10; got != want {
+	if got, want := len(All()), 11; got != want {
 		t.Errorf("experiments: got %d, want the %d that this test runs", got, want)
 	}
 }
--- a/io/cli/explain.go
+++ b/io/cli/explain.go
@@ -24,6 +24,13 @@
 var crashMessages = []string{"crash counted", "request is quarantined, since it crashes backend servers",
 	"request cleared, since a backend server has served it"}
 
+// limitMessages are the log messages about the rate limits of servers. The last one of each
+// server explains a request that was refused for limitReason.
+var limitMessages = []string{"server named a rate limit", "server names no rate limit any more",
+	"rate limit of a server ended, since no reply has named it for long", "rate limit ended with the process of its server"}
+
+const limitReason = "servers_limited"
+
 // maxCrashLines is the number of latest lines about crashes that explain a request.
 const maxCrashLines = 16
 
@@ -70,14 +77,15 @@
 }
 
 // requestLines returns the lines of a log file about a request, preceded by the last line
-// of each state message before the first of them, and by those about crashes of equal
-// requests. It skips lines that are not JSON, since
+// of each state message before the first of them, by those about crashes of equal requests
+// and by those about the rate limits for which it was refused. It skips lines that are not JSON, since
 // other programs may write to the same file.
 func requestLines(name string, r io.Reader, id string) ([]logLine, error) {
 	var found []logLine
 	begun := false
 	lastState := map[string]logLine{}
 	crashes := map[string][]logLine{}
+	limits := map[string]logLine{}
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLogLineBytes)
 	for s.Scan() {
@@ -93,9 +101,18 @@
 			list := append(crashes[fingerprint], l)
 			crashes[fingerprint] = list[max(0, len(list)-maxCrashLines):]
 		}
+		if slices.Contains(limitMessages, l.message) {
+			server, _ := l.fields["server"].(string)
+			limits[server] = l
+		}
 		if l.fields["request_id"] != id {
 			continue
 		}
+		if l.fields["reason"] == limitReason {
+			for _, limit := range limits {
+				found = append(found, limit)
+			}
+		}
 		found = append(found, crashes[fingerprint]...)
 		delete(crashes, fingerprint)
 		if !begun {
--- a/io/cli/explain_test.go
+++ b/io/cli/explain_test.go
@@ -68,3 +68,39 @@
 		t.Errorf("output: got %q, want nothing of other requests or after the refusal", got)
 	}
 }
+
+// Guards against a request that was refused because of rate limits of which the limits are
+// not shown, and against limits beside a request that was refused for another reason.
+func TestExplainLimits(t *testing.T) {
+	const log = `{"level":"info","time":"2026-01-01T10:00:00Z","msg":"server named a rate limit","server":"s1","per_second":5}
+{"level":"info","time":"2026-01-01T10:00:01Z","msg":"server named a rate limit","server":"s1","per_second":2}
+{"level":"info","time":"2026-01-01T10:00:02Z","msg":"request refused","request_id":"r1","reason":"servers_limited"}
+{"level":"info","time":"2026-01-01T10:00:03Z","msg":"request refused","request_id":"r2","reason":"queue_full"}
+`
+	file := filepath.Join(t.TempDir(), "gateway.log")
+	if err := os.WriteFile(file, []byte(log), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		id   string
+		want []string
+	}{
+		{"r1", []string{"server named a rate limit per_second=2 server=s1", "request refused reason=servers_limited"}},
+		{"r2", []string{"request refused reason=queue_full"}},
+	}
+	for _, c := range cases {
+		var out, errs bytes.Buffer
+		if got, want := run([]string{"explain", c.id, file}, &out, &errs), ExitOK; got != want {
+			t.Fatalf("exit code: got %d (%s), want %d", got, errs.String(), want)
+		}
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		if len(lines) != len(c.want) {
+			t.Fatalf("%s: got %q, want %d lines", c.id, lines, len(c.want))
+		}
+		for i, w := range c.want {
+			if !strings.HasSuffix(lines[i], w) {
+				t.Errorf("%s, line %d: got %q, want it to end with %q", c.id, i, lines[i], w)
+			}
+		}
+	}
+}
