--- a/core/dispatch/limit_test.go
+++ b/core/dispatch/limit_test.go
@@ -258,3 +258,27 @@
 		}
 	}
 }
+
+// BenchmarkOfferToLimitedServers measures a choice among servers that all name limits, of
+// which few may get a request now.
+func BenchmarkOfferToLimitedServers(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("%dservers-%dgateways", n.servers, n.gateways), func(b *testing.B) {
+			d := dispatch.New("z0", 1)
+			d.SetSharers(dispatch.Sharers{Gateways: n.gateways})
+			dep, list := servers(n.servers, 1000, false)
+			d.SetServers(dep, list, start)
+			for _, sv := range list {
+				p := ratelimit.Process{ServerID: sv.ID}
+				d.Limits().State(ratelimit.Statement{Process: p, Rate: 2, Named: true, Sent: start}, start)
+				d.Limits().SetHome(p, ratelimit.Home{Address: "other", Part: 1})
+			}
+			for i := 0; b.Loop(); i++ {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				d.Offer(request(uint64(i), time.Duration(i)*time.Millisecond), now)
+				d.RemoveWaiting("s", uint64(i))
+				d.Limits().Asks(now)
+			}
+		})
+	}
+}
--- a/emulator/experiment/server_limits.go
+++ b/emulator/experiment/server_limits.go
@@ -45,6 +45,8 @@
 	take(gateway int, request uint64, now time.Time) bool
 	// step passes messages on. It is called once in limitStep.
 	step(now time.Time)
+	// messages returns the number of messages so far.
+	messages() int
 }
 
 // LimitPolicies are the ways in which gateways keep a server within its limit, baselines
@@ -87,6 +89,8 @@
 
 func (f *bucketFleet) step(time.Time) {}
 
+func (f *bucketFleet) messages() int { return 0 }
+
 // turnFleet uses the turns of cold servers.
 type turnFleet struct{ gateways []*dispatch.Dispatcher }
 
@@ -110,6 +114,8 @@
 
 func (f *turnFleet) step(time.Time) {}
 
+func (f *turnFleet) messages() int { return 0 }
+
 // limitMessage is a message between gateways that is delivered at a time.
 type limitMessage struct {
 	at      time.Time
@@ -117,9 +123,15 @@
 }
 
 // limitMessages delivers messages in the order of their times.
-type limitMessages struct{ list []limitMessage }
+type limitMessages struct {
+	list []limitMessage
+	sent int
+}
+
+func (m *limitMessages) messages() int { return m.sent }
 
 func (m *limitMessages) send(now time.Time, deliver func(now time.Time)) {
+	m.sent++
 	m.list = append(m.list, limitMessage{now.Add(limitDelay), deliver})
 }
 
@@ -265,6 +277,8 @@
 	// LeastShare is the share of its requests that the worst tenth of the gateways served,
 	// relative to the share of all.
 	LeastShare float64
+	// Messages is the number of messages between gateways in a second.
+	Messages float64
 }
 
 // waitingRequest is a request that waits at a gateway.
@@ -330,6 +344,7 @@
 		res.Wait = waited / time.Duration(count)
 	}
 	res.LeastShare = leastShare(asked, served)
+	res.Messages = float64(fleet.messages()) / limitTime.Seconds()
 	return res
 }
 
@@ -369,14 +384,14 @@
 		Name: "server-limits",
 		About: "Gateways that share a server which takes a limited rate, with 4 times as much demand. With little patience a request goes to " +
 			"another server. The rule allows 6 times the limit + 5 requests in 4 s.",
-		Columns: []string{"most requests in 4 s", "allowed", "used, % of the limit", "mean wait, ms", "worst tenth of gateways, share of the mean"},
+		Columns: []string{"most requests in 4 s", "allowed", "used, % of the limit", "mean wait, ms", "worst tenth of gateways, share of the mean", "messages a second"},
 		Run: func(seed uint64) []Row {
 			var rows []Row
 			for _, policy := range LimitPolicies {
 				for _, p := range LimitPlans {
 					r := PlayServerLimit(p, policy.New, seed)
 					rows = append(rows, Row{fmt.Sprintf("%s/gateways=%d/limit=%v/uneven=%t/patience=%v", policy.Name, p.Gateways, p.Limit, p.Uneven, p.Patience),
-						[]float64{float64(r.Most), 6*p.Limit + 5, 100 * r.Used, float64(r.Wait.Milliseconds()), r.LeastShare}})
+						[]float64{float64(r.Most), 6*p.Limit + 5, 100 * r.Used, float64(r.Wait.Milliseconds()), r.LeastShare, r.Messages}})
 				}
 			}
 			return rows
