--- a/core/directory/era.go
+++ b/core/directory/era.go
@@ -126,12 +126,13 @@
 	return ChangeServers
 }
 
-// Leaving returns the servers that leave.
+// Leaving returns the processes that leave or have left, by id and start time. Those that
+// are no longer listed are included, since a copy of the store may list them again.
 func (d *Directory) Leaving() []core.BackendServer {
 	var out []core.BackendServer
-	for _, e := range d.servers {
-		if e.server.State == core.BackendLeaving {
-			out = append(out, e.server)
+	for id, p := range d.processes.byID {
+		if p.leaving && (p.startedUnixMS != 0 || p.goneAt.IsZero()) {
+			out = append(out, core.BackendServer{ID: id, StartedUnixMS: p.startedUnixMS})
 		}
 	}
 	return out
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -151,3 +151,42 @@
 		t.Errorf("new key after it is written again: got %d, want 200", got)
 	}
 }
+
+// Guards against a server that has left and is used again by a gateway that was restarted,
+// because the store comes back from a copy that lists it as ready.
+func TestRestartedGatewayKnowsServersThatHaveLeft(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.publish()
+	left := d.addRunner(runner.Config{ID: "d1", Body: "ok"}, "desk")
+	d.addRunner(runner.Config{ID: "d2", Body: "ok"}, "desk")
+	for range 2 {
+		d.startReady()
+	}
+	eventually(t, "the gateways are connected", d.connected)
+	ask := func(p *process) int { return send(newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")).status }
+	time.Sleep(200 * time.Millisecond)
+	copied := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	left.Leave()
+	eventually(t, "a gateway knows that the server leaves", func() bool {
+		ask(d.gateways[0])
+		return d.gateways[0].logs.FilterMessage("server says that it leaves").Len() > 0
+	})
+	d.announce("d1", "desk", "draining")
+	time.Sleep(200 * time.Millisecond)
+	d.store.Put("keyed.servers", "d1", nil)
+	time.Sleep(200 * time.Millisecond)
+	p := d.restart(1)
+	eventually(t, "the gateways are connected again", d.connected)
+	before := len(left.Runs())
+	d.store.Restore(time.Since(copied))
+	for ends := time.Now().Add(time.Second); time.Now().Before(ends); {
+		if got := ask(p); got != http.StatusOK {
+			t.Fatalf("request after the return: got %d, want 200", got)
+		}
+	}
+	if got := len(left.Runs()) - before; got > 0 {
+		t.Errorf("requests to the server that has left: got %d, want 0", got)
+	}
+}
