--- a/core/dispatch/limit_test.go
+++ b/core/dispatch/limit_test.go
@@ -282,3 +282,60 @@
 		})
 	}
 }
+
+// Guards against requests that reach a server with a rate limit on a way that needs no
+// permit.
+func TestEverySendNeedsAPermit(t *testing.T) {
+	process := ratelimit.Process{ServerID: limitedServer}
+	cases := []struct {
+		name   string
+		change func(d *dispatch.Dispatcher, r *dispatch.Request)
+	}{
+		{"first try", func(*dispatch.Dispatcher, *dispatch.Request) {}},
+		{"try after a failure", func(_ *dispatch.Dispatcher, r *dispatch.Request) { r.Tried = []string{"s1"} }},
+		{"retry of a caller", func(_ *dispatch.Dispatcher, r *dispatch.Request) { r.CallerRetry = true }},
+		{"resumed stream", func(_ *dispatch.Dispatcher, r *dispatch.Request) { r.Resumed, r.Priority = true, -1 }},
+		{"probe of a group", func(d *dispatch.Dispatcher, r *dispatch.Request) {
+			for range 3 {
+				d.Finished("s", backend(limitedServer), 0, dispatch.OutcomeShed, start)
+			}
+			r.Arrived = start.Add(time.Second)
+		}},
+		{"queued", func(d *dispatch.Dispatcher, _ *dispatch.Request) { d.Offer(request(1, 0), start) }},
+	}
+	for _, c := range cases {
+		for _, held := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s, %d permits", c.name, held), func(t *testing.T) {
+				d := newDispatcher(1, 12, true)
+				d.Limits().State(ratelimit.Statement{Process: process, Rate: 1, Named: true, Sent: start}, start)
+				d.Limits().SetHome(process, ratelimit.Home{Address: "other", Part: 1})
+				r := request(2, time.Second)
+				c.change(d, &r)
+				now := start.Add(time.Second)
+				if held > 0 {
+					d.Limits().Admits(process, 3, now)
+					a := d.Limits().Asks(now)
+					if len(a) != 1 {
+						t.Fatalf("questions: got %v, want one", a)
+					}
+					d.Limits().Granted(process, a[0].Seq, held, time.Minute, now)
+				}
+				got := 0
+				for id := range uint64(3) {
+					r.ID = 10 + id
+					if v, ok := d.Offer(r, now); ok && v.Rejected == "" {
+						got++
+					}
+				}
+				for _, v := range d.DispatchWaiting(now.Add(10 * time.Millisecond)) {
+					if v.Rejected == "" {
+						got++
+					}
+				}
+				if got != held {
+					t.Errorf("requests sent with %d permits: got %d", held, got)
+				}
+			})
+		}
+	}
+}
