--- a/core/dispatch/limit.go
+++ b/core/dispatch/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"nutmegnotch/core"
 	"nutmegnotch/core/ratelimit"
 )
 
@@ -57,7 +58,7 @@
 	if rate <= 0 {
 		return first
 	}
-	at := now.Add(seconds(float64(n) / rate))
+	at := now.Add(core.Seconds(float64(n) / rate))
 	if at.Before(first) {
 		return first
 	}
@@ -83,7 +84,7 @@
 		s.nextReturn = earliest
 	}
 	if rate := d.expectedPermitRate(s, now); rate > 0 {
-		s.nextReturn = s.nextReturn.Add(seconds(1 / rate))
+		s.nextReturn = s.nextReturn.Add(core.Seconds(1 / rate))
 	}
 	after := max(minRetryAfter, s.nextReturn.Sub(now))
 	if after > maxRetryAfter {
@@ -92,5 +93,3 @@
 	}
 	return Decision{RequestID: r.ID, Rejected: ReasonLimited, RetryAfter: after, Waiting: len(s.queue)}
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/core/ratelimit/bucket.go
+++ b/core/ratelimit/bucket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"nutmegnotch/core"
 )
 
 // Settings of the token bucket of a limit.
@@ -41,8 +43,8 @@
 	if granted >= want {
 		return granted, 0
 	}
-	interval := seconds(1 / rate)
-	next := now.Add(seconds((1 - b.level) / rate))
+	interval := core.Seconds(1 / rate)
+	next := now.Add(core.Seconds((1 - b.level) / rate))
 	if b.lastTurn.After(now) {
 		next = b.lastTurn.Add(interval)
 	}
@@ -52,5 +54,3 @@
 	b.lastTurn = next
 	return granted, max(minWait, next.Sub(now))
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/core/ratelimit/permits.go
+++ b/core/ratelimit/permits.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"nutmegnotch/core"
 )
 
 // Times of permits.
@@ -234,7 +236,7 @@
 	}
 	m := &l.permits
 	m.pending = false
-	m.nextAsk = now.Add(max(0, min(wait, seconds(1/minRate))))
+	m.nextAsk = now.Add(max(0, min(wait, core.Seconds(1/minRate))))
 	end := m.askedAt.Add(PermitTTL)
 	if !now.Before(end) {
 		return
--- a/gateway/frames_fuzz_test.go
+++ b/gateway/frames_fuzz_test.go
@@ -110,9 +110,9 @@
 			g.heartbeatFrame(true)
 			g.groupView()
 			g.cancelUnresponsiveSends(now)
-			g.refreshLimitHomes(now)
+			g.refreshLimitHomes(false, now)
 			g.askPermits(now)
-			g.expireLimits(now)
+			g.checkLimits(now)
 			for _, l := range g.state.dispatcher.Limits().Limits(now) {
 				if !(l.Rate >= 0) || math.IsInf(l.Rate, 0) {
 					t.Errorf("limit of %v: got %v, want a rate", l.Process, l.Rate)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -339,7 +339,7 @@
 				g.broadcastGroupView(now)
 				g.cancelUnresponsiveSends(now)
 				g.expireBrokenRuns(now)
-				g.expireLimits(now)
+				g.checkLimits(now)
 				g.hasCrashes.Store(g.state.brokenRuns.Len() > 0 || g.state.quarantine.HasCrashes())
 				g.dispatchWaiting(now)
 			})
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -36,7 +36,7 @@
 	g.state.dispatcher.SetReportInterval(interval)
 	m.activeAge = max(minActiveAge, activeIntervals*interval)
 	g.activeGateways.Store(int64(m.countHeard(now, m.activeAge)))
-	g.refreshLimitHomes(now)
+	g.refreshLimitHomes(false, now)
 	withMembers := m.changed || now.Sub(g.state.membersSentAt) >= membersRepeatInterval
 	if withMembers {
 		m.changed, g.state.membersSentAt = false, now
--- a/gateway/server_limits.go
+++ b/gateway/server_limits.go
@@ -78,7 +78,7 @@
 	case ratelimit.ChangeNamed:
 		g.hasLimits.Store(true)
 		g.log.Info("server named a rate limit", append(fields, zap.Float64("per_second", s.Rate))...)
-		g.refreshLimitHomes(now)
+		g.refreshLimitHomes(true, now)
 	case ratelimit.ChangeEnded:
 		g.log.Info("server names no rate limit any more", fields...)
 		g.dispatchWaiting(now)
@@ -116,9 +116,9 @@
 	}
 }
 
-// expireLimits ends the limits of processes that have ended and those that no server has
+// checkLimits ends the limits of processes that have ended and those that no server has
 // named for long, and publishes the others. It runs in the task.
-func (g *Gateway) expireLimits(now time.Time) {
+func (g *Gateway) checkLimits(now time.Time) {
 	if now.Sub(g.state.limitsAt) < limitsInterval {
 		return
 	}
@@ -128,18 +128,24 @@
 		g.log.Info("rate limit of a server ended, since no reply has named it for long", zap.String("server", p.ServerID),
 			zap.Int64("server_started_ms", p.StartedUnixMS), zap.Duration("allowed", ratelimit.MaxAge))
 	}
-	list := []serverLimit{}
-	logged := now.Sub(g.state.limitsLoggedAt) >= limitsLogInterval
-	if logged {
-		g.state.limitsLoggedAt = now
-	}
 	for _, s := range limits.Limits(now) {
 		server := core.BackendServer{ID: s.Process.ServerID, StartedUnixMS: s.Process.StartedUnixMS}
 		if g.state.directory.Process(server) == directory.ProcessReplaced {
 			limits.End(s.Process)
 			g.log.Info("rate limit ended with the process of its server", zap.String("server", server.ID), zap.Int64("server_started_ms", server.StartedUnixMS))
-			continue
 		}
+	}
+	g.publishLimits(limits.Limits(now), now)
+}
+
+// publishLimits publishes the limits in the metrics, and logs them at an interval.
+func (g *Gateway) publishLimits(limits []ratelimit.Status, now time.Time) {
+	logged := now.Sub(g.state.limitsLoggedAt) >= limitsLogInterval
+	if logged {
+		g.state.limitsLoggedAt = now
+	}
+	list := make([]serverLimit, 0, len(limits))
+	for _, s := range limits {
 		list = append(list, serverLimit{s.Process.ServerID, s.Process.StartedUnixMS, s.Rate, s.Source, s.Age.Seconds(), s.Home.Address, s.Home.Part, s.Sends, s.Lent, s.Denied})
 		if logged {
 			g.log.Info("requests to a server with a rate limit", zap.String("server", s.Process.ServerID), zap.Float64("per_second", s.Rate),
@@ -161,12 +167,10 @@
 	return float64(reached) / float64(sharing)
 }
 
-// refreshLimitHomes finds the home of each limit among the gateways that this one hears. It
-// runs in the task.
-func (g *Gateway) refreshLimitHomes(now time.Time) {
-	limits := g.state.dispatcher.Limits()
-	statuses := limits.Limits(now)
-	if len(statuses) == 0 {
+// refreshLimitHomes finds the home of each limit among the gateways that this one hears, or
+// if onlyNew is set of those without one. It runs in the task.
+func (g *Gateway) refreshLimitHomes(onlyNew bool, now time.Time) {
+	if !g.hasLimits.Load() {
 		return
 	}
 	m := g.state.members
@@ -175,7 +179,11 @@
 		return
 	}
 	part := limitPart(len(addresses), sharing)
-	for _, s := range statuses {
+	limits := g.state.dispatcher.Limits()
+	for _, s := range limits.Limits(now) {
+		if onlyNew && s.Home.Part > 0 {
+			continue
+		}
 		address := rendezvous.TopIDs(s.Process.ServerID, addresses, 1)[0]
 		h := ratelimit.Home{Address: address, Self: address == m.self, Part: part}
 		if h == s.Home {
@@ -189,9 +197,12 @@
 
 // askPermits asks the homes of limits for the permits that are wanted. It runs in the task.
 func (g *Gateway) askPermits(now time.Time) {
-	limits := g.state.dispatcher.Limits()
+	asks := g.state.dispatcher.Limits().Asks(now)
+	if len(asks) == 0 {
+		return
+	}
 	byHome := map[string]*peerpb.Permits{}
-	for _, a := range limits.Asks(now) {
+	for _, a := range asks {
 		f := byHome[a.Home]
 		if f == nil {
 			f = &peerpb.Permits{}
