--- a/core/dispatch/limit.go
+++ b/core/dispatch/limit.go
@@ -9,8 +9,9 @@
 
 // Settings of requests to servers with rate limits.
 const (
-	// permitHold is how long a request that another server could take waits for a permit
-	// at most: until the next look at the queue.
+	// permitHold is the time that a request must have left to wait for a permit although
+	// another server could take it. It waits until the next look at the queue, which comes
+	// within a tick of the gateway.
 	permitHold = 50 * time.Millisecond
 	// permitRateHalfLife is the half-life of the measured rate of permits.
 	permitRateHalfLife = 4 * time.Second
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -49,8 +49,9 @@
 	slices.SortStableFunc(s.queue, func(a, b Request) int { return compareRequests(a, b, now) })
 }
 
-// hold queues a request until the home of a rate limit has answered, or for permitHold. It
-// reports false if the request has no time for that, or others wait for longer.
+// hold queues a request until the next look at the queue, by when the home of a rate limit
+// should have answered. It reports false if the request has no time for that, or others wait
+// for longer.
 func (s *service) hold(r Request, gateways int, now time.Time) bool {
 	if len(s.queue) > 0 && !s.holding || len(s.queue) >= s.maxQueueLength(gateways) || now.Add(permitHold).After(r.QueueDeadline) {
 		return false
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -71,7 +71,9 @@
 func (g *Gateway) onHeartbeat(from *peer.Session, b *peerpb.DirectoryBeat, now time.Time) {
 	m := g.state.members
 	m.heard(from.Hello.GetAddress(), now)
-	m.ids[from.Hello.GetAddress()] = from.Hello.GetId()
+	if _, ok := m.known[from.Hello.GetAddress()]; ok {
+		m.ids[from.Hello.GetAddress()] = from.Hello.GetId()
+	}
 	for _, a := range b.GetGateways() {
 		g.addMember(a)
 	}
