--- a/review/_case/platform.go
+++ b/review/_case/platform.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"nutmegnotch/emulator/loopback"
 	"nutmegnotch/emulator/metastore"
 )
 
@@ -117,24 +118,14 @@
 	exited                  chan struct{}
 }
 
-// freeAddress returns a loopback address with a port that is free at present.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // startGateway writes the settings of a gateway, as deploy/gateway.toml gives them, and
 // starts it with the command of the deploy file.
 func startGateway(dir, id, storeAddress string) (*gateway, error) {
 	g := &gateway{id: id}
 	for _, a := range []*string{&g.caller, &g.ready, &g.peer} {
 		var err error
-		if *a, err = freeAddress(); err != nil {
-			return nil, err
+		if *a, err = loopback.FreeAddress(); err != nil {
+			return nil, fmt.Errorf("find an address: %w", err)
 		}
 	}
 	g.settings = filepath.Join(dir, id+".toml")
