--- a/review/_case/deployment.go
+++ b/review/_case/deployment.go
@@ -31,6 +31,8 @@
 	eventInterval   time.Duration
 	desks           int
 	deskWork        time.Duration
+	// startOthers starts further runners before the gateway. It may be nil.
+	startOthers func(*deployment) error
 }
 
 // deployment is a gateway before the runners of a model service and of a plain service.
@@ -68,6 +70,11 @@
 		}
 		d.desks = append(d.desks, x)
 	}
+	if cfg.startOthers != nil {
+		if err := cfg.startOthers(d); err != nil {
+			return d, err
+		}
+	}
 	if d.gateway, err = startGateway(r.dir, "front-"+zone+"-1", d.store.address); err != nil {
 		return d, err
 	}
