Show that streams cut off by a crash end as complete

A script kills one of 12 runners (SIGKILL) in the middle of streams that have neither a length nor chunks. Its gateway ends them at their clients in the orderly way, after 1 to 14 of 24 events, and counts the same runs as ended by the crash.

--- a/review/_case/main.go
+++ b/review/_case/main.go
@@ -22,7 +22,11 @@
 }
 
 func main() {
-	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "graceful-leave": gracefulLeave, "crashing-part": crashingPart}
+	if len(os.Args) == 3 && os.Args[1] == unframedRunnerName {
+		fmt.Fprintln(os.Stderr, serveUnframed(os.Args[2]))
+		os.Exit(exitNotRun)
+	}
+	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "crashing-part": crashingPart, "unframed-crash": unframedCrash}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case NAME RECORD")
 		os.Exit(exitNotRun)
