--- a/review/_case/main.go
+++ b/review/_case/main.go
@@ -26,7 +26,7 @@
 		fmt.Fprintln(os.Stderr, serveUnframed(os.Args[2]))
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "crashing-part": crashingPart, "unframed-crash": unframedCrash}
+	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "crashing-part": crashingPart, "unframed-crash": unframedCrash, "silent-store": silentStore}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case NAME RECORD")
 		os.Exit(exitNotRun)
--- a/review/_case/platform.go
+++ b/review/_case/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -118,9 +119,43 @@
 	exited                  chan struct{}
 }
 
-// startGateway writes the settings of a gateway, as deploy/gateway.toml gives them, and
-// starts it with the command of the deploy file.
+// startGateway starts a gateway that knows of no other.
 func startGateway(dir, id, storeAddress string) (*gateway, error) {
+	g, err := newGateway(id)
+	if err != nil {
+		return nil, err
+	}
+	return g, g.launch(dir, storeAddress, []string{g.peer})
+}
+
+// startGateways starts gateways that know each other, and waits until all are ready. The caller
+// must kill those that it returns, also after an error.
+func startGateways(dir string, n int, storeAddress string) ([]*gateway, error) {
+	var all, started []*gateway
+	var seeds []string
+	for i := range n {
+		g, err := newGateway(fmt.Sprintf("front-%s-%d", zone, i+1))
+		if err != nil {
+			return nil, err
+		}
+		all, seeds = append(all, g), append(seeds, g.peer)
+	}
+	for _, g := range all {
+		if err := g.launch(dir, storeAddress, seeds); err != nil {
+			return started, err
+		}
+		started = append(started, g)
+	}
+	for _, g := range started {
+		if err := g.waitReady(); err != nil {
+			return started, err
+		}
+	}
+	return started, nil
+}
+
+// newGateway returns a gateway with addresses of its own, which is not started.
+func newGateway(id string) (*gateway, error) {
 	g := &gateway{id: id}
 	for _, a := range []*string{&g.caller, &g.ready, &g.peer} {
 		var err error
@@ -128,14 +163,24 @@
 			return nil, fmt.Errorf("find an address: %w", err)
 		}
 	}
-	g.settings = filepath.Join(dir, id+".toml")
+	return g, nil
+}
+
+// launch writes the settings of a gateway, as deploy/gateway.toml gives them, and starts it
+// with the command of the deploy file.
+func (g *gateway) launch(dir, storeAddress string, seeds []string) error {
+	list, err := json.Marshal(seeds)
+	if err != nil {
+		return fmt.Errorf("encode seeds: %w", err)
+	}
+	g.settings = filepath.Join(dir, g.id+".toml")
 	text := fmt.Sprintf(`id = %q
 role = "gateway"
 failure_domain = %q
 region = "loopback"
 memory_mb = %d
 grace = "%ds"
-seeds = [%q]
+seeds = %s
 
 [listen]
 caller = %q
@@ -149,15 +194,14 @@
 ratio = 0.2
 slack = 92
 window = "10s"
-`, id, zone, gatewayMemoryMB, int(graceTime.Seconds()), g.peer, g.caller, g.ready, g.peer, storeAddress)
+`, g.id, zone, gatewayMemoryMB, int(graceTime.Seconds()), list, g.caller, g.ready, g.peer, storeAddress)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
+		return fmt.Errorf("write settings: %w", err)
 	}
-	var err error
-	if g.log, err = os.Create(filepath.Join(dir, id+".log")); err != nil {
-		return nil, fmt.Errorf("create log: %w", err)
+	if g.log, err = os.Create(filepath.Join(dir, g.id+".log")); err != nil {
+		return fmt.Errorf("create log: %w", err)
 	}
-	return g, g.start()
+	return g.start()
 }
 
 func (g *gateway) start() error {
