Show that a gateway uses a server that has left after a cut

Case 2: a gateway is cut off from the store for 4.3 s, and a runner leaves by the removal of its entry 0.9 s after the end of the cut. The gateway takes the removal for a lapse and sends bookings to the runner until it exits.

--- a/review/_case/main.go
+++ b/review/_case/main.go
@@ -22,11 +22,7 @@
 }
 
 func main() {
-	if len(os.Args) == 3 && os.Args[1] == unframedRunnerName {
-		fmt.Fprintln(os.Stderr, serveUnframed(os.Args[2]))
-		os.Exit(exitNotRun)
-	}
-	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "crashing-part": crashingPart, "unframed-crash": unframedCrash, "silent-store": silentStore}
+	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "crashing-part": crashingPart, "silent-store": silentStore, "leave-after-cut": leaveAfterCut}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case NAME RECORD")
 		os.Exit(exitNotRun)
