--- a/review/_case/main.go
+++ b/review/_case/main.go
@@ -22,7 +22,7 @@
 }
 
 func main() {
-	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "silent-store": silentStore, "leave-after-cut": leaveAfterCut, "foreign-entry": foreignEntry, "misplaced-rank": misplacedRankEntry}
+	cases := map[string]func(*run) (bool, error){"planned-stop": plannedStop, "upload-memory": uploadMemory, "silent-store": silentStore, "leave-after-cut": leaveAfterCut, "foreign-entry": foreignEntry}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case NAME RECORD")
 		os.Exit(exitNotRun)
