Accept late in a planned stop only what can end within its grace

Cause: a stopping gateway accepted every request for 3.5 s, whatever its deadline, and aborted what was left 0.5 s before the end of the grace. A request that is accepted after 3 s had 4 to 4.5 s, though its route may allow 8 s.

Now core/shutdown plans a stop. All requests are accepted for 2.5 s, in which callers cannot know of the stop (two failed checks, one a second). After that a request is accepted if its deadline lies before the abort, and it is refused as not run at once otherwise, also if its body has ended so late. The times shrink with a short grace: the abort was before the last sixth of a grace below 3 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"nutmegnotch/core/dispatch"
 	"nutmegnotch/core/enginestate"
 	"nutmegnotch/core/retry"
+	"nutmegnotch/core/shutdown"
 	"nutmegnotch/io/backend"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
@@ -92,10 +93,9 @@
 	task          *task.Task
 	state         *state
 	currentConfig atomic.Pointer[configSnapshot]
-	// draining is set when the shutdown starts, rejecting when the drain delay is
-	// over and new requests are rejected.
-	draining, rejecting atomic.Bool
-	ready               atomic.Bool
+	// stopPlan is set when a planned stop begins.
+	stopPlan atomic.Pointer[shutdown.Plan]
+	ready    atomic.Bool
 	// hasCrashes is set while there may be crashes or broken runs, so that requests
 	// need no call to the task otherwise.
 	hasCrashes atomic.Bool
@@ -313,7 +313,7 @@
 // serveReady answers the health checks of the load balancer in front of the
 // gateways.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if g.draining.Load() || !g.ready.Load() {
+	if g.stopping() || !g.ready.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -78,14 +78,14 @@
 	defer g.requestPanicked(c)
 	defer g.flushAborted(c)
 	defer c.observe()
-	if g.draining.Load() {
+	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { g.bodyBytes.Add(-int64(len(c.body))) }()
 	if ref := g.admit(c); ref != nil {
 		g.refuse(c, *ref)
 		return
 	}
-	defer g.bodyBytes.Add(-int64(len(c.body)))
 	g.forward(c)
 }
 
@@ -106,8 +106,8 @@
 // admit validates a request, finds its route and service and reads its body. It
 // returns nil if the request may be forwarded.
 func (g *Gateway) admit(c *call) *refusal {
-	if g.rejecting.Load() {
-		return &refusal{http.StatusServiceUnavailable, "leaving", drainingRetryAfter}
+	if ref := g.refuseIfStopping(c.arrived); ref != nil {
+		return ref
 	}
 	g.ownPauses.await(c.r.Context())
 	snap := g.currentConfig.Load()
@@ -135,6 +135,10 @@
 	if ref := g.readBody(c, snap.deployment.Limits); ref != nil {
 		return ref
 	}
+	// The body may have taken until late in a planned stop.
+	if ref := g.refuseIfStopping(c.deadline); ref != nil {
+		return ref
+	}
 	c.service = directory.PickService(route, rand.Float64())
 	c.fingerprint = fingerprint(c.holder.Organisation, c.r.RequestURI, c.body)
 	c.keys = retry.Keys{Request: c.fingerprint, Parts: partFingerprints(c.service, c.fields.SharedPromptParts)}
