Answer requests that wait for a server when a planned stop ends

Callers whose requests still waited in the queue of a gateway at the end of its grace saw their connection close without an answer, although the requests had not run.

Cause: the end of a planned stop closed all connections; nothing told the requests that wait for a server, which have deadlines of their own.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -29,6 +29,7 @@
 	if n := g.inFlight.Load(); n > 0 {
 		g.log.Warn("grace period is over; aborting requests in progress", zap.Int64("in_progress", n))
 	}
+	close(g.aborting)
 	return max(0, time.Until(plan.AbortAt()))
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -104,10 +104,11 @@
 }
 
 // acquireServer waits until the dispatcher has assigned a server or rejected the
-// request. It reports false if the caller has disconnected.
+// request, or a planned stop aborts it. It reports false if the caller has disconnected.
 func (g *Gateway) acquireServer(a *attempts) (dispatch.Decision, bool) {
 	ch := make(chan dispatch.Decision, 1)
 	r := a.request(g.nextID.Add(1))
+	reason := dispatch.ReasonTooLate
 	g.task.Do(func() {
 		now := time.Now()
 		v, decided := g.state.dispatcher.Offer(r, now)
@@ -122,6 +123,8 @@
 	case v := <-ch:
 		return v, true
 	case <-a.ctx.Done():
+	case <-g.aborting:
+		reason = dispatch.ReasonLeaving
 	}
 	g.task.Do(func() {
 		delete(g.state.waiting, r.ID)
@@ -138,7 +141,7 @@
 	if a.r.Context().Err() != nil {
 		return dispatch.Decision{}, false
 	}
-	return dispatch.Decision{Rejected: dispatch.ReasonTooLate, RetryAfter: g.retryAfter(a.service)}, true
+	return dispatch.Decision{Rejected: reason, RetryAfter: g.retryAfter(a.service)}, true
 }
 
 // retryAfter returns the Retry-After for requests to a service.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,8 +93,10 @@
 	task          *task.Task
 	state         *state
 	currentConfig atomic.Pointer[configSnapshot]
-	// stopPlan is set when a planned stop begins.
+	// stopPlan is set when a planned stop begins, and aborting is closed when it aborts
+	// the requests in progress.
 	stopPlan atomic.Pointer[shutdown.Plan]
+	aborting chan struct{}
 	ready    atomic.Bool
 	// hasCrashes is set while there may be crashes or broken runs, so that requests
 	// need no call to the task otherwise.
@@ -168,6 +170,7 @@
 		task:                 task.New(),
 		wg:                   conc.NewWaitGroup(),
 		done:                 make(chan struct{}),
+		aborting:             make(chan struct{}),
 		refreshServersSignal: make(chan struct{}, 1),
 		registerSignal:       make(chan struct{}, 1),
 		livenessChecks:       make(chan livenessCheck, maxQueuedLivenessChecks),
--- a/gateway/stop_requests_test.go
+++ b/gateway/stop_requests_test.go
@@ -69,3 +69,36 @@
 		})
 	}
 }
+
+// Guards against a planned stop that closes the connections of requests which wait for a
+// server instead of answering that they have not run.
+func TestPlannedStopAnswersWhatWaits(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for _, r := range d.routes {
+		r["timeout_ms"] = 20000
+	}
+	d.publish()
+	server := d.addRunner(runner.Config{ID: "d1", Body: "ok", ProcessingTime: 4 * time.Second}, "desk")
+	p := d.startReady()
+	const sent = 10
+	answers := make(chan answer, sent)
+	for range sent {
+		go func() {
+			r := newRequest(p, http.MethodGet, "/lookup/1", "key-a", "")
+			r.Header.Set("Nutmegnotch-Deadline-Ms", "20000")
+			answers <- send(r)
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	p.stop()
+	refused := 0
+	for range sent {
+		if a := <-answers; a.status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	if got, want := refused, sent-len(server.Runs()); got != want || want == 0 {
+		t.Errorf("waiting requests that were refused: got %d, want %d and more than 0", got, want)
+	}
+}
