Notice the return of a silent store at once

Cause: a read of the operators' topic asks the store to wait 2 s for news and is given up after 3 s, also the read that follows a failed one. What a silent store was asked before its return is never answered, so the return was noticed up to 3 s late, after which came the backoff.

Now a read after a failed one does not wait for news, and while it is not answered another one begins every 0.4 s (more rarely among many gateways, which tell each other): the first that ends counts, so that a slow store still answers the first. The backoff counts from the begin of the failed read and lies below its bound. When one watcher sees the store again it ends the reads of the others, which may never be answered. A read that is ended so is no failure.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -52,6 +52,8 @@
 	reloadable gateway.ReloadableConfig
 	// forgetAfter is that of the next gateways; 0 means the default.
 	forgetAfter time.Duration
+	// storeTimeout is how long the next gateways wait for an answer of the store.
+	storeTimeout time.Duration
 	// decoder is that of the next gateways; nil means the platform's.
 	decoder core.RecordDecoder
 	headers core.HeaderCodec
@@ -70,6 +72,7 @@
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: metastore.New(), runners: map[string]*runner.Runner{}, keys: []string{"key-a"},
+		storeTimeout: 500 * time.Millisecond,
 		limits:     map[string]any{"max_body_bytes": 1000},
 		reloadable: gateway.ReloadableConfig{RetryRatio: 1, RetrySlack: 20, RetryWindow: 10 * time.Second, Grace: 2 * time.Second}}
 	d.http = httptest.NewServer(d.store)
@@ -154,7 +157,7 @@
 	reloadable.Seeds = seeds
 	logs, seen := observer.New(zap.InfoLevel)
 	p.logs = seen
-	client := platform.NewStoreClient(strings.TrimPrefix(d.http.URL, "http://"), 500*time.Millisecond)
+	client := platform.NewStoreClient(strings.TrimPrefix(d.http.URL, "http://"), d.storeTimeout)
 	store := core.KeyedStore(client)
 	if d.links != nil {
 		store = d.links(client)
--- a/gateway/intervals.go
+++ b/gateway/intervals.go
@@ -64,6 +64,10 @@
 	// maxSharedBackoff bounds the backoff of reads of the operators' topic and of the
 	// servers, which grows by maxBackoff for gatewaysPerWait gateways.
 	maxSharedBackoff = 2 * time.Second
+	// minSilentReadInterval is the interval at which reads are repeated while the store does
+	// not answer, and silentReadSpacing its growth for each gateway.
+	minSilentReadInterval = 400 * time.Millisecond
+	silentReadSpacing     = 25 * time.Millisecond
 	// maxRareBackoff is the longest backoff of reads of the other topics.
 	maxRareBackoff = 5 * time.Second
 )
@@ -104,13 +108,20 @@
 	return maxRareBackoff
 }
 
+// silentReadInterval returns the interval at which each of a number of gateways begins
+// another read of a topic while the store does not answer. Many gateways tell each other.
+func silentReadInterval(gateways int) time.Duration {
+	return max(minSilentReadInterval, time.Duration(gateways)*silentReadSpacing)
+}
+
 func (w *topicWatcher) maxBackoff() time.Duration {
 	return readBackoff(w.topic, int(w.gateway.activeGateways.Load()))
 }
 
-// readWait returns the long-poll timeout of the next read of a topic.
+// readWait returns the long-poll timeout of the next read of a topic. A read after a failed
+// one does not wait for news, so that the return of the store is noticed at once.
 func (w *topicWatcher) readWait() time.Duration {
-	if w.gateway.ownPauses.isPending(w.topic) {
+	if w.failed || w.gateway.ownPauses.isPending(w.topic) {
 		return 0
 	}
 	if w.topic == core.TopicOperator {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
@@ -26,8 +27,10 @@
 	// minServersInterval is the minimum interval between reads of the servers'
 	// topic, also when a refresh is requested.
 	minServersInterval = 150 * time.Millisecond
-	minBackoff         = 100 * time.Millisecond
-	maxBackoff         = 800 * time.Millisecond
+	// The time between two reads after a failed one lies between half of the backoff and
+	// the whole, and is at least half of minBackoff.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 800 * time.Millisecond
 )
 
 // topicRead is the result of a read of the store. full is set for the newest records of
@@ -61,10 +64,11 @@
 }
 
 // run reads until ctx is done. It retries failed reads with exponential backoff and
-// jitter.
+// jitter, which count from the begin of the failed read.
 func (w *topicWatcher) run(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		begun := time.Now()
 		err := w.readOnce(ctx)
 		if errors.Is(err, errReadAnew) {
 			continue
@@ -88,11 +92,16 @@
 			w.loaded = false
 			continue
 		}
-		w.sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
+		w.sleep(ctx, max(jitter(backoff)-time.Since(begun), jitter(minBackoff)))
 		backoff = min(w.maxBackoff(), 2*backoff)
 	}
 }
 
+// jitter returns a random time between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + rand.Float64()/2))
+}
+
 // sleep waits for a time, which an interruption ends early.
 func (w *topicWatcher) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
@@ -132,55 +141,106 @@
 	}
 }
 
-// errReadAnew ends a read when the store has begun a new era, which has to be read from
-// its beginning, and after a pause of this process.
+// errReadAnew ends a read that was interrupted, when the store has begun a new era, which
+// has to be read from its beginning, and after a pause of this process.
 const errReadAnew = errors.ConstError("topic has to be read anew")
 
 // readOnce makes one read, which an interruption ends early.
-func (w *topicWatcher) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+func (w *topicWatcher) readOnce(parent context.Context) error {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	w.cancelRead.Store(&cancel)
 	era, begun := w.gateway.era.Load(), time.Now()
-	err := w.read(ctx)
-	if err != nil && (w.gateway.era.Load() > era || w.gateway.ownPauses.wokenSince(begun)) {
+	r, err := w.fetch(ctx)
+	if err == nil {
+		err = w.accept(r)
+	}
+	interrupted := ctx.Err() != nil && parent.Err() == nil
+	if err != nil && (interrupted || w.gateway.era.Load() > era || w.gateway.ownPauses.wokenSince(begun)) {
 		return errReadAnew
 	}
 	return err
 }
 
-// read reads the newest records of all keys at first and after each new era, and after
-// that the records that follow.
-func (w *topicWatcher) read(ctx context.Context) error {
+// fetch makes the next read. While the store is lost, a read that it has not answered is
+// joined by further ones.
+func (w *topicWatcher) fetch(ctx context.Context) (topicRead, error) {
+	n := nextRead{topic: w.topic, from: w.next, full: !w.loaded || w.next.Era < w.gateway.era.Load(), wait: w.readWait()}
+	if !w.failed {
+		return w.gateway.read(ctx, n)
+	}
+	return w.gateway.readRepeatedly(ctx, n)
+}
+
+// nextRead says what a read of a topic asks for: the newest records of all keys if full
+// is set, as at first and after each new era, and those from a position on otherwise.
+type nextRead struct {
+	topic core.Topic
+	from  core.Position
+	full  bool
+	wait  time.Duration
+}
+
+func (g *Gateway) read(ctx context.Context, n nextRead) (topicRead, error) {
 	begun := time.Now()
-	if !w.loaded || w.next.Era < w.gateway.era.Load() {
-		b, err := w.gateway.cfg.Store.Newest(ctx, w.topic)
-		if known := w.gateway.era.Load(); err == nil && b.Next.Era < known {
-			err = fmt.Errorf("store answers from era %d, a gateway has seen era %d: %w", b.Next.Era, known, core.ErrUnavailable)
-		}
-		if err != nil {
-			return err
+	if !n.full {
+		b, err := g.cfg.Store.Read(ctx, n.topic, n.from, n.wait)
+		return topicRead{b, false, begun}, err
+	}
+	b, err := g.cfg.Store.Newest(ctx, n.topic)
+	if known := g.era.Load(); err == nil && b.Next.Era < known {
+		err = fmt.Errorf("store answers from era %d, a gateway has seen era %d: %w", b.Next.Era, known, core.ErrUnavailable)
+	}
+	return topicRead{b, true, begun}, err
+}
+
+// readRepeatedly begins another read at an interval until one of them ends. A store that
+// falls silent never answers what it was asked before its return, and one that is slow
+// answers the first read.
+func (g *Gateway) readRepeatedly(ctx context.Context, n nextRead) (topicRead, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	type result struct {
+		topicRead
+		err error
+	}
+	results := make(chan result)
+	wg := conc.NewWaitGroup()
+	defer wg.Wait()
+	defer cancel()
+	t := time.NewTicker(silentReadInterval(int(g.activeGateways.Load())))
+	defer t.Stop()
+	for {
+		wg.Go(func() {
+			r, err := g.read(ctx, n)
+			select {
+			case results <- result{r, err}:
+			case <-ctx.Done():
+			}
+		})
+		select {
+		case r := <-results:
+			return r.topicRead, r.err
+		case <-t.C:
+		case <-ctx.Done():
+			return topicRead{}, fmt.Errorf("read topic %d: %w", n.topic, ctx.Err())
 		}
-		w.loaded, w.next = true, b.Next
-		w.readSucceeded()
-		w.gateway.seeEra(b.Next.Era, sourceStore)
-		w.apply(topicRead{b, true, begun})
-		w.gateway.ownPauses.confirm(w.topic, begun)
-		return nil
-	}
-	b, err := w.gateway.cfg.Store.Read(ctx, w.topic, w.next, w.readWait())
-	if err != nil {
-		return err
 	}
+}
+
+// accept applies what was read.
+func (w *topicWatcher) accept(r topicRead) error {
 	w.readSucceeded()
-	if b.Next.Era != w.next.Era {
-		w.gateway.seeEra(b.Next.Era, sourceStore)
+	if !r.full && r.Next.Era != w.next.Era {
+		w.gateway.seeEra(r.Next.Era, sourceStore)
 		return errReadAnew
 	}
-	w.next = b.Next
-	w.apply(topicRead{b, false, begun})
-	if b.AtEnd {
-		w.gateway.ownPauses.confirm(w.topic, begun)
+	w.loaded, w.next = true, r.Next
+	if r.full {
+		w.gateway.seeEra(r.Next.Era, sourceStore)
+	}
+	w.apply(r)
+	if r.full || r.AtEnd {
+		w.gateway.ownPauses.confirm(w.topic, r.begun)
 	}
 	return nil
 }
@@ -208,11 +268,16 @@
 // interruptReads makes all watchers read their topics now.
 func (g *Gateway) interruptReads() {
 	for _, w := range g.watchers {
-		if cancel := w.cancelRead.Load(); cancel != nil {
-			(*cancel)()
-		}
-		signal(w.interrupt)
+		w.interruptRead()
+	}
+}
+
+// interruptRead ends the read in progress, or the wait for the next one.
+func (w *topicWatcher) interruptRead() {
+	if cancel := w.cancelRead.Load(); cancel != nil {
+		(*cancel)()
 	}
+	signal(w.interrupt)
 }
 
 func (w *topicWatcher) readFailed(err error) {
@@ -233,11 +298,19 @@
 	})
 }
 
+// readSucceeded records that the store has answered. After an outage, reads that other
+// watchers have begun before may never be answered.
 func (w *topicWatcher) readSucceeded() {
-	if w.failed {
-		w.gateway.log.Info("store regained", zap.Int("topic", int(w.topic)), zap.Int64("next_offset", w.next.Offset))
+	if !w.failed {
+		return
 	}
 	w.failed = false
+	w.gateway.log.Info("store regained", zap.Int("topic", int(w.topic)), zap.Int64("next_offset", w.next.Offset))
+	for _, other := range w.gateway.watchers {
+		if other != w && (other.topic == core.TopicOperator || other.topic == core.TopicServers) {
+			other.interruptRead()
+		}
+	}
 }
 
 // newWatchers returns the watchers of all topics.
