Tell a server that leaves from one whose record has lapsed

Cause: records of servers lapse while the store is away, so a removal that is read in an outage, or within 2 s after it, keeps the server in use until those 2 s are over. The outage was that of the gateway's own reads, however: (1) it ended with the first read that succeeded, up to 2.2 s after the return; (2) it also counted when only this gateway was cut off; (3) it also counted for a server that had reported since.

Now a gateway's heartbeat also says how long ago the store answered it. If it answered anyone after the begin of the own outage, the 2 s count from then. A server that has reported after the outage has not lapsed, and its removal counts at once. An outage ends when the topic has been read up to its end, not with the first part of it.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -11,11 +11,6 @@
 	"nutmegnotch/core"
 )
 
-// LapseGracePeriod is how long the record of a backend server may be missing
-// after the store is back before the server is dropped. The platform's protocol
-// allows about two seconds (PROTOCOL, "Service discovery").
-const LapseGracePeriod = 2 * time.Second
-
 // Change is the kind of change that a record has caused.
 type Change int
 
@@ -38,10 +33,9 @@
 	drained          map[string]bool
 	servers          map[string]*serverEntry
 	processes        processes
-	// outage is true while the store does not answer. outageEndedAt is when the
-	// store answered again after the last outage.
-	outage        bool
-	outageEndedAt time.Time
+	outage           outage
+	// answeredAt is when the servers were last read up to the end of their topic.
+	answeredAt time.Time
 }
 
 // topic holds the newest record of each key. next is the position that follows the
@@ -62,7 +56,9 @@
 	server core.BackendServer
 	// position is that of the newest record.
 	position core.Position
-	lapsed   bool
+	// appliedAt is when that record was applied.
+	appliedAt time.Time
+	lapsed    bool
 	// coldUntil is when the server stops being cold.
 	coldUntil time.Time
 }
@@ -89,16 +85,6 @@
 // Next returns the first position of a topic that is not applied.
 func (d *Directory) Next(t core.Topic) core.Position { return d.topics[t].next }
 
-// StoreFailed records that the store does not answer.
-func (d *Directory) StoreFailed() { d.outage = true }
-
-// StoreAnswered records that the store has answered.
-func (d *Directory) StoreAnswered(now time.Time) {
-	if d.outage {
-		d.outage, d.outageEndedAt = false, now
-	}
-}
-
 // Append applies a batch that follows the applied records. A batch of another era has
 // no effect, since its records do not follow them: a later era is read from its
 // beginning and passed to Replace.
@@ -200,7 +186,7 @@
 	}
 	known := d.processes.report(s, r.Position.Era)
 	old := d.servers[id]
-	e := &serverEntry{server: known, position: r.Position, coldUntil: now.Add(s.ColdLeft)}
+	e := &serverEntry{server: known, position: r.Position, appliedAt: now, coldUntil: now.Add(s.ColdLeft)}
 	d.servers[id] = e
 	if old == nil || old.lapsed {
 		return ChangeServers
@@ -213,15 +199,14 @@
 	return ChangeServers
 }
 
-// removeServer removes a server. A ready server whose record is removed during
-// an outage of the store, or within LapseGracePeriod after it, is marked as
-// lapsed instead.
+// removeServer removes a server. A ready server whose record may have lapsed in an
+// outage of the store is marked as lapsed instead.
 func (d *Directory) removeServer(id string, now time.Time) Change {
 	e := d.servers[id]
 	if e == nil {
 		return ChangeNone
 	}
-	if e.server.State == core.BackendReady && (d.outage || now.Before(d.outageEndedAt.Add(LapseGracePeriod))) {
+	if e.server.State == core.BackendReady && d.outage.mayLapse(now) && !d.outage.hasReported(e.appliedAt) {
 		e.lapsed = true
 		return ChangeNone
 	}
@@ -243,7 +228,7 @@
 // the outage.
 func (d *Directory) Expire(now time.Time) Change {
 	d.processes.expire(now)
-	if d.outage || now.Before(d.outageEndedAt.Add(LapseGracePeriod)) {
+	if d.outage.mayLapse(now) {
 		return ChangeNone
 	}
 	changed := ChangeNone
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -126,7 +126,7 @@
 		{"one is leaving", func(d *directory.Directory) { apply(t, d, rec("a", "leaving", 3), 0) }, 0, "b"},
 		{"an old record is applied again", func(d *directory.Directory) { apply(t, d, rec("a", "ready", 1), 0) }, 0, "b"},
 		{"a record is removed during an outage of the store", func(d *directory.Directory) {
-			d.StoreFailed()
+			d.StoreFailed(now)
 			apply(t, d, rec("b", "", 4), 0)
 		}, 0, "b"},
 		{"the store answers again", func(d *directory.Directory) { d.StoreAnswered(now.Add(10 * time.Second)) }, 11 * time.Second, "b"},
@@ -134,7 +134,7 @@
 		{"a record is removed while the store answers", func(d *directory.Directory) { apply(t, d, rec("b", "", 6), 14*time.Second) }, 14 * time.Second, ""},
 		{"a further outage", func(d *directory.Directory) {
 			apply(t, d, rec("c", "ready", 7), 14*time.Second)
-			d.StoreFailed()
+			d.StoreFailed(now.Add(14 * time.Second))
 			apply(t, d, rec("c", "", 8), 15*time.Second)
 			d.StoreAnswered(now.Add(20 * time.Second))
 		}, 21 * time.Second, "c"},
--- a/core/directory/era.go
+++ b/core/directory/era.go
@@ -33,7 +33,7 @@
 // or a drained failure domain has changed.
 func (d *Directory) Settle(t core.Topic, begun, now time.Time) Change {
 	topic := &d.topics[t]
-	if topic.settleAt.IsZero() || begun.Before(topic.settleAt) || d.outage || begun.Before(d.outageEndedAt.Add(LapseGracePeriod)) {
+	if topic.settleAt.IsZero() || begun.Before(topic.settleAt) || d.outage.lost || begun.Before(d.outage.ownBackAt.Add(LapseGracePeriod)) {
 		return ChangeNone
 	}
 	topic.settleAt = time.Time{}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -73,8 +73,8 @@
 	t.Helper()
 	d := &deployment{t: t, store: metastore.New(), runners: map[string]*runner.Runner{}, keys: []string{"key-a"},
 		storeTimeout: 500 * time.Millisecond,
-		limits:     map[string]any{"max_body_bytes": 1000},
-		reloadable: gateway.ReloadableConfig{RetryRatio: 1, RetrySlack: 20, RetryWindow: 10 * time.Second, Grace: 2 * time.Second}}
+		limits:       map[string]any{"max_body_bytes": 1000},
+		reloadable:   gateway.ReloadableConfig{RetryRatio: 1, RetrySlack: 20, RetryWindow: 10 * time.Second, Grace: 2 * time.Second}}
 	d.http = httptest.NewServer(d.store)
 	t.Cleanup(func() {
 		d.store.SetFault(metastore.FaultNone)
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -57,6 +57,9 @@
 		ServersEra:         d.Next(core.TopicServers).Era,
 		ConfigVersion:      g.configVersion(),
 	}
+	if at := d.AnsweredAt(); !at.IsZero() {
+		b.ServersReadAgeMs = uint32(max(1, time.Since(at).Milliseconds()))
+	}
 	if withMembers {
 		b.Gateways = g.state.members.addresses(time.Now())
 	}
@@ -77,6 +80,9 @@
 	for _, a := range b.GetGateways() {
 		g.addMember(a)
 	}
+	if age := b.GetServersReadAgeMs(); age > 0 {
+		g.state.directory.OtherAnswered(now.Add(-time.Duration(age) * time.Millisecond))
+	}
 	m.introduced = m.introduced || len(b.GetGateways()) > 0
 	g.updateSharers(now)
 	loads := make(map[string]int, len(b.GetLoads()))
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -293,7 +293,7 @@
 	}
 	g.task.Do(func() {
 		if w.topic == core.TopicServers && !errors.Is(err, core.ErrExpired) {
-			g.state.directory.StoreFailed()
+			g.state.directory.StoreFailed(time.Now())
 		}
 	})
 }
@@ -333,7 +333,7 @@
 	return func(r topicRead) {
 		now := time.Now()
 		err := g.task.Try(func() {
-			if t == core.TopicServers {
+			if t == core.TopicServers && (r.full || r.AtEnd) {
 				g.state.directory.StoreAnswered(now)
 			}
 			g.applyRecords(t, r.KeyedBatch, r.full, sourceStore, now)
