Move requests from a silent server only when another one takes them

Cause: a server of a model service that sends no event for 0.4 s while others do counts as unresponsive, and the gateway cancelled all its repeatable requests at once. Each then needed a retry by the budget, an attempt and a place; one that did not get all three was cut off, or got 502 if its stream had not begun.

DetectUnresponsive, the exclusion of silent servers from new requests and moves of unary requests of plain services are as before (there are none of the last). A move whose new server rejects the request still needs a further retry, and is cut off without one: docs/incidents.md.

--- a/core/dispatch/unresponsive.go
+++ b/core/dispatch/unresponsive.go
@@ -83,7 +83,7 @@
 
 // DetectUnresponsive returns the servers that have become unresponsive since the
 // last call and excludes them. Callers should move their requests to other
-// servers.
+// servers that take them, until the servers are no longer excluded.
 func (d *Dispatcher) DetectUnresponsive(now time.Time) []string {
 	var out []string
 	for sv := range d.busy {
@@ -102,6 +102,13 @@
 	return out
 }
 
+// Excluded reports whether a server gets no requests, or only probes, until it has sent an
+// event or a reply.
+func (d *Dispatcher) Excluded(id string) bool {
+	sv := d.listed[id]
+	return sv != nil && sv.health.excluded()
+}
+
 // unresponsive reports whether a server with requests has sent no event for its
 // timeout while others of its group did.
 func (sv *server) unresponsive(now time.Time) bool {
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -42,17 +42,23 @@
 
 // AllowRetry reports whether a request may be retried, and if so counts the retry.
 func (w *WindowBudget) AllowRetry(service string, now time.Time) bool {
+	if !w.AllowsRetry(service, now) {
+		return false
+	}
 	c, i := w.counts(service, now)
+	c.retries[i]++
+	return true
+}
+
+// AllowsRetry reports whether a request may be retried, without counting it.
+func (w *WindowBudget) AllowsRetry(service string, now time.Time) bool {
+	c, _ := w.counts(service, now)
 	requests, retries := 0, 0
 	for j := range windowBuckets {
 		requests += c.requests[j]
 		retries += c.retries[j]
 	}
-	if float64(retries+1) > w.ratio*float64(requests)+w.slack {
-		return false
-	}
-	c.retries[i]++
-	return true
+	return float64(retries+1) <= w.ratio*float64(requests)+w.slack
 }
 
 // counts returns the counts of a service and the index of the current bucket.
--- a/emulator/runner/runner.go
+++ b/emulator/runner/runner.go
@@ -100,6 +100,8 @@
 	// pausedUntil is until when requests are rejected, with pauseHeader as Retry-After.
 	pausedUntil time.Time
 	pauseHeader string
+	// quietUntil is until when nothing is sent.
+	quietUntil time.Time
 	// rejected holds the requests that were rejected by a pause.
 	rejected []Rejection
 	wg       sync.WaitGroup
@@ -278,6 +280,7 @@
 		return false
 	}
 	time.Sleep(r.cfg.ProcessingTime)
+	r.awaitQuiet()
 	if r.crashAtStart(c, run) {
 		return false
 	}
@@ -369,6 +372,7 @@
 			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
 			return false
 		}
+		r.awaitQuiet()
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			r.markCancelled(run)
 			return false
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -34,6 +34,8 @@
 	// unaryQueueShare is the share of the time left that other requests may spend in
 	// the queue.
 	unaryQueueShare = 0.5
+	// resumedPriority goes before all other priorities.
+	resumedPriority = -1
 	// minSendTimeLeft is the least time left with which a request is sent.
 	minSendTimeLeft = 20 * time.Millisecond
 )
@@ -60,6 +62,8 @@
 	// callerAge is how long ago the caller made its first attempt. It is above 0 if
 	// this request is a retry by the caller.
 	callerAge time.Duration
+	// movedTo is the server to which the request was moved during the last send.
+	movedTo *dispatch.Decision
 	// fallback is a complete 5xx reply of a server. It is sent to the caller if no
 	// other server sends a complete reply.
 	fallback *bufferedReply
@@ -83,11 +87,15 @@
 		g.state.retryBudget.CountRequest(c.service, c.arrived)
 		a.callerAge = g.state.callerAges.age(c.route.Name, c.callerDeadline.Sub(c.arrived), c.route.Timeout, c.arrived)
 	})
+	defer g.releaseMove(a)
 	for {
-		v, ok := g.acquireServer(a)
-		if !ok {
-			g.recordEnd(a, "caller_left")
-			return
+		v, moved := a.takeMove()
+		if !moved {
+			var ok bool
+			if v, ok = g.acquireServer(a); !ok {
+				g.recordEnd(a, "caller_left")
+				return
+			}
 		}
 		if v.Rejected != "" {
 			g.giveUp(a, string(v.Rejected), v.RetryAfter)
@@ -96,6 +104,9 @@
 		if g.attemptOnce(a, v) {
 			return
 		}
+		if a.movedTo != nil {
+			continue
+		}
 		if reason, ok := g.mayRetry(a); !ok {
 			g.giveUp(a, reason, g.retryAfter(a.service))
 			return
@@ -168,7 +179,7 @@
 	case a.relay != nil && a.relay.started:
 		// The caller already waits for the next event, so the stream goes before
 		// all others, and half of the event timeout is left for the new server.
-		r.Priority, r.Objective, r.Resumed = -1, now, true
+		r.Priority, r.Objective, r.Resumed = resumedPriority, now, true
 		r.QueueDeadline = now.Add(a.eventTimeout() / 2)
 	case a.relay != nil:
 		share := streamQueueShare
@@ -248,8 +259,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	defer cancel(nil)
-	if a.route.Kind.Repeatable() {
-		defer g.cancelIfUnresponsive(v.Server.ID, cancel)()
+	if a.route.Kind.Repeatable() && a.sends+1 < a.route.MaxAttempts {
+		defer g.trackSend(a, v.Server.ID, cancel)()
 	}
 	a.sentAt, a.answerBegun = time.Now(), false
 	reply, err := g.client.Send(ctx, v.Server, backend.Request{
@@ -262,7 +273,7 @@
 		AtMostOnce: !a.route.Kind.Repeatable(),
 	})
 	if err != nil {
-		return g.sendFailed(a, v, err, errors.Is(context.Cause(ctx), errServerUnresponsive))
+		return g.sendFailed(a, v, err, errors.Is(context.Cause(ctx), errMoved))
 	}
 	defer reply.Close()
 	a.sends++
@@ -282,14 +293,14 @@
 	}
 	a.mayHaveRun = true
 	if a.relay != nil && reply.Status >= 200 && reply.Status < 300 && eventstream.IsContentType(reply.Header.Get("Content-Type")) {
-		return g.attemptStream(a, v, reply)
+		return g.attemptStream(ctx, a, v, reply)
 	}
 	return g.attemptUnary(a, v, reply)
 }
 
-// sendFailed handles a send without a reply. unresponsive reports that the gateway
-// cancelled the send because the server is unresponsive.
-func (g *Gateway) sendFailed(a *attempts, v dispatch.Decision, err error, unresponsive bool) (dispatch.Outcome, bool) {
+// sendFailed handles a send without a reply. moved reports that the gateway cancelled the
+// send because another server has taken the request.
+func (g *Gateway) sendFailed(a *attempts, v dispatch.Decision, err error, moved bool) (dispatch.Outcome, bool) {
 	if errors.Is(err, backend.ErrNotSent) {
 		a.connectFailures++
 		if a.ctx.Err() != nil {
@@ -306,16 +317,21 @@
 		g.runBroke(a, v.Server, false)
 		return dispatch.OutcomeFailed, g.contextEnded(a)
 	}
-	if unresponsive {
-		g.logAttempt(a, v, "server_silent", 0, err)
-		g.runBroke(a, v.Server, false)
-		return dispatch.OutcomeCancelled, false
+	if moved {
+		return g.sendMoved(a, v, 0, err), false
 	}
 	g.logAttempt(a, v, "no_reply", 0, err)
 	g.runBroke(a, v.Server, true)
 	return dispatch.OutcomeFailed, false
 }
 
+// sendMoved handles the end of a send to a server from which the request was moved.
+func (g *Gateway) sendMoved(a *attempts, v dispatch.Decision, status int, err error) dispatch.Outcome {
+	g.logAttempt(a, v, "server_silent", status, err)
+	g.runBroke(a, v.Server, false)
+	return dispatch.OutcomeCancelled
+}
+
 // contextEnded ends a request whose deadline has passed or whose caller has
 // disconnected; only the former gets a response. It always reports true.
 func (g *Gateway) contextEnded(a *attempts) bool {
--- a/gateway/frames_fuzz_test.go
+++ b/gateway/frames_fuzz_test.go
@@ -109,7 +109,7 @@
 			g.serversChanged(now)
 			g.heartbeatFrame(true)
 			g.groupView()
-			g.cancelUnresponsiveSends(now)
+			g.detectUnresponsive(now)
 			g.refreshLimitHomes(false, now)
 			g.askPermits(now)
 			g.checkLimits(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,14 +129,16 @@
 	reloadable  ReloadableConfig
 	retryBudget *retry.WindowBudget
 	// budgetStart is when retryBudget began to count.
-	budgetStart time.Time
-	waiting     map[uint64]chan dispatch.Decision
-	sendCancels sendCancels
-	callerAges  callerAges
-	members     *members
-	quarantine  *retry.Quarantine
-	brokenRuns  *retry.BrokenRuns
-	crashWrites *crashWrites
+	budgetStart  time.Time
+	waiting      map[uint64]chan dispatch.Decision
+	movableSends movableSends
+	// unresponsive holds the servers from which requests are moved.
+	unresponsive map[string]bool
+	callerAges   callerAges
+	members      *members
+	quarantine   *retry.Quarantine
+	brokenRuns   *retry.BrokenRuns
+	crashWrites  *crashWrites
 	// trials holds the fingerprints of requests and parts of prompts of which one request
 	// is being sent.
 	trials map[uint64]bool
@@ -185,19 +187,20 @@
 		RequestID:             func(h http.Header) string { return cfg.Headers.Reply(0, h).RequestID },
 	})
 	g.state = &state{
-		directory:   directory.New(cfg.Decoder),
-		dispatcher:  dispatch.New(cfg.FailureDomain, xxhash.Sum64String(cfg.Incarnation)),
-		reloadable:  cfg.Reloadable,
-		retryBudget: newRetryBudget(cfg.Reloadable),
-		budgetStart: time.Now(),
-		waiting:     map[uint64]chan dispatch.Decision{},
-		sendCancels: sendCancels{},
-		callerAges:  callerAges{},
-		members:     newMembers(cfg.PeerAddress, cfg.Reloadable.Seeds, cfg.ForgetAfter),
-		quarantine:  retry.NewQuarantine(),
-		brokenRuns:  retry.NewBrokenRuns(),
-		crashWrites: newCrashWrites(),
-		trials:      map[uint64]bool{},
+		directory:    directory.New(cfg.Decoder),
+		dispatcher:   dispatch.New(cfg.FailureDomain, xxhash.Sum64String(cfg.Incarnation)),
+		reloadable:   cfg.Reloadable,
+		retryBudget:  newRetryBudget(cfg.Reloadable),
+		budgetStart:  time.Now(),
+		waiting:      map[uint64]chan dispatch.Decision{},
+		movableSends: movableSends{},
+		unresponsive: map[string]bool{},
+		callerAges:   callerAges{},
+		members:      newMembers(cfg.PeerAddress, cfg.Reloadable.Seeds, cfg.ForgetAfter),
+		quarantine:   retry.NewQuarantine(),
+		brokenRuns:   retry.NewBrokenRuns(),
+		crashWrites:  newCrashWrites(),
+		trials:       map[uint64]bool{},
 
 		engineStates: enginestate.New(),
 	}
@@ -323,7 +326,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// tick periodically removes expired servers, cancels sends to unresponsive
+// tick periodically removes expired servers, moves requests from unresponsive
 // servers and dispatches queued requests.
 func (g *Gateway) tick(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
@@ -340,7 +343,7 @@
 				}
 				g.passOnEngineStates(now)
 				g.broadcastGroupView(now)
-				g.cancelUnresponsiveSends(now)
+				g.detectUnresponsive(now)
 				g.expireBrokenRuns(now)
 				g.checkLimits(now)
 				g.hasCrashes.Store(g.state.brokenRuns.Len() > 0 || g.state.quarantine.HasCrashes())
@@ -350,8 +353,10 @@
 	}
 }
 
-// dispatchWaiting assigns servers to waiting requests. It runs in the task.
+// dispatchWaiting assigns servers to requests at unresponsive servers and to waiting ones.
+// It runs in the task.
 func (g *Gateway) dispatchWaiting(now time.Time) {
+	g.moveRequests(now)
 	if g.state.dispatcher.Waiting() > 0 {
 		g.deliver(g.state.dispatcher.DispatchWaiting(now))
 		g.askPermits(now)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -66,22 +66,29 @@
 	reasonServersSilent = "its_servers_are_silent"
 )
 
-// quarantineReason returns why a request may not be sent now and the Retry-After, or
-// an empty reason. ambiguous holds the keys of which one request at a time may be sent.
-// It runs in the task.
-func (g *Gateway) quarantineReason(a *attempts) (reason string, retryAfter time.Duration, ambiguous []uint64) {
+// quarantineVerdict tells whether a request may be sent now. reason is empty if so; then
+// ambiguous holds the keys of which one request at a time may be sent. blocked is the
+// fingerprint of the part of the prompt for which the request may not be sent.
+type quarantineVerdict struct {
+	reason     string
+	retryAfter time.Duration
+	blocked    uint64
+	ambiguous  []uint64
+}
+
+// quarantineVerdict judges a request. It runs in the task.
+func (g *Gateway) quarantineVerdict(a *attempts) quarantineVerdict {
 	q := g.state.quarantine
 	v := q.Judge(a.keys, time.Now())
 	switch {
 	case v.Status == core.QuarantineBlocked:
-		a.blockedPart = a.partName(v.Blocked)
-		return reasonCrashes, quarantineRetryAfter, nil
+		return quarantineVerdict{reason: reasonCrashes, retryAfter: quarantineRetryAfter, blocked: v.Blocked}
 	case g.trialRuns(a):
-		return reasonTrialRunning, trialRetryAfter, nil
+		return quarantineVerdict{reason: reasonTrialRunning, retryAfter: trialRetryAfter}
 	case q.MayReach(a.keys, g.state.brokenRuns.CountSilent):
-		return reasonServersSilent, trialRetryAfter, nil
+		return quarantineVerdict{reason: reasonServersSilent, retryAfter: trialRetryAfter}
 	}
-	return "", 0, v.Ambiguous
+	return quarantineVerdict{ambiguous: v.Ambiguous}
 }
 
 // partName returns the name of the part of the prompt with a fingerprint, or "".
@@ -108,8 +115,9 @@
 	if !g.hasCrashes.Load() {
 		return "", 0
 	}
-	g.task.Do(func() { reason, retryAfter, _ = g.quarantineReason(a) })
-	return reason, retryAfter
+	var v quarantineVerdict
+	g.task.Do(func() { v = g.quarantineVerdict(a) })
+	return a.apply(v)
 }
 
 // beginSend is like checkQuarantine. Of the requests with a key whose crashes are
@@ -118,17 +126,25 @@
 	if !g.hasCrashes.Load() {
 		return "", 0
 	}
+	var v quarantineVerdict
 	g.task.Do(func() {
-		var ambiguous []uint64
-		reason, retryAfter, ambiguous = g.quarantineReason(a)
-		for _, key := range ambiguous {
+		v = g.quarantineVerdict(a)
+		for _, key := range v.ambiguous {
 			if !g.state.trials[key] {
 				g.state.trials[key] = true
 				a.trials = append(a.trials, key)
 			}
 		}
 	})
-	return reason, retryAfter
+	return a.apply(v)
+}
+
+// apply records a verdict for the log, and returns why the request may not be sent.
+func (a *attempts) apply(v quarantineVerdict) (reason string, retryAfter time.Duration) {
+	if v.reason == reasonCrashes {
+		a.blockedPart = a.partName(v.blocked)
+	}
+	return v.reason, v.retryAfter
 }
 
 // endTrial allows another request with the same keys to be sent.
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -23,6 +23,11 @@
 // allowRetry reports whether this gateway's part of the shared budget allows a retry,
 // and if so counts it. It runs in the task.
 func (g *Gateway) allowRetry(service string, now time.Time) bool {
+	return g.currentRetryBudget(now).AllowRetry(service, now)
+}
+
+// currentRetryBudget returns this gateway's part of the shared budget. It runs in the task.
+func (g *Gateway) currentRetryBudget(now time.Time) *retry.WindowBudget {
 	s := g.state
 	share, gateways := retryBudgetShare, s.members.countLive(now)
 	if now.Sub(s.budgetStart) < s.reloadable.RetryWindow {
@@ -30,5 +35,5 @@
 		share, gateways = restartSlackShare, s.members.countKnown()
 	}
 	s.retryBudget.SetLimits(s.reloadable.RetryRatio*retryBudgetShare, s.reloadable.RetrySlack*share/float64(gateways))
-	return s.retryBudget.AllowRetry(service, now)
+	return s.retryBudget
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,9 +49,9 @@
 	return &relay{gateway: g, call: c, rc: http.NewResponseController(c.w), lastEventID: c.fields.LastEventID}
 }
 
-// attemptStream relays the events of one reply. If the reply breaks off, another
-// server may resume the stream.
-func (g *Gateway) attemptStream(a *attempts, v dispatch.Decision, reply *backend.Reply) (dispatch.Outcome, bool) {
+// attemptStream relays the events of one reply, which ends with ctx. If the reply breaks
+// off, another server may resume the stream.
+func (g *Gateway) attemptStream(ctx context.Context, a *attempts, v dispatch.Decision, reply *backend.Reply) (dispatch.Outcome, bool) {
 	if !g.cfg.Headers.Reply(reply.Status, reply.Header).Sealed {
 		g.logAttempt(a, v, "not_sealed", reply.Status, nil)
 		return dispatch.OutcomeFailed, false
@@ -79,6 +80,8 @@
 			g.runBroke(a, v.Server, false)
 		}
 		return dispatch.OutcomeCancelled, g.contextEnded(a)
+	case errors.Is(context.Cause(ctx), errMoved):
+		return g.sendMoved(a, v, reply.Status, err), false
 	case unverified:
 		// The caller was promised a last chunk, which needs a server that marks the end of
 		// its reply.
