Join only the rest of a stream to what its caller has

Cause: a resumed stream took any sealed 2xx answer of type text/event-stream for the rest and passed on events without an id.

Events of these streams have increasing ids. In an answer to a request for the rest, an event without an id, or an error as the first new event, now ends the attempt; another server is tried, or the caller's connection is reset. Comments pass as before. A stream of which an event without an id was passed on is not resumed at all: the next server could not tell where to go on, and its callers got the events twice. An answer without any event still ends the stream, since its last event may have been sent before the break; a server cannot say so in another way.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -42,13 +42,16 @@
 
 // EndsInside reports whether a stream that ends with rest, the bytes after its last
 // complete event, ends inside an event. Comments belong to no event.
-func EndsInside(rest []byte) bool {
-	for len(rest) > 0 {
-		text, all := nextLine(rest)
-		if text > 0 && rest[0] != ':' {
+func EndsInside(rest []byte) bool { return HasFields(rest) }
+
+// HasFields reports whether an event, or a part of one, has more than comments.
+func HasFields(event []byte) bool {
+	for len(event) > 0 {
+		text, all := nextLine(event)
+		if text > 0 && event[0] != ':' {
 			return true
 		}
-		rest = rest[all:]
+		event = event[all:]
 	}
 	return false
 }
@@ -83,10 +86,20 @@
 func (p Position) InsideEvent() bool { return p.inEvent }
 
 // EventID returns the value of the id field of an event.
-func EventID(event []byte) (string, bool) {
+func EventID(event []byte) (string, bool) { return field(event, "id:") }
+
+// IsError reports whether an event is of the type error.
+func IsError(event []byte) bool {
+	v, ok := field(event, "event:")
+	return ok && v == "error"
+}
+
+// field returns the value of the first field of an event with a name, which ends with a
+// colon.
+func field(event []byte, name string) (string, bool) {
 	for len(event) > 0 {
 		text, all := nextLine(event)
-		if v, ok := bytes.CutPrefix(event[:text], []byte("id:")); ok {
+		if v, ok := bytes.CutPrefix(event[:text], []byte(name)); ok {
 			return string(bytes.TrimSpace(v)), true
 		}
 		event = event[all:]
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -361,6 +361,8 @@
 		return "deadline", false
 	case a.mayHaveRun && !a.route.Kind.Repeatable():
 		return "outcome_unknown", false
+	case a.relay != nil && a.relay.started && a.relay.unnumbered:
+		return "events_without_ids", false
 	case a.sends >= a.route.MaxAttempts:
 		return "attempts", false
 	case a.connectFailures >= maxConnectFailures:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,6 +26,9 @@
 	errCallerWrite  = errors.ConstError("write to caller failed")
 	errInvalidEvent = errors.ConstError("invalid event")
 	errInsideEvent  = errors.ConstError("stream ended inside an event")
+	// errNotContinued ends a reply to a request for the rest of a stream that holds
+	// something else.
+	errNotContinued = errors.ConstError("reply does not continue the stream")
 )
 
 // relay forwards the events of a stream to a caller. The events may come from
@@ -36,11 +39,17 @@
 	call    *call
 	rc      *http.ResponseController
 	// serverID is the server whose events are being relayed.
-	serverID    string
-	started     bool
+	serverID string
+	started  bool
+	// resumed is set while the reply has to continue a stream that has begun.
+	resumed bool
+	// unnumbered is set once an event without an id has been forwarded, which no other
+	// server can tell from the rest.
+	unnumbered  bool
 	lastEventID string
 	lastEventAt time.Time
-	events      int
+	// events counts the events of all replies, and eventsBefore those before this one.
+	events, eventsBefore int
 	// longestPause is the longest time between two events.
 	longestPause time.Duration
 }
@@ -56,10 +65,10 @@
 		g.logAttempt(a, v, "not_sealed", reply.Status, nil)
 		return dispatch.OutcomeFailed, false
 	}
-	before := a.relay.events
-	a.relay.serverID = v.Server.ID
+	a.relay.eventsBefore = a.relay.events
+	a.relay.serverID, a.relay.resumed = v.Server.ID, a.relay.started
 	err := a.relay.copyEvents(reply)
-	a.answerBegun = a.relay.events > before
+	a.answerBegun = a.relay.events > a.relay.eventsBefore
 	unverified := errors.Is(err, backend.ErrUnverifiedEnd)
 	if err == nil || unverified && !a.relay.promisesLastChunk() {
 		reply.MarkBodyRead()
@@ -76,12 +85,15 @@
 		g.recordEnd(a, "caller_left")
 		return dispatch.OutcomeCancelled, true
 	case a.ctx.Err() != nil:
-		if a.relay.events == before {
+		if !a.answerBegun {
 			g.runBroke(a, v.Server, false)
 		}
 		return dispatch.OutcomeCancelled, g.contextEnded(a)
 	case errors.Is(context.Cause(ctx), errMoved):
 		return g.sendMoved(a, v, reply.Status, err), false
+	case errors.Is(err, errNotContinued):
+		g.logAttempt(a, v, "stream_not_continued", reply.Status, err)
+		return dispatch.OutcomeFailed, false
 	case unverified:
 		// The caller was promised a last chunk, which needs a server that marks the end of
 		// its reply.
@@ -89,7 +101,7 @@
 		g.checkEnded(a, v.Server, true)
 		return dispatch.OutcomeUnverified, false
 	}
-	g.logAttempt(a, v, "stream_broken", reply.Status, fmt.Errorf("after %d events, last id %q: %w", a.relay.events-before, a.relay.lastEventID, err))
+	g.logAttempt(a, v, "stream_broken", reply.Status, fmt.Errorf("after %d events, last id %q: %w", a.relay.events-a.relay.eventsBefore, a.relay.lastEventID, err))
 	g.runBroke(a, v.Server, true)
 	return dispatch.OutcomeFailed, false
 }
@@ -160,19 +172,21 @@
 func (r *relay) forwardEvents(reply *backend.Reply, buf []byte) (int, error) {
 	used := 0
 	var out []byte
-	for {
+	var invalid error
+	for invalid == nil {
 		end := eventstream.EventEnd(buf[used:])
 		if end < 0 {
 			break
 		}
 		event := buf[used : used+end]
 		used += end
-		if r.accept(event) {
+		var ok bool
+		if ok, invalid = r.accept(event); ok {
 			out = append(out, event...)
 		}
 	}
 	if len(out) == 0 {
-		return used, nil
+		return used, invalid
 	}
 	r.writeHeader(reply)
 	if _, err := r.call.w.Write(out); err != nil {
@@ -181,19 +195,29 @@
 	if err := r.rc.Flush(); err != nil {
 		return used, fmt.Errorf("%w: %w", err, errCallerWrite)
 	}
-	return used, nil
+	return used, invalid
 }
 
 // accept records an event and reports whether to forward it: events that the caller
-// already has, going by their id, are skipped. Events without an id are always
-// forwarded.
-func (r *relay) accept(event []byte) bool {
+// already has, going by their id, are skipped. Events without an id are forwarded, but
+// do not continue a stream that another server has begun, and neither does an error.
+func (r *relay) accept(event []byte) (bool, error) {
 	id, ok := eventstream.EventID(event)
 	if !ok {
-		return true
+		if !eventstream.HasFields(event) {
+			return true, nil
+		}
+		if r.resumed {
+			return false, fmt.Errorf("event without an id: %w", errNotContinued)
+		}
+		r.unnumbered = true
+		return true, nil
 	}
 	if !eventstream.IsNewerID(id, r.lastEventID) {
-		return false
+		return false, nil
+	}
+	if r.resumed && r.events == r.eventsBefore && eventstream.IsError(event) {
+		return false, fmt.Errorf("error event %q: %w", id, errNotContinued)
 	}
 	r.lastEventID = id
 	now := time.Now()
@@ -208,5 +232,5 @@
 	})
 	r.events++
 	r.lastEventAt = now
-	return true
+	return true, nil
 }
