--- a/emulator/day/day.go
+++ b/emulator/day/day.go
@@ -340,7 +340,7 @@
 	}
 	s.reports++
 	store.PutJSON("keyed.servers", s.id, map[string]any{"service": s.service, "addr": s.runner.Address(), "zone": "z1",
-		"slots": 8, "state": s.state, "born": 1, "seq": s.reports})
+		"version": "v1", "cold_left_ms": 0, "slots": 8, "state": s.state, "born": 1, "seq": s.reports})
 	return true
 }
 
--- a/emulator/runner/process.go
+++ b/emulator/runner/process.go
@@ -72,7 +72,7 @@
 	p.mu.Unlock()
 	p.cfg.Group.started(r)
 	p.cfg.Store.PutJSON(serversTopic, cfg.ID, map[string]any{"service": p.cfg.Service, "addr": r.Address(),
-		"zone": p.cfg.Zone, "slots": max(1, p.cfg.Slots), "state": "ready", "born": born})
+		"zone": p.cfg.Zone, "version": "v1", "cold_left_ms": 0, "seq": 0, "slots": max(1, p.cfg.Slots), "state": "ready", "born": born})
 	return nil
 }
 
--- a/gateway/endless_reply_test.go
+++ b/gateway/endless_reply_test.go
@@ -108,7 +108,7 @@
 			}
 			d.addRunner(cfg, service)
 			address, written := serveEndless(t, c.head, c.piece)
-			d.store.PutJSON("keyed.servers", "bad", map[string]any{"service": service, "addr": address, "zone": "z1", "slots": 4, "state": "ready", "born": 1, "seq": 1})
+			d.store.PutJSON("keyed.servers", "bad", map[string]any{"service": service, "addr": address, "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 4, "state": "ready", "born": 1, "seq": 1})
 			p := d.startReady()
 			met := false
 			for range 20 {
--- a/gateway/frames_fuzz_test.go
+++ b/gateway/frames_fuzz_test.go
@@ -56,7 +56,7 @@
 // more.
 func FuzzControl(f *testing.F) {
 	g, from := fuzzedGateway(f)
-	server := []byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","slots":9223372036854775807,"state":"ready","seq":1,"size":2147483647,"group":{"name":"g","epoch":1,"rank":2147483647,"state":"open"}}`)
+	server := []byte(`{"service":"s","addr":"127.0.0.1:9","zone":"z","version":"v1","cold_left_ms":0,"slots":9223372036854775807,"state":"ready","seq":1,"size":2147483647,"group":{"name":"g","epoch":1,"rank":2147483647,"state":"open"}}`)
 	config := []byte(`{"version":9223372036854775807,"routes":[{"name":"r","host":"h","path_prefix":"/"}],"services":[{"name":"s","engine":{"slots":-1}}]}`)
 	for _, m := range []*peerpb.Frame{
 		{},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -132,7 +132,7 @@
 func (d *deployment) announce(id, service, state string) {
 	d.reports++
 	d.store.PutJSON("keyed.servers", id, map[string]any{
-		"service": service, "addr": d.runners[id].Address(), "zone": "z1", "slots": 4, "state": state, "born": 1, "seq": d.reports,
+		"service": service, "addr": d.runners[id].Address(), "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 4, "state": state, "born": 1, "seq": d.reports,
 	})
 }
 
--- a/gateway/resumed_reply_test.go
+++ b/gateway/resumed_reply_test.go
@@ -95,7 +95,7 @@
 			d.publish()
 			for i := range 2 {
 				d.store.PutJSON("keyed.servers", fmt.Sprint("m", i), map[string]any{"service": "model",
-					"addr": serveBrokenStream(t, c.first, c.status, c.head, c.body), "zone": "z1", "slots": 4, "state": "ready", "version": 1, "cold_left_ms": 0, "born": 1, "seq": 1})
+					"addr": serveBrokenStream(t, c.first, c.status, c.head, c.body), "zone": "z1", "slots": 4, "state": "ready", "version": "v1", "cold_left_ms": 0, "born": 1, "seq": 1})
 			}
 			p := d.startReady()
 			got := send(newRequest(p, http.MethodPost, "/draft/x", "key-a", ""))
--- a/gateway/server_state_test.go
+++ b/gateway/server_state_test.go
@@ -77,7 +77,7 @@
 			}
 			// A new process under the id begins anew.
 			d.store.PutJSON("keyed.servers", "s0", map[string]any{
-				"service": service, "addr": leaving.Address(), "zone": "z1", "slots": 4, "state": "ready", "born": 2, "seq": 1,
+				"service": service, "addr": leaving.Address(), "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 4, "state": "ready", "born": 2, "seq": 1,
 			})
 			d.announce("s1", service, "draining")
 			eventually(t, "the new process is used", func() bool { ask(gateways[1]); return len(leaving.Runs()) > before })
--- a/gateway/silent_streams_test.go
+++ b/gateway/silent_streams_test.go
@@ -38,7 +38,7 @@
 	for i := range l.engines {
 		id := string(rune('a' + i))
 		engines = append(engines, d.addRunner(runner.Config{ID: id, Events: events, EventInterval: interval}, "model"))
-		d.store.PutJSON("keyed.servers", id, map[string]any{"service": "model", "addr": engines[i].Address(), "zone": "z1", "slots": 8, "state": "ready", "born": 1, "seq": 100})
+		d.store.PutJSON("keyed.servers", id, map[string]any{"service": "model", "addr": engines[i].Address(), "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 8, "state": "ready", "born": 1, "seq": 100})
 	}
 	p := d.startReady()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/stalled_stream_test.go
+++ b/gateway/stalled_stream_test.go
@@ -84,7 +84,7 @@
 			d := newDeployment(t)
 			d.publish()
 			d.store.PutJSON("keyed.servers", "slow", map[string]any{
-				"service": "model", "addr": serveSlowly(t, c.pieces, c.pause, c.endless), "zone": "z1", "slots": 4, "state": "ready", "born": 1, "seq": 1,
+				"service": "model", "addr": serveSlowly(t, c.pieces, c.pause, c.endless), "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 4, "state": "ready", "born": 1, "seq": 1,
 			})
 			p := d.startReady()
 			begun := time.Now()
--- a/rankagent/agent_test.go
+++ b/rankagent/agent_test.go
@@ -108,7 +108,7 @@
 	}
 	for i := range ranks {
 		m.PutJSON("keyed.servers", fmt.Sprintf("i-%d", i), map[string]any{
-			"service": "model", "addr": g.engines.Address(i), "zone": "z", "slots": 4, "state": "ready",
+			"service": "model", "addr": g.engines.Address(i), "zone": "z", "version": "v1", "cold_left_ms": 0, "slots": 4, "state": "ready", "seq": 0,
 			"group": map[string]any{"name": "g", "epoch": 1, "rank": i, "state": "open"}, "size": ranks,
 		})
 	}
--- a/systemtest/gateway_test.go
+++ b/systemtest/gateway_test.go
@@ -119,7 +119,7 @@
 		"version": 1, "services": []map[string]any{{"name": "desk"}},
 		"routes": []map[string]any{{"name": "a", "host": "a.example", "path_prefix": "/a/", "kind": "idempotent", "service": "desk", "max_attempts": 2, "timeout_ms": 2000}},
 	})
-	g.store.PutJSON("keyed.servers", "d1", map[string]any{"service": "desk", "addr": desk.Address(), "zone": "z1", "slots": 2, "state": "ready"})
+	g.store.PutJSON("keyed.servers", "d1", map[string]any{"service": "desk", "addr": desk.Address(), "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 2, "state": "ready", "seq": 0})
 	eventually(t, "the gateway is ready", g.isReady)
 	if got, want := g.get("/a/1"), http.StatusOK; got != want {
 		t.Errorf("status: got %d, want %d", got, want)
--- a/systemtest/paused_gateway_test.go
+++ b/systemtest/paused_gateway_test.go
@@ -30,7 +30,7 @@
 		servers = append(servers, s)
 	}
 	register := func(id, addr, state string) {
-		g.store.PutJSON("keyed.servers", id, map[string]any{"service": "desk", "addr": addr, "zone": "z1", "slots": 40, "state": state})
+		g.store.PutJSON("keyed.servers", id, map[string]any{"service": "desk", "addr": addr, "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 40, "state": state, "seq": 0})
 	}
 	configure := func(version int, keys ...string) {
 		g.store.PutJSON("keyed.op", "config", map[string]any{
--- a/systemtest/unframed_test.go
+++ b/systemtest/unframed_test.go
@@ -90,7 +90,7 @@
 		"version": 1, "services": []map[string]any{{"name": "model"}},
 		"routes": []map[string]any{{"name": "a", "host": "a.example", "path_prefix": "/a/", "kind": "streaming", "service": "model", "max_attempts": 1, "timeout_ms": 9000}},
 	})
-	g.store.PutJSON("keyed.servers", "m1", map[string]any{"service": "model", "addr": l.Addr().String(), "zone": "z1", "slots": 2, "state": "ready"})
+	g.store.PutJSON("keyed.servers", "m1", map[string]any{"service": "model", "addr": l.Addr().String(), "zone": "z1", "version": "v1", "cold_left_ms": 0, "slots": 2, "state": "ready", "seq": 0})
 	eventually(t, "the gateway is ready", g.isReady)
 	r, err := http.NewRequest(http.MethodGet, "http://"+g.callerAddr+"/a/1", nil)
 	if err != nil {
