Be ready only when another gateway has told of servers that leave

Cause: a gateway was ready with the first list of servers. What other gateways know of servers that leave comes with the session to them, some milliseconds later.

Now the heartbeat with the known gateways is the last thing that a gateway sends on a new session, and a starting one is ready when it has got it, or knows of no other gateway, or has waited for 1 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -341,6 +341,7 @@
 				if g.state.directory.Expire(now) == directory.ChangeServers {
 					g.serversChanged(now)
 				}
+				g.checkReady(now)
 				g.passOnEngineStates(now)
 				g.broadcastGroupView(now)
 				g.detectUnresponsive(now)
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -83,7 +83,9 @@
 	if age := b.GetServersReadAgeMs(); age > 0 {
 		g.state.directory.OtherAnswered(now.Add(-time.Duration(age) * time.Millisecond))
 	}
-	m.introduced = m.introduced || len(b.GetGateways()) > 0
+	if len(b.GetGateways()) > 0 {
+		m.introduced, m.told = true, true
+	}
 	g.updateSharers(now)
 	loads := make(map[string]int, len(b.GetLoads()))
 	for _, l := range b.GetLoads() {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -21,6 +21,9 @@
 	// introductionTime is how long after its start a gateway may not have heard others
 	// that share the servers with it.
 	introductionTime = 5 * time.Second
+	// maxToldTime is how long after its start a gateway waits for another one to tell of
+	// the state of servers before it is ready.
+	maxToldTime = time.Second
 	// defaultForgetAfter is the time without a heartbeat after which a gateway is no
 	// longer dialled. Its record in the store is removed within as much time again.
 	defaultForgetAfter = time.Minute
@@ -52,6 +55,8 @@
 	// ids whose records are to be removed, with the time.
 	records  map[string]string
 	removals map[string]time.Time
+	// told is set once another gateway has told of the state of servers.
+	told bool
 	// introduced is set once the store or another gateway has told of the gateways.
 	introduced bool
 	// changed reports that the addresses have changed since they were last sent.
@@ -169,6 +174,13 @@
 	return addresses, sharing
 }
 
+// knowsServers reports whether the records of the servers may be relied on: another gateway
+// has told of servers that leave, which a copy of the store may list as ready, or there is
+// none that could.
+func (m *members) knowsServers(now, startedAt time.Time) bool {
+	return m.told || len(m.known) == 0 || now.Sub(startedAt) >= maxToldTime
+}
+
 // countKnown returns the number of gateways that are known, heard or not, including this
 // one.
 func (m *members) countKnown() int { return len(m.known) + 1 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,14 +24,16 @@
 func (g *Gateway) peerUp(s *peer.Session) {
 	g.log.Info("peer session up", zap.String("peer", s.Hello.GetId()), zap.String("peer_role", s.Hello.GetRole()))
 	if s.Hello.GetRole() == core.RoleGateway {
-		g.task.Do(func() {
-			g.addMember(s.Hello.GetAddress())
-			s.SendControl(g.heartbeatFrame(true))
-		})
 		g.sendCrashRecords(s)
 		g.sendServedParts(s)
 		g.sendLeaving(s)
 		g.sendLimits(s)
+		// The heartbeat comes last: it tells a gateway that has started that it knows the
+		// rest.
+		g.task.Do(func() {
+			g.addMember(s.Hello.GetAddress())
+			s.SendControl(g.heartbeatFrame(true))
+		})
 		return
 	}
 	var f *peerpb.Frame
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -415,10 +415,22 @@
 	g.updateSharers(now)
 	g.state.dispatcher.SetServers(d.Deployment(), list, now)
 	g.deliver(g.state.dispatcher.DispatchWaiting(now))
-	if d.Deployment() != nil && len(list) > 0 && !g.ready.Swap(true) {
-		g.log.Info("gateway is ready", zap.Int64("version", d.Deployment().Version), zap.Int("servers", len(list)))
-	}
+	g.checkReady(now)
 	g.checkRegistered(now)
 	g.state.groupViewDue = true
 	g.broadcastGroupView(now)
 }
+
+// checkReady makes the gateway ready once it knows the configuration and the servers. It
+// runs in the task.
+func (g *Gateway) checkReady(now time.Time) {
+	if g.ready.Load() {
+		return
+	}
+	dep, servers := g.state.directory.Deployment(), g.state.directory.Servers()
+	if dep == nil || len(servers) == 0 || !g.state.members.knowsServers(now, g.startedAt) {
+		return
+	}
+	g.ready.Store(true)
+	g.log.Info("gateway is ready", zap.Int64("version", dep.Version), zap.Int("servers", len(servers)))
+}
