Keep the token that falls due while a gateway is late for its turn

Cause: gateways that got too few permits have turns one interval apart, and the bucket holds one token at such a rate. A gateway asks some milliseconds after its turn, with its next request; until then the full bucket gains nothing. The next gateway, if it is less late, finds less than a token, gets nothing and has to wait for a further turn, four intervals later, while its token is lost in the full bucket.

The bucket holds two tokens now. What falls due while a gateway is late stays for the next one.

--- a/core/ratelimit/bucket.go
+++ b/core/ratelimit/bucket.go
@@ -12,8 +12,10 @@
 	// minRate is the rate at which a server that takes no requests is still asked whether
 	// that holds, in requests a second.
 	minRate = 0.1
-	// burstTime is the time for which unused tokens are kept.
+	// burstTime is the time for which unused tokens are kept. minBurst tokens are kept at
+	// any rate: those that fall due while a gateway is late for its turn belong to the next.
 	burstTime = 500 * time.Millisecond
+	minBurst  = 2
 	// minWait and maxWait bound the time after which a gateway that got too few permits
 	// asks again. A rate below one token in maxWait lengthens it.
 	minWait = 50 * time.Millisecond
@@ -36,7 +38,7 @@
 // wait before it asks again.
 func (b *bucket) grant(want int, rate float64, now time.Time) (granted int, wait time.Duration) {
 	rate = max(rate, minRate)
-	b.level = min(max(1, rate*burstTime.Seconds()), b.level+rate*max(0, now.Sub(b.filledAt).Seconds()))
+	b.level = min(max(minBurst, rate*burstTime.Seconds()), b.level+rate*max(0, now.Sub(b.filledAt).Seconds()))
 	b.filledAt = now
 	granted = int(min(float64(want), math.Floor(b.level+tolerance)))
 	b.level -= float64(granted)
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -1,6 +1,7 @@
 package ratelimit_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -72,3 +73,45 @@
 		t.Errorf("at the end: got %v and %v, want it to end", got, table.Limits(start))
 	}
 }
+
+// Guards against a limit below the number of gateways of which a third lies unused, since
+// gateways ask a little after their turns, and each late one made the next come too early.
+func TestLateTurnsUseTheWholeLimit(t *testing.T) {
+	const (
+		gateways = 4
+		rate     = 1.5
+		length   = 5 * time.Minute
+		// latest is how much later than its turn a gateway asks.
+		latest = 40 * time.Millisecond
+	)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	p := ratelimit.Process{ServerID: "s"}
+	home := ratelimit.New()
+	home.State(ratelimit.Statement{Process: p, Rate: rate, Named: true, Sent: start}, start)
+	home.SetHome(p, ratelimit.Home{Address: "home", Self: true, Part: 1})
+	var asks [gateways]time.Time
+	for i := range asks {
+		asks[i] = start
+	}
+	granted := 0
+	for {
+		next := 0
+		for i, at := range asks {
+			if at.Before(asks[next]) {
+				next = i
+			}
+		}
+		now := asks[next]
+		if now.Sub(start) >= length {
+			break
+		}
+		n, wait := home.Lend(p, 1, now)
+		granted += n
+		asks[next] = now.Add(wait + time.Duration(rnd.Float64()*float64(latest)))
+	}
+	got := float64(granted) / length.Seconds()
+	if least := 0.9 * rate; got < least || got > rate {
+		t.Errorf("permits a second: got %.2f, want %.2f to %.2f", got, least, rate)
+	}
+}
