Do not move a stream that no other server can continue

A stream of which an event without an id has been passed on is not resumed, but it was still moved away from a silent server, after which its caller got the events twice, or a broken stream.

The mark is atomic now, since the task looks at it while the stream is read.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -90,3 +90,6 @@
 func (a *attempts) eventTimeout() time.Duration {
 	return max(minEventTimeout, eventTimeoutObjectives*a.route.Objective, eventTimeoutGaps*a.route.MaxEventGap)
 }
+
+// mayContinue reports whether another server can go on where the caller's reply is now.
+func (a *attempts) mayContinue() bool { return a.relay == nil || !a.relay.unnumbered.Load() }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -75,7 +75,7 @@
 		if g.attemptOnce(a, v) {
 			return
 		}
-		if a.movedTo != nil {
+		if a.movedTo != nil && a.mayContinue() {
 			continue
 		}
 		if reason, ok := g.mayRetry(a); !ok {
@@ -277,7 +277,7 @@
 		return "deadline", false
 	case a.mayHaveRun && !a.route.Kind.Repeatable():
 		return "outcome_unknown", false
-	case a.relay != nil && a.relay.started && a.relay.unnumbered:
+	case !a.mayContinue():
 		return "events_without_ids", false
 	case a.sends >= a.route.MaxAttempts:
 		return "attempts", false
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,9 +44,9 @@
 	started  bool
 	// resumed is set while the reply has to continue a stream that has begun.
 	resumed bool
-	// unnumbered is set once an event without an id has been forwarded, which no other
-	// server can tell from the rest.
-	unnumbered  bool
+	// unnumbered is set once an event without an id has been forwarded. No other server can
+	// go on behind it.
+	unnumbered  atomic.Bool
 	lastEventID string
 	lastEventAt time.Time
 	// events counts the events of all replies, and eventsBefore those before this one.
@@ -210,7 +211,7 @@
 		if r.resumed {
 			return false, fmt.Errorf("event without an id: %w", errNotContinued)
 		}
-		r.unnumbered = true
+		r.unnumbered.Store(true)
 		return true, nil
 	}
 	if !eventstream.IsNewerID(id, r.lastEventID) {
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -87,7 +87,7 @@
 // mayMove reports whether a request may be sent to another server. It runs in the task.
 func (g *Gateway) mayMove(s *movableSend, now time.Time) bool {
 	a := s.attempts
-	return s.to == nil && a.deadline.Sub(now) >= minSendTimeLeft && g.quarantineVerdict(a).reason == ""
+	return s.to == nil && a.mayContinue() && a.deadline.Sub(now) >= minSendTimeLeft && g.quarantineVerdict(a).reason == ""
 }
 
 // moveSend moves a request to another server. It reports false if none has a place for it,
