Log and count connections of callers that a limit ends

A connection that ended by an idle or a header timeout left no line and no count, so a caller who was cut off by a limit could not be told from one who left. The line of a changed configuration names the limits in force.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 
@@ -15,6 +16,7 @@
 // callerConn is a caller's connection that counts what was read from it.
 type callerConn struct {
 	*net.TCPConn
+	log       *zap.Logger
 	readBytes atomic.Int64
 	// answeredBytes is the value of readBytes at the end of the last answer, and active
 	// is set from the end of a request's head to that of its answer.
@@ -25,9 +27,23 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	c.readBytes.Add(int64(n))
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.active.Load() {
+		c.timedOut()
+	}
 	return n, err
 }
 
+// timedOut records that a limit ended the wait for a request or for the rest of its head.
+func (c *callerConn) timedOut() {
+	reason, part := "idle_timeout", c.readBytes.Load()-c.answeredBytes.Load()
+	if part > 0 || c.answeredBytes.Load() == 0 {
+		reason = "header_timeout"
+	}
+	callerConnEnds.Add(reason, 1)
+	c.log.Info("connection of a caller ended by a limit", zap.String("reason", reason), zap.Int64("bytes_of_request", part),
+		zap.Stringer("caller", c.RemoteAddr()))
+}
+
 // hasRequest reports whether any part of a request has arrived that is not answered yet.
 func (c *callerConn) hasRequest() (bool, error) {
 	if c.active.Load() || c.readBytes.Load() > c.answeredBytes.Load() {
@@ -50,7 +66,7 @@
 	if !ok {
 		return conn
 	}
-	c := &callerConn{TCPConn: tcp}
+	c := &callerConn{TCPConn: tcp, log: s.log}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = true
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	// an event.
 	replyEnds        = expvar.NewMap("gateway_reply_ends")
 	quarantineEvents = expvar.NewMap("gateway_quarantine")
+	// callerConnEnds counts connections of callers that a limit has ended, by the limit.
+	callerConnEnds = expvar.NewMap("gateway_caller_connection_ends")
 	// failures counts input whose handling ended in a panic, by its source.
 	failures = expvar.NewMap("gateway_failures")
 	// ownPauseCount counts pauses of this process.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -263,7 +263,8 @@
 		g.currentConfig.Store(&configSnapshot{deployment: dep, routes: directory.NewRoutes(dep)})
 		g.callerServer.setLimits(dep.Limits)
 		g.log.Info("configuration changed", zap.Int64("version", dep.Version), zap.String("source", source),
-			zap.Int("routes", len(dep.Routes)), zap.Int("keys", len(dep.Keys)))
+			zap.Int("routes", len(dep.Routes)), zap.Int("keys", len(dep.Keys)), zap.Duration("idle_timeout", dep.Limits.IdleTimeout),
+			zap.Duration("header_timeout", dep.Limits.HeaderTimeout), zap.Int64("max_header_bytes", dep.Limits.MaxHeaderBytes))
 	}
 	if servers {
 		g.logServers(source)
