--- a/gateway/caller_limits_test.go
+++ b/gateway/caller_limits_test.go
@@ -37,6 +37,11 @@
 	if err != nil {
 		return 0, err
 	}
+	return c.readStatus()
+}
+
+// readStatus reads a whole answer and returns its status.
+func (c *callerConn) readStatus() (int, error) {
 	resp, err := http.ReadResponse(c.r, nil)
 	if err != nil {
 		return 0, err
