Hold kept connections to the limits in force

Callers who stay within the limits in force were cut off or rejected if their connection was accepted under stricter ones: after idle time (the connection ended without an answer), for a long head (431) and for a head in two parts (400 or no answer).

Cause: the limits of an http.Server cannot change while it runs, so each set of limits had a server of its own, and a connection stayed with the server that had accepted it.

callerConn now enforces the limits itself, below one http.Server without any. While it waits for a request or reads a head it sets the deadline from the limits; a change of the configuration walks the connections and applies the less strict of the old and new limits to the wait or head in progress, so no moment has neither in force. What begins later is held to the new limits alone. A head beyond a limit is answered 408 or 431, which are counted and logged; before, a head cut by the timeout inside a line was answered 400.

The old server kept the looser limit for a connection that was accepted before it was lowered, and TestCallerLimits asserted this; it now asserts that the lowered limit holds for requests that begin later, and that a head in part is answered 408.

--- a/core/deployment.go
+++ b/core/deployment.go
@@ -95,14 +95,6 @@
 	HasPriority  bool
 }
 
-// CallerLimits holds the limits of callers' requests and connections.
-type CallerLimits struct {
-	MaxHeaderBytes int64
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
-}
-
 // Deployment is one version of the operators' configuration. It is immutable.
 type Deployment struct {
 	Version  int64
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -4,71 +4,50 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
-	"sync/atomic"
 
 	"go.uber.org/zap"
 
-	"nutmegnotch/io/caller"
+	"nutmegnotch/core"
 )
 
-// callerConn is a caller's connection that counts what was read from it.
-type callerConn struct {
-	*net.TCPConn
-	log       *zap.Logger
-	readBytes atomic.Int64
-	// answeredBytes is the value of readBytes at the end of the last answer, and active
-	// is set from the end of a request's head to that of its answer.
-	answeredBytes atomic.Int64
-	active        atomic.Bool
+// callerConns is the set of open connections of an http.Server.
+type callerConns struct {
+	log  *zap.Logger
+	mu   sync.Mutex
+	open map[*callerConn]bool
+	// limits are those in force.
+	limits core.CallerLimits
 }
 
-func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	c.readBytes.Add(int64(n))
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.active.Load() {
-		c.timedOut()
-	}
-	return n, err
+func newCallerConns(log *zap.Logger) *callerConns {
+	return &callerConns{log: log, open: map[*callerConn]bool{}, limits: core.CallerLimits{}.WithDefaults()}
 }
 
-// timedOut records that a limit ended the wait for a request or for the rest of its head.
-func (c *callerConn) timedOut() {
-	reason, part := "idle_timeout", c.readBytes.Load()-c.answeredBytes.Load()
-	if part > 0 || c.answeredBytes.Load() == 0 {
-		reason = "header_timeout"
+// setLimits sets the limits in force.
+func (s *callerConns) setLimits(l core.CallerLimits) {
+	l.MaxBodyBytes = 0 // Checked per request.
+	l = l.WithDefaults()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l == s.limits {
+		return
 	}
-	callerConnEnds.Add(reason, 1)
-	c.log.Info("connection of a caller ended by a limit", zap.String("reason", reason), zap.Int64("bytes_of_request", part),
-		zap.Stringer("caller", c.RemoteAddr()))
-}
-
-// hasRequest reports whether any part of a request has arrived that is not answered yet.
-func (c *callerConn) hasRequest() (bool, error) {
-	if c.active.Load() || c.readBytes.Load() > c.answeredBytes.Load() {
-		return true, nil
+	s.limits = l
+	s.log.Info("limits of callers' connections changed", zap.Int64("max_header_bytes", l.MaxHeaderBytes),
+		zap.Duration("header_timeout", l.HeaderTimeout), zap.Duration("idle_timeout", l.IdleTimeout), zap.Int("connections", len(s.open)))
+	for c := range s.open {
+		if err := c.loosen(l); err != nil && !errors.Is(err, net.ErrClosed) {
+			s.log.Warn("a connection keeps its limits until its next request", zap.Error(err))
+		}
 	}
-	n, err := caller.UnreadBytes(c)
-	return n > 0, err
-}
-
-// callerConns is the set of open connections of an http.Server.
-type callerConns struct {
-	log  *zap.Logger
-	mu   sync.Mutex
-	open map[*callerConn]bool
 }
 
 // track adds a connection to the set and returns what stands for it.
-func (s *callerConns) track(conn net.Conn) net.Conn {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return conn
-	}
-	c := &callerConn{TCPConn: tcp, log: s.log}
+func (s *callerConns) track(conn *net.TCPConn) *callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c := newCallerConn(conn, s.limits, s.log)
 	s.open[c] = true
 	return c
 }
@@ -81,10 +60,13 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.active.Store(true)
+		if err := c.begin(); err != nil && !errors.Is(err, net.ErrClosed) {
+			s.log.Warn("clear read deadline failed", zap.Error(err))
+		}
 	case http.StateIdle:
-		c.answeredBytes.Store(c.readBytes.Load())
-		c.active.Store(false)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.end(s.limits)
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/gateway/caller_limits_test.go
+++ b/gateway/caller_limits_test.go
@@ -86,6 +86,12 @@
 	if _, err := io.WriteString(slow, "GET /lookup/1 HTTP/1.1\r\nHost: a.exa"); err != nil {
 		t.Fatalf("send part of a header: %v", err)
 	}
+	if err := slow.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := slow.readStatus(); got != http.StatusRequestTimeout {
+		t.Errorf("incomplete header: got %d (%v), want 408 after 300ms", got, err)
+	}
 	if !slow.closedWithin(2 * time.Second) {
 		t.Error("connection with an incomplete header: got open after 2s, want closed after 300ms")
 	}
@@ -100,7 +106,7 @@
 	if !idle.closedWithin(2 * time.Second) {
 		t.Error("idle connection: got open after 2s, want closed after 400ms")
 	}
-	if got, err := old.lookup("limits-6", 20_000); got != http.StatusOK {
-		t.Errorf("connection accepted before the limits changed: got %d (%v), want 200", got, err)
+	if got, err := old.lookup("limits-6", 20_000); got != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("long header on a connection accepted before the limit: got %d (%v), want 431", got, err)
 	}
 }
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -2,13 +2,11 @@
 
 import (
 	"errors"
-	"maps"
+	"math"
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -18,13 +16,6 @@
 	"nutmegnotch/io/caller"
 )
 
-// Limits of callers' connections that apply while the configuration states none.
-const (
-	readHeaderTimeout = 20 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-)
-
 // minAcceptDelay and maxAcceptDelay limit the backoff after a failed accept, as
 // in net/http.
 const (
@@ -42,47 +33,39 @@
 	closeInterval = 5 * time.Millisecond
 )
 
-// callerServer serves callers' connections. The limits of an http.Server cannot
-// change while it runs, so there is one server for each set of limits. A
-// connection keeps the limits under which it was accepted.
+// callerServer serves callers' connections.
 type callerServer struct {
-	handler http.Handler
-	log     *zap.Logger
-	address net.Addr
-	current atomic.Pointer[limitedServer]
-	mu      sync.Mutex
-	servers map[core.CallerLimits]*limitedServer
-	closed  bool
-	wg      *conc.WaitGroup
+	http     *http.Server
+	log      *zap.Logger
+	open     *callerConns
+	handOffs *handOffListener
+	wg       *conc.WaitGroup
 	// accepted is closed when no more connections are accepted.
 	accepted chan struct{}
 }
 
 func newCallerServer(handler http.Handler, address net.Addr, log *zap.Logger) *callerServer {
-	c := &callerServer{handler: handler, log: log, address: address, servers: map[core.CallerLimits]*limitedServer{}, wg: conc.NewWaitGroup(), accepted: make(chan struct{})}
-	c.setLimits(core.CallerLimits{})
+	open := newCallerConns(log)
+	c := &callerServer{log: log, open: open, wg: conc.NewWaitGroup(), accepted: make(chan struct{}),
+		handOffs: &handOffListener{address: address, conns: make(chan net.Conn), done: make(chan struct{})},
+		http: &http.Server{
+			Handler:     handler,
+			ConnContext: caller.ConnContext,
+			ConnState:   open.stateChanged,
+			// callerConn enforces the limits of heads.
+			MaxHeaderBytes: math.MaxInt32,
+			ErrorLog:       zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		}}
+	c.wg.Go(func() {
+		if err := c.http.Serve(c.handOffs); err != nil && err != http.ErrServerClosed {
+			log.Error("HTTP server for callers failed", zap.Error(err))
+		}
+	})
 	return c
 }
 
-// setLimits sets the limits of connections that are accepted from now on. It
-// does nothing after close.
-func (c *callerServer) setLimits(l core.CallerLimits) {
-	l.MaxBodyBytes = 0 // Checked per request, so it does not need another server.
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return
-	}
-	s := c.servers[l]
-	if s == nil {
-		s = newLimitedServer(l, c.handler, c.address, c.log)
-		c.servers[l] = s
-		c.wg.Go(s.serve)
-		c.log.Info("serving callers with new connection limits", zap.Int64("max_header_bytes", l.MaxHeaderBytes),
-			zap.Duration("header_timeout", l.HeaderTimeout), zap.Duration("idle_timeout", l.IdleTimeout))
-	}
-	c.current.Store(s)
-}
+// setLimits sets the limits of connections.
+func (c *callerServer) setLimits(l core.CallerLimits) { c.open.setLimits(l) }
 
 // serve accepts connections until close ends it. After other errors,
 // such as a lack of file descriptors, it accepts again after a delay.
@@ -95,13 +78,28 @@
 		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return
 		case err != nil:
-			c.log.Error("accept failed; retrying", zap.Stringer("address", c.address), zap.Duration("delay", delay), zap.Error(err))
+			c.log.Error("accept failed; retrying", zap.Stringer("address", c.handOffs.address), zap.Duration("delay", delay), zap.Error(err))
 			time.Sleep(delay)
 			delay = min(maxAcceptDelay, 2*delay)
 			continue
 		}
 		delay = minAcceptDelay
-		c.current.Load().handOff(conn)
+		c.handOff(conn)
+	}
+}
+
+// handOff passes a connection to the HTTP server.
+func (c *callerServer) handOff(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		c.log.Error("connection of a caller is not TCP; closing it", zap.Stringer("address", c.handOffs.address))
+		conn.Close()
+		return
+	}
+	tracked := c.open.track(tcp)
+	if !c.handOffs.handOff(tracked) {
+		tracked.Close()
+		c.open.stateChanged(tracked, http.StateClosed)
 	}
 }
 
@@ -109,17 +107,9 @@
 // requests that have arrived are answered, for maxWait at most, and closes all
 // connections.
 func (c *callerServer) close(l net.Listener, maxWait time.Duration) {
-	c.mu.Lock()
-	c.closed = true
-	servers := slices.Collect(maps.Values(c.servers))
-	c.mu.Unlock()
 	c.endAccept(l)
 	for begun := time.Now(); ; time.Sleep(closeInterval) {
-		open, busy := 0, 0
-		for _, s := range servers {
-			o, b := s.open.endIdle()
-			open, busy = open+o, busy+b
-		}
+		open, busy := c.open.endIdle()
 		if open == 0 {
 			break
 		}
@@ -128,9 +118,7 @@
 			break
 		}
 	}
-	for _, s := range servers {
-		s.http.Close()
-	}
+	c.http.Close()
 	c.wg.Wait()
 }
 
@@ -151,74 +139,40 @@
 	}
 }
 
-// limitedServer is an http.Server for one set of limits. It is also the
-// net.Listener of that server and returns the connections passed to handOff.
-type limitedServer struct {
-	http    *http.Server
+// handOffListener is the net.Listener of an http.Server whose connections are accepted
+// elsewhere.
+type handOffListener struct {
 	address net.Addr
-	log     *zap.Logger
-	open    *callerConns
 	conns   chan net.Conn
 	once    sync.Once
 	done    chan struct{}
 }
 
-func newLimitedServer(l core.CallerLimits, handler http.Handler, address net.Addr, log *zap.Logger) *limitedServer {
-	s := &limitedServer{address: address, log: log, open: &callerConns{log: log, open: map[*callerConn]bool{}},
-		conns: make(chan net.Conn), done: make(chan struct{})}
-	s.http = &http.Server{
-		Handler:           handler,
-		ConnContext:       caller.ConnContext,
-		ConnState:         s.open.stateChanged,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
-	if l.HeaderTimeout > 0 {
-		s.http.ReadHeaderTimeout = l.HeaderTimeout
-	}
-	if l.IdleTimeout > 0 {
-		s.http.IdleTimeout = l.IdleTimeout
-	}
-	if l.MaxHeaderBytes > 0 {
-		s.http.MaxHeaderBytes = int(l.MaxHeaderBytes)
-	}
-	return s
-}
-
-func (s *limitedServer) serve() {
-	if err := s.http.Serve(s); err != nil && err != http.ErrServerClosed {
-		s.log.Error("HTTP server for callers failed", zap.Error(err))
-	}
-}
-
-// handOff passes a connection to the server, or closes it if the server is closed.
-func (s *limitedServer) handOff(conn net.Conn) {
-	conn = s.open.track(conn)
+// handOff passes a connection to the server. It reports false if the server is closed.
+func (l *handOffListener) handOff(conn net.Conn) bool {
 	select {
-	case s.conns <- conn:
-	case <-s.done:
-		conn.Close()
-		s.open.stateChanged(conn, http.StateClosed)
+	case l.conns <- conn:
+		return true
+	case <-l.done:
+		return false
 	}
 }
 
 // Accept implements net.Listener.
-func (s *limitedServer) Accept() (net.Conn, error) {
+func (l *handOffListener) Accept() (net.Conn, error) {
 	select {
-	case c := <-s.conns:
+	case c := <-l.conns:
 		return c, nil
-	case <-s.done:
+	case <-l.done:
 		return nil, net.ErrClosed
 	}
 }
 
 // Close implements net.Listener.
-func (s *limitedServer) Close() error {
-	s.once.Do(func() { close(s.done) })
+func (l *handOffListener) Close() error {
+	l.once.Do(func() { close(l.done) })
 	return nil
 }
 
 // Addr implements net.Listener.
-func (s *limitedServer) Addr() net.Addr { return s.address }
+func (l *handOffListener) Addr() net.Addr { return l.address }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,8 @@
 	tickInterval = 20 * time.Millisecond
 	// maxIdleConnsPerServer limits the idle connections to one backend server.
 	maxIdleConnsPerServer = 16
+	// readyHeaderTimeout limits the time for reading the head of a health check.
+	readyHeaderTimeout = 20 * time.Second
 )
 
 // Config configures a Gateway.
@@ -258,7 +260,7 @@
 	defer cancel()
 	g.task.Start(run)
 	g.callerServer = newCallerServer(g, listeners[0].Addr(), g.log)
-	health := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readHeaderTimeout}
+	health := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readyHeaderTimeout}
 	g.wg.Go(func() { g.callerServer.serve(listeners[0]) })
 	g.wg.Go(func() { g.serve(health, listeners[1]) })
 	g.wg.Go(func() {
