Ignore reports of servers that the store carries out late

Bookings reached a server that had left: a report without an answer was carried out by the store 5.9 s later, after newer reports and the removal of the server's record, and gateways listed the server again.

Cause: the directory took each record with a higher offset for newer. The number of a report was compared only after the store had come back from a copy.

A report with a lower number than the newest of the same process now changes nothing. TestLateReportListsNoServerThatHasLeft: one of six cases failed before.

--- a/core/directory/era.go
+++ b/core/directory/era.go
@@ -81,11 +81,14 @@
 	return p.startedUnixMS != 0 && p.startedUnixMS == s.StartedUnixMS
 }
 
-// isOutdated reports whether a record is older than what is known of its process,
-// because it comes from a copy of the store.
+// isOutdated reports whether a record is older than what is known of its process: it
+// comes from a copy of the store, or the store has carried out a late report.
 func (ps *processes) isOutdated(s *core.BackendServer, era int64) bool {
 	p, ok := ps.byID[s.ID]
-	return ok && p.isSame(s) && era > p.era && s.ReportNumber > 0 && s.ReportNumber <= p.reportNumber
+	if !ok || !p.isSame(s) || s.ReportNumber <= 0 {
+		return false
+	}
+	return s.ReportNumber < p.reportNumber || era > p.era && s.ReportNumber == p.reportNumber
 }
 
 // report records a report of a process and returns its server. A process that leaves
--- a/core/directory/era_test.go
+++ b/core/directory/era_test.go
@@ -119,3 +119,33 @@
 		})
 	}
 }
+
+// Guards against a report that the store carries out after newer ones of the same process, and
+// which lists a server again that has left.
+func TestLateReportListsNoServerThatHasLeft(t *testing.T) {
+	cases := []struct {
+		name    string
+		records []core.KeyedRecord
+		want    string
+	}{
+		{"after the removal", []core.KeyedRecord{rec("a", process("ready", 1, 4), 5), rec("a", "", 6), rec("a", process("ready", 1, 3), 7)}, ""},
+		{"the server reports again", []core.KeyedRecord{rec("a", process("ready", 1, 4), 5), rec("a", "", 6), rec("a", process("ready", 1, 5), 7)}, "a"},
+		{"its last report, repeated", []core.KeyedRecord{rec("a", process("ready", 1, 4), 5), rec("a", "", 6), rec("a", process("ready", 1, 4), 7)}, "a"},
+		{"the server has started again", []core.KeyedRecord{rec("a", process("ready", 1, 4), 5), rec("a", "", 6), rec("a", process("ready", 2, 1), 7)}, "a"},
+		{"while it is listed", []core.KeyedRecord{rec("a", process("ready", 1, 4), 5), rec("a", process("ready", 1, 3), 6)}, "a"},
+		{"after it has said that it leaves", []core.KeyedRecord{rec("a", process("leaving", 1, 4), 5), rec("a", process("ready", 1, 3), 6)}, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := directory.New(decoder{})
+			for _, r := range tc.records {
+				if _, err := d.Append(core.TopicServers, batch(r), now); err != nil {
+					t.Fatalf("apply: %v", err)
+				}
+			}
+			if got := usable(d); got != tc.want {
+				t.Errorf("usable servers: got %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
