--- a/emulator/day/day.go
+++ b/emulator/day/day.go
@@ -106,6 +106,9 @@
 			d.wg.Go(func() { d.call(kind, n%gateways) })
 		}
 	}
+	for i := range gateways {
+		d.wg.Go(func() { d.callKept(i, rand.New(rand.NewPCG(seed, uint64(100+i)))) })
+	}
 	for _, f := range faults {
 		d.wg.Go(func() {
 			if sleep(ctx, f.at) {
@@ -287,7 +290,7 @@
 		"version":  v,
 		"routes":   []any{route("lookup", "idempotent", "desk"), route("book", "non_idempotent", "desk"), route("draft", "streaming", "model")},
 		"services": []map[string]any{{"name": "desk", "max_conns": 200}, {"name": "model", "max_conns": 200}},
-		"limits":   map[string]any{"max_body_bytes": 10_000},
+		"limits":   limitsOf(v).message(),
 		"tenants":  []map[string]any{{"name": "org", "api_keys": []string{"main", versionKey(v)}}},
 	})
 	return v
