--- a/emulator/day/kept.go
+++ b/emulator/day/kept.go
@@ -127,7 +127,7 @@
 	if !k.limits().allows(u) {
 		return k.confirm()
 	}
-	status, err := k.send("main", u)
+	status, err := k.send("main", &u)
 	if status == http.StatusOK || status == http.StatusServiceUnavailable {
 		return nil
 	}
@@ -165,7 +165,7 @@
 // confirm finds out whether the newest version is in force, on the kept connection.
 func (k *keptCaller) confirm() error {
 	v := k.day.newest()
-	status, err := k.send(versionKey(v), use{})
+	status, err := k.send(versionKey(v), &use{})
 	if err != nil {
 		return err
 	}
@@ -175,8 +175,8 @@
 	return nil
 }
 
-// send sends a lookup with a key.
-func (k *keptCaller) send(key string, u use) (status int, err error) {
+// send sends a lookup with a key, and measures the times of its use of the connection.
+func (k *keptCaller) send(key string, u *use) (status int, err error) {
 	if err := k.conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
 		return 0, fmt.Errorf("set deadline: %w", err)
 	}
@@ -190,8 +190,12 @@
 	if _, err := io.WriteString(k.conn, text[:len(text)/2]); err != nil {
 		return 0, fmt.Errorf("send: %w", err)
 	}
+	begun := time.Now()
+	u.idle = begun.Sub(k.idleAt)
 	sleep(k.day.ctx, u.head)
-	if _, err := io.WriteString(k.conn, text[len(text)/2:]); err != nil {
+	_, err = io.WriteString(k.conn, text[len(text)/2:])
+	u.head = time.Since(begun)
+	if err != nil {
 		return 0, fmt.Errorf("send: %w", err)
 	}
 	resp, err := http.ReadResponse(k.r, r)
