--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,10 +45,12 @@
 	isolations []*isolation
 	version    int
 	// reports is the number of reports of all servers.
-	reports    int
-	routes     []map[string]any
-	keys       []string
-	limits     map[string]any
+	reports int
+	routes  []map[string]any
+	keys    []string
+	limits  map[string]any
+	// bodyMemory is that of the next gateways if it is above the usual one.
+	bodyMemory int64
 	reloadable gateway.ReloadableConfig
 	// forgetAfter is that of the next gateways; 0 means the default.
 	forgetAfter time.Duration
@@ -175,7 +177,7 @@
 		CallerAddress: p.address, ReadyAddress: p.ready, PeerAddress: p.peer, ServersInterval: 50 * time.Millisecond,
 		ForgetAfter:     d.forgetAfter,
 		Reloadable:      reloadable,
-		BodyMemoryBytes: 1 << 20, Store: store, Decoder: decoder, Headers: headers, Logger: zap.New(logs),
+		BodyMemoryBytes: max(1<<20, d.bodyMemory), Store: store, Decoder: decoder, Headers: headers, Logger: zap.New(logs),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
--- a/io/backend/framing_test.go
+++ b/io/backend/framing_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"nutmegnotch/core"
 	"nutmegnotch/io/backend"
@@ -68,3 +70,44 @@
 	}
 	_, _ = io.WriteString(c, reply)
 }
+
+// Guards against a reply that a server breaks off by a reset while a large request is
+// written, and that seems to have ended: the write takes the error of the connection, and
+// the read sees the end of the reply.
+func TestResetWhileARequestIsWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhal")
+				time.Sleep(5 * time.Millisecond)
+			}()
+		}
+	}()
+	client := newClient()
+	defer client.Close()
+	body := bytes.Repeat([]byte("x"), 8<<20)
+	for i := range 20 {
+		rep, err := client.Send(context.Background(), core.BackendServer{ID: "a", Address: l.Addr().String()},
+			backend.Request{ID: "1", Method: http.MethodPost, Target: "/", Host: "h", Body: body})
+		if err != nil {
+			continue
+		}
+		if got, err := io.ReadAll(rep.Body); errors.Is(err, backend.ErrUnverifiedEnd) {
+			t.Errorf("request %d: got %q, ended with its connection, want it broken off", i, got)
+		}
+		rep.Close()
+	}
+}
