Reject a head that holds the status line of another reply

A server that stopped inside a line of a head and then sent another reply on the connection gave the caller the status of the first with the body of the second: a 500 passed as a 200. The same held for answers of engines and of the store, where a refused order, such as one to arm a map, counted as applied.

The parser reads both as one head: "X-Note: some teHTTP/1.1 500 Internal Server Error" is a valid header line, and "HTTP/1.1 200 OHTTP/1.1 500" a valid status line.

core.CheckReplyHead looks for a status line with its code in the reason and in the values of all headers, for interim replies too. A reply with one is an error whose outcome is unknown, and its connection is not used again. A server that states a whole status line in a header on purpose is not accepted any more; "Via: HTTP/1.1 name" is.

--- a/io/backend/send.go
+++ b/io/backend/send.go
@@ -102,6 +102,9 @@
 		if err != nil {
 			return fmt.Errorf("read head: %w", err)
 		}
+		if err := core.CheckReplyHead(resp.Status, resp.Header); err != nil {
+			return fmt.Errorf("check head: %w", err)
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -73,13 +73,17 @@
 		rt = c.repeatable
 	}
 	resp, err := rt.RoundTrip(r)
-	if err == nil {
-		return resp, nil
-	}
-	if !gotConn.Load() {
+	switch {
+	case err != nil && !gotConn.Load():
 		return nil, fmt.Errorf("connect to %s: %w: %w", c.address, err, ErrNotSent)
+	case err != nil:
+		return nil, fmt.Errorf("request to %s: %w", c.address, err)
+	}
+	if err := core.CheckReplyHead(resp.Status, resp.Header); err != nil {
+		resp.Body.Close()
+		return nil, fmt.Errorf("check reply of %s: %w", c.address, err)
 	}
-	return nil, fmt.Errorf("request to %s: %w", c.address, err)
+	return resp, nil
 }
 
 // Probe reports whether the service accepts connections.
--- a/io/rank/client.go
+++ b/io/rank/client.go
@@ -124,6 +124,9 @@
 		return fmt.Errorf("engine %s: %w: %w", path, core.ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
+	if err := core.CheckReplyHead(resp.Status, resp.Header); err != nil {
+		return fmt.Errorf("engine %s: check head: %w: %w", path, core.ErrUnavailable, err)
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
 		return fmt.Errorf("engine %s: read reply: %w: %w", path, core.ErrUnavailable, err)
