Tell a reset from the end of a reply on the path of agents too

Connections of both clients are now a tcp.Conn, whose Read returns the reset that a concurrent write got in place of io.EOF. It replaces the check at the end of a body in io/backend.

--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"nutmegnotch/core"
+	"nutmegnotch/io/tcp"
 )
 
 // Errors of Client.Send and of reading a reply.
@@ -95,7 +96,7 @@
 // server, so that a connection is never used for another server at the same
 // address.
 type conn struct {
-	net.Conn
+	*tcp.Conn
 	r           *bufio.Reader
 	limiter     *readLimiter
 	key         string
@@ -105,13 +106,7 @@
 
 // reset closes the connection and discards unsent data. Otherwise the kernel could
 // deliver a cancelled request when a server becomes reachable again.
-func (k *conn) reset() {
-	if t, ok := k.Conn.(*net.TCPConn); ok {
-		// On an error the connection is still closed, but not reset.
-		_ = t.SetLinger(0)
-	}
-	k.Close()
-}
+func (k *conn) reset() { k.Reset() }
 
 // Close closes all idle connections.
 func (c *Client) Close() {
@@ -201,8 +196,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", server.Address, err, ErrNotSent)
 	}
-	l := &readLimiter{r: nc}
-	return &conn{Conn: nc, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes), key: poolKey(server), maxIdleTime: defaultIdleTimeout}, nil
+	c := tcp.Wrap(nc)
+	l := &readLimiter{r: c}
+	return &conn{Conn: c, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes), key: poolKey(server), maxIdleTime: defaultIdleTimeout}, nil
 }
 
 // poolKey returns the key of the idle connections to a server.
--- a/io/backend/conncheck.go
+++ b/io/backend/conncheck.go
@@ -8,11 +8,7 @@
 	if k.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := k.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := k.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/backend/framing.go
+++ b/io/backend/framing.go
@@ -1,12 +1,8 @@
 package backend
 
 import (
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"syscall"
-	"time"
 )
 
 // Framing is how the end of a reply's body is marked.
@@ -43,39 +39,14 @@
 	return FramingConnection
 }
 
-// closeDelimitedBody is the body of a reply with FramingConnection. At its end it returns
-// ErrUnverifiedEnd instead of io.EOF, or another error if the connection was reset.
-type closeDelimitedBody struct {
-	io.Reader
-	reply *Reply
-	// end is the result once the body has ended.
-	end error
-}
+// closeDelimitedBody is a body with FramingConnection. At its end it returns
+// ErrUnverifiedEnd instead of io.EOF.
+type closeDelimitedBody struct{ io.Reader }
 
-func (b *closeDelimitedBody) Read(p []byte) (int, error) {
-	if b.end != nil {
-		return 0, b.end
-	}
+func (b closeDelimitedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if err == io.EOF {
-		b.end = b.reply.connectionEnd()
-		err = b.end
+		err = ErrUnverifiedEnd
 	}
 	return n, err
 }
-
-// connectionEnd returns how a connection has ended whose read end has been seen. A reset is
-// reported once, to the read or to the concurrent write of the request, after which a read
-// returns io.EOF.
-func (rep *Reply) connectionEnd() error {
-	if rep.written == nil {
-		return ErrUnverifiedEnd
-	}
-	// This ends a write that still waits. On an error the connection is closed, which ends
-	// it too.
-	_ = rep.conn.SetWriteDeadline(time.Unix(1, 0))
-	if err := <-rep.written; errors.Is(err, syscall.ECONNRESET) {
-		return fmt.Errorf("connection broke while the request was written: %w", err)
-	}
-	return ErrUnverifiedEnd
-}
--- a/io/backend/send.go
+++ b/io/backend/send.go
@@ -131,7 +131,7 @@
 	rep.Status, rep.Header, rep.Body = resp.StatusCode, resp.Header, resp.Body
 	rep.Framing = framingOf(resp)
 	if rep.Framing == FramingConnection {
-		rep.Body = &closeDelimitedBody{Reader: resp.Body, reply: rep}
+		rep.Body = closeDelimitedBody{resp.Body}
 	}
 	if d, ok := idleTimeout(resp.Header); ok {
 		rep.conn.maxIdleTime = time.Duration(float64(d) * idleTimeoutFactor)
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"nutmegnotch/core"
+	"nutmegnotch/io/tcp"
 )
 
 // ErrNotSent means that no byte of the request was written, so the request has not
@@ -45,7 +46,7 @@
 // closed. Without them, a request is never sent twice.
 func newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            dial,
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
 		MaxIdleConns:           maxIdleConns,
@@ -55,6 +56,14 @@
 	}
 }
 
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return tcp.Wrap(c), nil
+}
+
 // Do sends a request. connected, if not nil, is called once when there is a
 // connection, before the first byte is written. If repeatable is false, the request
 // is never sent twice. If the error is ErrNotSent, the request has not run; after any
