Close the connection of a half-closed caller instead of sending a 200

A caller that closed only the writing side of its connection got "200 OK" with an empty body and without a server's seal, whether its request waited, ran or had reached no server, and a stream in chunks that was broken off this way got its last chunk, so that it looked complete.

net/http cancels the context of a request when it reads the end of the caller's side. The handler recorded "caller_left" and returned without an answer, and net/http ends every reply of a handler that returns: with an implicit 200 if none has begun.

The handler now keeps whether it has written a whole reply (a refusal or one that was forwarded to its end) and aborts the connection in all other cases, so that no path that writes nothing can end as a success. Serving such a caller is not possible: its FIN is that of a caller that has closed its connection, whose run must end (GONE); docs/platform.md says so.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -59,7 +59,9 @@
 	callerDeadline time.Time
 	// closeDelimited is set if the reply to the caller ends with its connection.
 	closeDelimited bool
-	// aborted is set if a reply that had begun was broken off.
+	// answered is set if the whole reply was written.
+	answered bool
+	// aborted is set if the connection is closed without a whole reply.
 	aborted bool
 }
 
@@ -87,6 +89,11 @@
 		return
 	}
 	g.forward(c)
+	if !c.answered {
+		// net/http would end the reply as if it were whole, with an empty 200 if none has
+		// begun.
+		c.abort()
+	}
 }
 
 // requestPanicked logs an unexpected panic of the handler, which costs the caller's
@@ -209,6 +216,7 @@
 // refuse sends an error response of the gateway. Statuses 408, 421, 429 and 503
 // guarantee that the request has not run and will not run.
 func (g *Gateway) refuse(c *call, ref refusal) {
+	c.answered = true
 	g.log.Info("request refused", zap.String("request_id", c.id()), zap.String("route", c.route.Name),
 		fingerprintField(c.fingerprint), zap.Int("status", ref.status), zap.String("reason", ref.reason), zap.String("prompt_part", c.blockedPart), zap.Duration("retry_after", ref.retryAfter),
 		zap.Int64("version", c.version), zap.Duration("held", time.Since(c.arrived)))
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -142,8 +142,8 @@
 	return caller.EndCloseDelimited(c.w, c.r)
 }
 
-// abort ends a handler whose reply has begun, so that the caller sees that the reply is
-// incomplete.
+// abort ends a handler without a whole reply and closes the caller's connection, so that
+// the caller sees that the reply is missing or incomplete.
 func (c *call) abort() {
 	c.aborted = true
 	panic(http.ErrAbortHandler)
@@ -189,6 +189,7 @@
 		// A stream without events may have been resumed at its end.
 		a.served = status >= http.StatusOK && status < http.StatusMultipleChoices && (a.relay == nil || a.relay.events > 0)
 	}
+	a.answered = true
 	a.outcome = outcome + "_" + strconv.Itoa(status)
 	sendsByOutcome.Add(outcome, 1)
 	replyEnds.Add(framing.String(), 1)
