Abort an entry's reply to a caller that leaves before the verdict

A caller of a repeatable request that closed its side of the connection before the agent's verdict got "200 OK" with an empty body from an entry, and the report counted the request as answered.

The attempt ended as done without AbortCallerGone, which Frontend.Serve asks for, so that net/http wrote an implicit 200. It now aborts and counts the caller as gone, as the relay does.

Of 3 cases of TestHalfClosedCallerGetsNoForgedReply in ./entry the one before the verdict failed; all pass 10 of 10 times with -race.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -90,6 +90,8 @@
 func (c *call) notAdmitted(ctx context.Context, v *peerpb.Verdict, err error, number int) attemptResult {
 	switch {
 	case errors.Is(err, errCallerGone):
+		c.e.metrics.callersGone.Add(1)
+		c.w.AbortCallerGone()
 		return attemptResult{done: true}
 	case err != nil:
 		c.countAgentFault(err)
