Reserve the memory of a request's body before it is read

40 callers that sent bodies of max_body_bytes at the same time took a gateway with memory_mb = 284 above that, the platform killed it, and 16 bookings that were passed on lost their answers.

The memory was compared with the bodies that had been read whole, and a body was added only after it was read, so any number could be on their way; a body in chunks counted as empty. io.ReadAll took up to twice its size.

A body of a stated length now reserves that length and is read into one buffer; one in chunks reserves its buffer each time it grows, old and new while it is copied. What gets no memory is refused at once with 503 and Retry-After. The refusal is sent before the rest of the body is read, for which net/http waited up to 256 KiB, and the rest is dropped, since a reset could take the refusal from a caller that still sends.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -185,7 +185,7 @@
 		Target:     a.r.RequestURI,
 		Host:       a.r.Host,
 		Header:     g.cfg.Headers.Backend(a.r.Header, fields),
-		Body:       a.body,
+		Body:       a.body.data,
 		AtMostOnce: !a.route.Kind.Repeatable(),
 	})
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,7 @@
 	// hasLimits is set while a server has a rate limit, for the same reason.
 	hasLimits            atomic.Bool
 	inFlight             atomic.Int64
-	bodyBytes            atomic.Int64
+	bodyMemory           bodyMemory
 	nextID               atomic.Uint64
 	refreshServersSignal chan struct{}
 	registerSignal       chan struct{}
@@ -170,6 +170,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg:                  cfg,
+		bodyMemory:           bodyMemory{limit: cfg.BodyMemoryBytes},
 		log:                  cfg.Logger,
 		task:                 task.New(),
 		wg:                   conc.NewWaitGroup(),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -177,7 +177,7 @@
 		CallerAddress: p.address, ReadyAddress: p.ready, PeerAddress: p.peer, ServersInterval: 50 * time.Millisecond,
 		ForgetAfter:     d.forgetAfter,
 		Reloadable:      reloadable,
-		BodyMemoryBytes: max(1<<20, d.bodyMemory), Store: store, Decoder: decoder, Headers: headers, Logger: zap.New(logs),
+		BodyMemoryBytes: max(bodyMemoryBytes, d.bodyMemory), Store: store, Decoder: decoder, Headers: headers, Logger: zap.New(logs),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -44,7 +44,7 @@
 	holder  core.KeyHolder
 	version int64
 	service string
-	body    []byte
+	body    bodyBuffer
 	// fingerprint is the key of the request in the quarantine, and keys holds those of
 	// its shared parts too.
 	fingerprint uint64
@@ -59,6 +59,8 @@
 	callerDeadline time.Time
 	// closeDelimited is set if the reply to the caller ends with its connection.
 	closeDelimited bool
+	// discardBytes is how many bytes of the body are read and discarded after a refusal.
+	discardBytes int64
 	// answered is set if the whole reply was written.
 	answered bool
 	// aborted is set if the connection is closed without a whole reply.
@@ -76,14 +78,14 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	c := &call{w: w, r: r, arrived: time.Now()}
+	c := &call{w: w, r: r, arrived: time.Now(), body: bodyBuffer{memory: &g.bodyMemory}}
 	defer g.requestPanicked(c)
 	defer g.flushAborted(c)
 	defer c.observe()
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { g.bodyBytes.Add(-int64(len(c.body))) }()
+	defer c.body.free()
 	if ref := g.admit(c); ref != nil {
 		g.refuse(c, *ref)
 		return
@@ -147,7 +149,7 @@
 		return ref
 	}
 	c.service = directory.PickService(route, rand.Float64())
-	c.fingerprint = fingerprint(c.holder.Organisation, c.r.RequestURI, c.body)
+	c.fingerprint = fingerprint(c.holder.Organisation, c.r.RequestURI, c.body.data)
 	c.keys = retry.Keys{Request: c.fingerprint, Parts: partFingerprints(c.service, c.fields.SharedPromptParts)}
 	return nil
 }
@@ -179,9 +181,6 @@
 	if c.r.ContentLength > maxBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	}
-	if g.bodyBytes.Load()+max(0, c.r.ContentLength) > g.cfg.BodyMemoryBytes {
-		return &refusal{http.StatusServiceUnavailable, "body_memory", unavailableRetryAfter}
-	}
 	rc := http.NewResponseController(c.w)
 	readDeadline := c.arrived.Add(uploadTimeout)
 	if c.deadline.Before(readDeadline) {
@@ -190,21 +189,25 @@
 	if err := rc.SetReadDeadline(readDeadline); err != nil {
 		g.log.Warn("set read deadline failed", zap.Error(err))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBytes))
-	if err != nil {
+	if err := c.body.read(http.MaxBytesReader(c.w, c.r.Body, maxBytes), c.r.ContentLength, maxBytes); err != nil {
+		c.body.free()
+		// A caller that waits for status 100 sends no body after a refusal.
+		if errors.Is(err, errNoBodyMemory) && c.r.Header.Get("Expect") == "" {
+			c.discardBytes = maxBytes
+		}
 		return bodyRefusal(err)
 	}
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
 		g.log.Warn("clear read deadline failed", zap.Error(err))
 	}
-	c.body = body
-	g.bodyBytes.Add(int64(len(body)))
 	return nil
 }
 
 func bodyRefusal(err error) *refusal {
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoBodyMemory):
+		return &refusal{http.StatusServiceUnavailable, "body_memory", unavailableRetryAfter}
 	case errors.As(err, &large):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	case errors.Is(err, context.DeadlineExceeded) || strings.Contains(err.Error(), "timeout"):
@@ -229,9 +232,19 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := fmt.Sprintf("%s\n", ref.reason)
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	if c.discardBytes > 0 {
+		// Otherwise net/http reads the body before it sends the refusal.
+		if err := http.NewResponseController(c.w).EnableFullDuplex(); err != nil {
+			g.log.Warn("a refusal waits for the body of its request", zap.String("request_id", c.id()), zap.Error(err))
+		}
+	}
 	c.w.WriteHeader(ref.status)
 	if _, err := io.WriteString(c.w, text); err != nil {
 		g.log.Debug("writing the refusal to the caller failed", zap.String("request_id", c.id()), zap.Error(err))
+		return
+	}
+	if c.discardBytes > 0 {
+		g.discardBody(c)
 	}
 }
 
