Send a large body to a server without a copy

A gateway held a body of more than 16 KiB twice while it was sent: head and body were appended into one buffer, which did not count as memory of bodies. They are now written from where they are, in one writev.

--- a/io/backend/send.go
+++ b/io/backend/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -71,7 +72,8 @@
 	}
 	rep.written = make(chan error, 1)
 	go func() {
-		_, err := rep.conn.Write(append(head, r.Body...))
+		// One write of both, without a copy of the body.
+		_, err := (&net.Buffers{head, r.Body}).WriteTo(rep.conn.Conn)
 		rep.written <- err
 	}()
 	return nil
