Let a raised timeout hold for requests in progress

What callers saw: when an operator raised the timeout of a route, a request in progress still ended at the timeout with which it had arrived. A stream was cut off, a booking was answered 504 although its server was about to answer, an upload got 408, and a request in the queue was refused after half of the old timeout.

Cause: the deadline was computed once, from the route at the arrival.

The deadline is now a function of the version in force. Each version keeps the earlier timeouts that are longer than its own, for as long as a request may still use them, so the deadline is the longest timeout in force since the arrival, within the deadline of the caller. No state of a request changes, and nothing walks the requests when a version arrives: the timer of a request looks again once it is due, and a request that the queue has rejected by a deadline that has moved since is offered again. A route is matched by its name, else by host and path; one that is gone leaves the deadline as it was. During a planned stop, an extended deadline ends before the abort, so that the request is answered. What is sent after a lowered timeout is in force ends at it.

The line "a raised timeout kept a request in progress" and the count gateway_extended_requests tell of each such request.

--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -56,6 +56,20 @@
 	return !deadline.After(p.AbortAt())
 }
 
+// Extend returns when a request ends whose deadline was extended. It is no later than what
+// leaves time to answer the request before the abort, but not before the deadline that it was
+// accepted with.
+func (p Plan) Extend(deadline, extended time.Time) time.Time {
+	last := p.AbortAt().Add(-p.closeTime())
+	if extended.Before(last) {
+		return extended
+	}
+	if deadline.After(last) {
+		return deadline
+	}
+	return last
+}
+
 func (p Plan) noticeTime() time.Duration { return min(noticeTime, share(p.grace, maxNoticeShare)) }
 
 func (p Plan) closeTime() time.Duration { return min(closeTime, share(p.grace, maxCloseShare)) }
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -61,3 +61,31 @@
 		}
 	}
 }
+
+// Guards against a planned stop that aborts a request without an answer because its deadline
+// was extended, or that ends a request before the deadline with which it was accepted.
+func TestExtend(t *testing.T) {
+	t.Parallel()
+	const grace = 8 * time.Second
+	cases := []struct {
+		name                     string
+		deadline, extended, want time.Duration
+	}{
+		{"not extended", time.Second, time.Second, time.Second},
+		{"extended within the grace", time.Second, 6 * time.Second, 6 * time.Second},
+		{"extended to the abort", time.Second, 7500 * time.Millisecond, 7 * time.Second},
+		{"extended beyond the grace", time.Second, time.Minute, 7 * time.Second},
+		{"accepted beyond the grace", 20 * time.Second, time.Minute, 20 * time.Second},
+		{"accepted until just before the abort", 7400 * time.Millisecond, time.Minute, 7400 * time.Millisecond},
+	}
+	begun := time.Unix(1000, 0)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			got := shutdown.NewPlan(begun, grace).Extend(begun.Add(tc.deadline), begun.Add(tc.extended)).Sub(begun)
+			if got != tc.want {
+				t.Errorf("deadline: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -36,9 +36,9 @@
 	fallback *bufferedReply
 }
 
-// request returns the request for the dispatcher.
-func (a *attempts) request(id uint64) dispatch.Request {
-	now := time.Now()
+// request returns the request for the dispatcher, which gets it at a time.
+func (a *attempts) request(id uint64, now time.Time) dispatch.Request {
+	deadline := a.deadline()
 	r := dispatch.Request{
 		ID:          id,
 		Service:     a.service,
@@ -62,10 +62,10 @@
 		}
 		r.QueueDeadline = a.arrived.Add(time.Duration(share * float64(a.eventTimeout())))
 	default:
-		r.QueueDeadline = a.arrived.Add(time.Duration(unaryQueueShare * float64(a.deadline.Sub(a.arrived))))
+		r.QueueDeadline = a.arrived.Add(time.Duration(unaryQueueShare * float64(deadline.Sub(a.arrived))))
 	}
-	if a.deadline.Before(r.QueueDeadline) {
-		r.QueueDeadline = a.deadline
+	if deadline.Before(r.QueueDeadline) {
+		r.QueueDeadline = deadline
 	}
 	return r
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -43,8 +43,11 @@
 // forward sends a request to backend servers until one has served it or no further
 // attempt is allowed.
 func (g *Gateway) forward(c *call) {
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(c.r.Context())
+	defer cancel(nil)
+	e := expire(c.deadline, func() { cancel(context.DeadlineExceeded) })
+	defer e.stop()
+	defer g.logExtended(c)
 	a := &attempts{call: c, ctx: ctx}
 	if c.route.Kind.Stream() {
 		a.relay = newRelay(g, c)
@@ -88,8 +91,25 @@
 // acquireServer waits until the dispatcher has assigned a server or rejected the
 // request, or a planned stop aborts it. It reports false if the caller has disconnected.
 func (g *Gateway) acquireServer(a *attempts) (dispatch.Decision, bool) {
+	since := time.Now()
+	r := a.request(g.nextID.Add(1), since)
+	for {
+		v, ok := g.awaitServer(a, r)
+		if !ok || v.Rejected == "" || v.Rejected == dispatch.ReasonLeaving {
+			return v, ok
+		}
+		// The dispatcher has judged by a deadline that may have moved meanwhile.
+		again := a.request(g.nextID.Add(1), since)
+		if !again.QueueDeadline.After(r.QueueDeadline) {
+			return v, true
+		}
+		r = again
+	}
+}
+
+// awaitServer waits for the decision of the dispatcher on one offer of a request.
+func (g *Gateway) awaitServer(a *attempts, r dispatch.Request) (dispatch.Decision, bool) {
 	ch := make(chan dispatch.Decision, 1)
-	r := a.request(g.nextID.Add(1))
 	reason := dispatch.ReasonTooLate
 	g.task.Do(func() {
 		now := time.Now()
@@ -153,7 +173,7 @@
 		return dispatch.OutcomeCancelled, false
 	}
 	left := time.Until(a.callerDeadline)
-	if time.Until(a.deadline) < minSendTimeLeft {
+	if a.outOfTime() {
 		g.giveUp(a, "deadline", g.retryAfter(a.service))
 		return dispatch.OutcomeCancelled, true
 	}
@@ -273,7 +293,7 @@
 // mayRetry reports whether another attempt is allowed, and the reason if not.
 func (g *Gateway) mayRetry(a *attempts) (string, bool) {
 	switch {
-	case time.Until(a.deadline) < minSendTimeLeft:
+	case a.outOfTime():
 		return "deadline", false
 	case a.mayHaveRun && !a.route.Kind.Repeatable():
 		return "outcome_unknown", false
@@ -303,7 +323,7 @@
 		a.abort()
 	case a.fallback != nil:
 		g.sendBuffered(a, a.fallback)
-	case a.mayHaveRun && time.Until(a.deadline) < minSendTimeLeft:
+	case a.mayHaveRun && a.outOfTime():
 		g.refuse(a.call, refusal{status: http.StatusGatewayTimeout, reason: reason})
 	case a.mayHaveRun:
 		g.refuse(a.call, refusal{status: http.StatusBadGateway, reason: reason})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 type configSnapshot struct {
 	deployment *core.Deployment
 	routes     *directory.Routes
+	timeouts   *directory.Timeouts
 }
 
 // Gateway forwards callers' requests to backend servers.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -36,6 +36,7 @@
 
 // call is a caller's request and what the gateway knows of it.
 type call struct {
+	gateway *Gateway
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived time.Time
@@ -49,13 +50,11 @@
 	// its shared parts too.
 	fingerprint uint64
 	keys        retry.Keys
-	deadline    time.Time
 	// blockedPart is the part of the prompt for which the request is refused.
 	blockedPart string
 	// outcome is the name of the result in metrics.
 	outcome string
-	// callerDeadline is when the caller stops waiting. deadline is the earlier of
-	// callerDeadline and the end of the route's timeout.
+	// callerDeadline is when the caller stops waiting.
 	callerDeadline time.Time
 	// closeDelimited is set if the reply to the caller ends with its connection.
 	closeDelimited bool
@@ -78,7 +77,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	c := &call{w: w, r: r, arrived: time.Now(), body: bodyBuffer{memory: &g.bodyMemory}}
+	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), body: bodyBuffer{memory: &g.bodyMemory}}
 	defer g.requestPanicked(c)
 	defer g.flushAborted(c)
 	defer c.observe()
@@ -140,12 +139,12 @@
 			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
 		}
 	}
-	c.setDeadline()
+	c.setCallerDeadline()
 	if ref := g.readBody(c, snap.deployment.Limits); ref != nil {
 		return ref
 	}
 	// The body may have taken until late in a planned stop.
-	if ref := g.refuseIfStopping(c.deadline); ref != nil {
+	if ref := g.refuseIfStopping(c.deadline()); ref != nil {
 		return ref
 	}
 	c.service = directory.PickService(route, rand.Float64())
@@ -154,18 +153,13 @@
 	return nil
 }
 
-// setDeadline sets the deadlines from the caller's time left and the timeout of the
-// route.
-func (c *call) setDeadline() {
+// setCallerDeadline sets the deadline of the caller from its time left.
+func (c *call) setCallerDeadline() {
 	left := c.fields.TimeLeft
 	if left <= 0 {
 		left = defaultTimeLeft
 	}
 	c.callerDeadline = c.arrived.Add(left)
-	c.deadline = c.callerDeadline
-	if t := c.route.Timeout; t > 0 && c.arrived.Add(t).Before(c.deadline) {
-		c.deadline = c.arrived.Add(t)
-	}
 }
 
 // readBody reads the whole body before anything is sent to a server. A truncated
@@ -182,14 +176,17 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	}
 	rc := http.NewResponseController(c.w)
-	readDeadline := c.arrived.Add(uploadTimeout)
-	if c.deadline.Before(readDeadline) {
-		readDeadline = c.deadline
-	}
-	if err := rc.SetReadDeadline(readDeadline); err != nil {
-		g.log.Warn("set read deadline failed", zap.Error(err))
+	setReadDeadline := func(t time.Time) {
+		if err := rc.SetReadDeadline(t); err != nil {
+			g.log.Warn("set read deadline failed", zap.Error(err))
+		}
 	}
-	if err := c.body.read(http.MaxBytesReader(c.w, c.r.Body, maxBytes), c.r.ContentLength, maxBytes); err != nil {
+	// A read deadline that has passed cannot be extended, so it is set once it is due.
+	setReadDeadline(c.arrived.Add(uploadTimeout))
+	e := expire(c.deadline, func() { setReadDeadline(time.Now()) })
+	err := c.body.read(http.MaxBytesReader(c.w, c.r.Body, maxBytes), c.r.ContentLength, maxBytes)
+	e.stop()
+	if err != nil {
 		c.body.free()
 		// A caller that waits for status 100 sends no body after a refusal.
 		if errors.Is(err, errNoBodyMemory) && c.r.Header.Get("Expect") == "" {
@@ -197,9 +194,7 @@
 		}
 		return bodyRefusal(err)
 	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		g.log.Warn("clear read deadline failed", zap.Error(err))
-	}
+	setReadDeadline(time.Time{})
 	return nil
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,8 @@
 	quarantineEvents = expvar.NewMap("gateway_quarantine")
 	// callerConnEnds counts connections of callers that a limit has ended, by the limit.
 	callerConnEnds = expvar.NewMap("gateway_caller_connection_ends")
+	// extendedRequests counts requests in progress that a raised timeout kept.
+	extendedRequests = expvar.NewInt("gateway_extended_requests")
 	// failures counts input whose handling ended in a panic, by its source.
 	failures = expvar.NewMap("gateway_failures")
 	// ownPauseCount counts pauses of this process.
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -30,7 +30,7 @@
 // returned function ends that.
 func (g *Gateway) trackSend(a *attempts, server string, cancel context.CancelCauseFunc) func() {
 	n := g.nextID.Add(1)
-	s := &movableSend{attempts: a, request: a.request(0), cancel: cancel}
+	s := &movableSend{attempts: a, request: a.request(0, time.Now()), cancel: cancel}
 	s.request.Priority, s.request.Resumed = resumedPriority, true
 	g.task.Do(func() {
 		if g.state.movableSends[server] == nil {
@@ -87,7 +87,7 @@
 // mayMove reports whether a request may be sent to another server. It runs in the task.
 func (g *Gateway) mayMove(s *movableSend, now time.Time) bool {
 	a := s.attempts
-	return s.to == nil && a.mayContinue() && a.deadline.Sub(now) >= minSendTimeLeft && g.quarantineVerdict(a).reason == ""
+	return s.to == nil && a.mayContinue() && a.deadline().Sub(now) >= minSendTimeLeft && g.quarantineVerdict(a).reason == ""
 }
 
 // moveSend moves a request to another server. It reports false if none has a place for it,
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -260,7 +260,7 @@
 	}
 	if deployment {
 		dep := d.Deployment()
-		g.currentConfig.Store(&configSnapshot{deployment: dep, routes: directory.NewRoutes(dep)})
+		g.setConfig(dep)
 		g.callerServer.setLimits(dep.Limits)
 		g.log.Info("configuration changed", zap.Int64("version", dep.Version), zap.String("source", source),
 			zap.Int("routes", len(dep.Routes)), zap.Int("keys", len(dep.Keys)), zap.Duration("idle_timeout", dep.Limits.IdleTimeout),
