Answer requests that arrive before their service is first counted

What callers saw: the connection ended without an answer, with the line "handling a request failed; closing its connection". The server of the request was well, and nothing had been sent to it.

Cause: the window of the retry budget counts time from its first call, and a request is counted by its arrival. If a request took longer than a twentieth of the window, 0.5 s of 10 s, to arrive whole or to be counted, and one of another service was counted before it, it had a negative bucket. For a service that was not counted yet, that was an index out of range. It happens after the start of a gateway, and after SIGHUP with another window, whose counts begin anew.

Evidence: the new test of the window panicked before the change.

What arrived before the first call now counts in the first bucket.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -67,7 +67,8 @@
 	if w.base.IsZero() {
 		w.base = now
 	}
-	bucket := int64(now.Sub(w.base) / (w.length / windowBuckets))
+	// A request may have arrived before the first call and be counted after it.
+	bucket := max(0, int64(now.Sub(w.base)/(w.length/windowBuckets)))
 	c := w.services[service]
 	if c == nil {
 		c = &windowCounts{bucket: bucket}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -46,3 +46,22 @@
 		t.Error("first retry of another service: got false, want true")
 	}
 }
+
+// Guards against a panic, which costs a caller its answer, when the first request of a service
+// that is counted has arrived before requests of other services that were counted earlier.
+func TestRequestsThatArrivedBeforeTheWindowCount(t *testing.T) {
+	t.Parallel()
+	const length = 10 * time.Second
+	begin := time.Unix(1_000_000, 0)
+	for _, before := range []time.Duration{0, time.Millisecond, length / 20, length / 19, length / 2, length, 10 * length} {
+		w := retry.NewWindowBudget(1, 0, length)
+		w.CountRequest("other", begin)
+		w.CountRequest("s", begin.Add(-before))
+		if !w.AllowRetry("s", begin) {
+			t.Errorf("retry beside a request that arrived %v before: got refused, want allowed", before)
+		}
+		if w.AllowRetry("s", begin.Add(-before)) {
+			t.Errorf("second retry beside a request that arrived %v before: got allowed, want refused", before)
+		}
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -69,6 +69,8 @@
 	stop                 context.CancelFunc
 	done                 chan struct{}
 	logs                 *observer.ObservedLogs
+	// reload passes changed settings to the gateway.
+	reload func(gateway.ReloadableConfig)
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -180,7 +182,7 @@
 		BodyMemoryBytes: max(bodyMemoryBytes, d.bodyMemory), Store: store, Decoder: decoder, Headers: headers, Logger: zap.New(logs),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	p.stop = cancel
+	p.stop, p.reload = cancel, g.Reload
 	go func() {
 		defer close(p.done)
 		if err := g.Run(ctx); err != nil {
