Answer the requests that a planned stop aborts

A request whose server rejected it just before the abort, or which got a server at that moment, could also be sent to another server after the abort.

Cause: the abort ended only the wait for a server. All other requests ran on until their connections were closed 50 ms later, and with both a decision and the abort at hand, acquireServer took either of them.

The abort now ends the context of each request. Those that no server has run are refused as not run, those that may have run get the kept 5xx of their first server or 502, and nothing is sent to a server after it. Only streams that have begun still end with their connection. Answers have half of the time that is kept for closing (250 ms of a grace of 8 s) before connections are cut off. A run that the gateway itself aborts does not count as one that its server broke off.

--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -39,6 +39,10 @@
 // AbortAt returns when the requests in progress are aborted.
 func (p Plan) AbortAt() time.Time { return p.begun.Add(p.grace - p.closeTime()) }
 
+// CutAt returns when the connections of aborted requests that are not answered yet are cut
+// off.
+func (p Plan) CutAt() time.Time { return p.AbortAt().Add(p.closeTime() / 2) }
+
 // RejectAt returns when the last request is accepted.
 func (p Plan) RejectAt() time.Time {
 	return p.begun.Add(min(acceptTime, p.grace-2*p.closeTime()))
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -48,7 +48,8 @@
 	}
 }
 
-// Guards against a planned stop that aborts requests before the last sixth of its grace.
+// Guards against a planned stop that aborts requests before the last sixth of its grace, or
+// leaves no time to answer them.
 func TestAbortAt(t *testing.T) {
 	begun := time.Unix(1000, 0)
 	for _, grace := range []time.Duration{2 * time.Second, 3 * time.Second, 8 * time.Second, 10 * time.Minute} {
@@ -56,6 +57,9 @@
 		if got, want := p.AbortAt().Sub(begun), grace*5/6; got < want || got >= grace {
 			t.Errorf("grace %v, abort: got %v, want at least %v and less than the grace", grace, got, want)
 		}
+		if got, end := p.CutAt(), begun.Add(grace); !got.After(p.AbortAt()) || !got.Before(end) {
+			t.Errorf("grace %v, cut: got %v, want it between the abort and the end", grace, got.Sub(begun))
+		}
 		if p.RejectAt().After(p.AbortAt()) {
 			t.Errorf("grace %v: got requests accepted until %v, want at most %v", grace, p.RejectAt().Sub(begun), p.AbortAt().Sub(begun))
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -48,6 +48,9 @@
 	e := expire(c.deadline, func() { cancel(context.DeadlineExceeded) })
 	defer e.stop()
 	defer g.logExtended(c)
+	// Without this, aborted requests would stay unanswered until their connections are cut
+	// off.
+	defer context.AfterFunc(g.aborting, func() { cancel(errStopAborts) })()
 	a := &attempts{call: c, ctx: ctx}
 	if c.route.Kind.Stream() {
 		a.relay = newRelay(g, c)
@@ -89,7 +92,7 @@
 }
 
 // acquireServer waits until the dispatcher has assigned a server or rejected the
-// request, or a planned stop aborts it. It reports false if the caller has disconnected.
+// request, or the request has ended. It reports false if the caller has disconnected.
 func (g *Gateway) acquireServer(a *attempts) (dispatch.Decision, bool) {
 	since := time.Now()
 	r := a.request(g.nextID.Add(1), since)
@@ -110,7 +113,6 @@
 // awaitServer waits for the decision of the dispatcher on one offer of a request.
 func (g *Gateway) awaitServer(a *attempts, r dispatch.Request) (dispatch.Decision, bool) {
 	ch := make(chan dispatch.Decision, 1)
-	reason := dispatch.ReasonTooLate
 	g.task.Do(func() {
 		now := time.Now()
 		v, decided := g.state.dispatcher.Offer(r, now)
@@ -125,8 +127,6 @@
 	case v := <-ch:
 		return v, true
 	case <-a.ctx.Done():
-	case <-g.aborting:
-		reason = dispatch.ReasonLeaving
 	}
 	g.task.Do(func() {
 		delete(g.state.waiting, r.ID)
@@ -143,6 +143,10 @@
 	if a.r.Context().Err() != nil {
 		return dispatch.Decision{}, false
 	}
+	reason := dispatch.ReasonTooLate
+	if g.aborted(a) {
+		reason = dispatch.ReasonLeaving
+	}
 	return dispatch.Decision{Rejected: reason, RetryAfter: g.retryAfter(a.service)}, true
 }
 
@@ -165,10 +169,11 @@
 // attempt sends the request to one server. It reports true if the caller has got
 // its response or has disconnected, so that no further attempt is made.
 func (g *Gateway) attempt(a *attempts, v dispatch.Decision) (dispatch.Outcome, bool) {
-	if g.ownPauses.await(a.ctx) {
-		if a.ctx.Err() != nil {
-			return dispatch.OutcomeCancelled, g.contextEnded(a)
-		}
+	paused := g.ownPauses.await(a.ctx)
+	if a.ctx.Err() != nil {
+		return dispatch.OutcomeCancelled, g.contextEnded(a)
+	}
+	if paused {
 		// The server was chosen before the pause, and may have left.
 		return dispatch.OutcomeCancelled, false
 	}
@@ -247,6 +252,9 @@
 	}
 	a.sends++
 	a.mayHaveRun = true
+	if g.aborted(a) {
+		return dispatch.OutcomeCancelled, g.contextEnded(a)
+	}
 	if a.ctx.Err() != nil {
 		// A server that sent nothing until the caller disconnected or the deadline
 		// passed counts as failed.
@@ -268,17 +276,25 @@
 	return dispatch.OutcomeCancelled
 }
 
-// contextEnded ends a request whose deadline has passed or whose caller has
-// disconnected; only the former gets a response. It always reports true.
+// contextEnded ends a request whose deadline has passed, which a planned stop aborts, or
+// whose caller has disconnected; the last gets no response. It always reports true.
 func (g *Gateway) contextEnded(a *attempts) bool {
-	if a.r.Context().Err() != nil {
+	switch {
+	case a.r.Context().Err() != nil:
 		g.recordEnd(a, "caller_left")
-	} else {
+	case g.aborted(a):
+		g.giveUp(a, string(dispatch.ReasonLeaving), drainingRetryAfter)
+	default:
 		g.giveUp(a, "deadline", g.retryAfter(a.service))
 	}
 	return true
 }
 
+// aborted reports whether a planned stop has ended a request whose caller still waits.
+func (g *Gateway) aborted(a *attempts) bool {
+	return errors.Is(context.Cause(a.ctx), errStopAborts) && a.r.Context().Err() == nil
+}
+
 func (g *Gateway) finished(a *attempts, v dispatch.Decision, o dispatch.Outcome) {
 	now := time.Now()
 	g.task.Do(func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,10 +96,11 @@
 	task          *task.Task
 	state         *state
 	currentConfig atomic.Pointer[configSnapshot]
-	// stopPlan is set when a planned stop begins, and aborting is closed when it aborts
-	// the requests in progress.
+	// stopPlan is set when a planned stop begins. aborting is done when it aborts the
+	// requests in progress, and abort makes it so.
 	stopPlan atomic.Pointer[shutdown.Plan]
-	aborting chan struct{}
+	aborting context.Context
+	abort    context.CancelFunc
 	ready    atomic.Bool
 	// hasCrashes is set while there may be crashes or broken runs, so that requests
 	// need no call to the task otherwise.
@@ -176,11 +177,11 @@
 		task:                 task.New(),
 		wg:                   conc.NewWaitGroup(),
 		done:                 make(chan struct{}),
-		aborting:             make(chan struct{}),
 		refreshServersSignal: make(chan struct{}, 1),
 		registerSignal:       make(chan struct{}, 1),
 		livenessChecks:       make(chan livenessCheck, maxQueuedLivenessChecks),
 	}
+	g.aborting, g.abort = context.WithCancel(context.Background())
 	g.era.Store(noEra)
 	g.activeGateways.Store(1)
 	g.watchers = g.newWatchers()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -67,10 +67,10 @@
 type process struct {
 	address, ready, peer string
 	stop                 context.CancelFunc
-	done                 chan struct{}
-	logs                 *observer.ObservedLogs
 	// reload passes changed settings to the gateway.
 	reload func(gateway.ReloadableConfig)
+	done   chan struct{}
+	logs   *observer.ObservedLogs
 }
 
 func newDeployment(t *testing.T) *deployment {
--- /dev/null
+++ b/gateway/stop_answers_test.go
@@ -0,0 +1,170 @@
+package gateway_test
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against a planned stop that closes the connection of a whole request without an
+// answer, or refuses as not run what has run.
+func TestPlannedStopAnswersEachWholeRequest(t *testing.T) {
+	t.Parallel()
+	kinds := []string{"lookup", "book"}
+	longer := func(_ int, w http.ResponseWriter, r *http.Request) bool { return workFor(2*stopGrace, w, r) }
+	quick := func(_ int, w http.ResponseWriter, r *http.Request) bool { return workFor(20*time.Millisecond, w, r) }
+	cases := []struct {
+		name    string
+		servers int
+		script  script
+		// sends is the least number of requests that reach a server.
+		sends int
+		// play sends the requests after the begin of the stop.
+		play func(s *stopTrial)
+	}{
+		{"servers still run at the abort", 2, longer, 8, func(s *stopTrial) {
+			for i := range 6 {
+				s.request(kinds[i%2], time.Duration(i)*100*time.Millisecond, unlimited)
+				s.request(kinds[i%2], time.Duration(i)*100*time.Millisecond, 0)
+			}
+		}},
+		{"stream without an event at the abort", 2, longer, 1, func(s *stopTrial) {
+			s.request("draft", 100*time.Millisecond, unlimited)
+		}},
+		{"streams that are resumed late", 2,
+			func(n int, w http.ResponseWriter, r *http.Request) bool {
+				if n >= 4 {
+					sendEvents(stopEvents+1, 30*time.Millisecond*time.Duration(n-3), w, r)
+					return true
+				}
+				sendEvents(3, 0, w, r)
+				time.Sleep(stopAbort - 500*time.Millisecond)
+				return resetCaller(w)
+			}, 8, func(s *stopTrial) {
+				for range 4 {
+					s.request("draft", 100*time.Millisecond, unlimited)
+				}
+			}},
+		{"a queue that moves until the abort", 1,
+			func(_ int, w http.ResponseWriter, r *http.Request) bool { return workFor(130*time.Millisecond, w, r) },
+			20, func(s *stopTrial) {
+				for i := range 120 {
+					s.request(kinds[i%2], time.Duration(i)*9*time.Millisecond, unlimited)
+				}
+			}},
+		{"servers that reject until the end", 3,
+			func(_ int, w http.ResponseWriter, _ *http.Request) bool {
+				time.Sleep(70 * time.Millisecond)
+				return rejectNotRun(w)
+			}, 20, func(s *stopTrial) {
+				for i := range 40 {
+					s.request(kinds[i%2], time.Duration(i)*27*time.Millisecond, unlimited)
+				}
+			}},
+		{"a rejection just before the abort, then a long run", 2,
+			func(n int, w http.ResponseWriter, r *http.Request) bool {
+				if n < 8 {
+					time.Sleep(stopAbort - 200*time.Millisecond - time.Duration(n)*5*time.Millisecond)
+					return rejectNotRun(w)
+				}
+				return workFor(stopGrace, w, r)
+			}, 9, func(s *stopTrial) {
+				for i := range 8 {
+					s.request(kinds[i%2], 180*time.Millisecond, unlimited)
+				}
+			}},
+		{"a first server that fails late", 2,
+			func(n int, w http.ResponseWriter, r *http.Request) bool {
+				if n >= 4 {
+					return workFor(stopGrace, w, r)
+				}
+				time.Sleep(stopAbort - 700*time.Millisecond)
+				w.WriteHeader(http.StatusInternalServerError)
+				return true
+			}, 6, func(s *stopTrial) {
+				for i := range 4 {
+					s.request(kinds[i%2], 100*time.Millisecond, unlimited)
+				}
+			}},
+		{"a first server that resets late", 2,
+			func(n int, w http.ResponseWriter, r *http.Request) bool {
+				if n >= 4 {
+					return workFor(stopGrace, w, r)
+				}
+				time.Sleep(stopAbort - 700*time.Millisecond)
+				return resetCaller(w)
+			}, 6, func(s *stopTrial) {
+				for i := range 4 {
+					s.request(kinds[i%2], 100*time.Millisecond, unlimited)
+				}
+			}},
+		{"answers around the abort", 2,
+			func(n int, w http.ResponseWriter, r *http.Request) bool {
+				return workFor(stopAbort-200*time.Millisecond+time.Duration(n-8)*10*time.Millisecond, w, r)
+			}, 8, func(s *stopTrial) {
+				for i := range 8 {
+					s.request(kinds[i%2], 200*time.Millisecond, unlimited)
+				}
+			}},
+		{"deadlines around the abort", 2, longer, 4, func(s *stopTrial) {
+			for i := range 8 {
+				at := 100*time.Millisecond + time.Duration(i%4)*600*time.Millisecond
+				s.request(kinds[i%2], at, stopAbort-at+time.Duration(i-6)*10*time.Millisecond)
+			}
+		}},
+		{"requests all the time", 2, quick, 200, func(s *stopTrial) {
+			for i := range 600 {
+				s.request(kinds[i%2], time.Duration(i)*5*time.Millisecond, 300*time.Millisecond)
+			}
+		}},
+		{"requests without a deadline all the time", 2, quick, 50, func(s *stopTrial) {
+			for i := range 300 {
+				s.request(kinds[i%2], time.Duration(i)*10*time.Millisecond, 0)
+			}
+		}},
+		{"bodies that end late beside a queue", 1,
+			func(_ int, w http.ResponseWriter, r *http.Request) bool { return workFor(150*time.Millisecond, w, r) },
+			20, func(s *stopTrial) {
+				for i := range 60 {
+					s.request(kinds[i%2], time.Duration(i)*15*time.Millisecond, unlimited)
+				}
+				for i := range 50 {
+					s.upload(kinds[i%2], time.Duration(i)*10*time.Millisecond, time.Duration(i)*60*time.Millisecond, "Content-Length: 10\r\n", "01234", "56789")
+				}
+			}},
+		{"chunked uploads with 100-continue that end late", 2, quick, 10, func(s *stopTrial) {
+			for i := range 50 {
+				s.upload(kinds[i%2], time.Duration(i)*10*time.Millisecond, time.Duration(i)*60*time.Millisecond,
+					"Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n", "5\r\n01234\r\n", "0\r\n\r\n")
+			}
+		}},
+		{"configurations and settings change", 2,
+			func(_ int, w http.ResponseWriter, r *http.Request) bool { return workFor(700*time.Millisecond, w, r) },
+			10, func(s *stopTrial) {
+				for i := range 12 {
+					s.request(kinds[i%2], time.Duration(i)*100*time.Millisecond, unlimited)
+					s.request(kinds[i%2], time.Duration(i)*150*time.Millisecond, 800*time.Millisecond)
+				}
+				routes := slices.Clone(s.routes)
+				for i := range 10 {
+					s.sleepUntil(100*time.Millisecond + time.Duration(i)*250*time.Millisecond)
+					s.limits = map[string]any{"max_body_bytes": 1000 + i, "idle_timeout_ms": 200 + 100*i, "header_timeout_ms": 300 + 50*i, "max_header_bytes": 4096 + i}
+					s.routes = slices.Clone(routes[:1+i%3])
+					s.publish()
+					changed := s.reloadable
+					changed.Grace = time.Duration(i%3) * stopGrace / 2
+					s.p.reload(changed)
+				}
+			}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := startStopTrial(t, tc.servers, tc.script)
+			s.begin()
+			tc.play(s)
+			s.check(tc.sends)
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,7 +86,7 @@
 		g.recordEnd(a, "caller_left")
 		return dispatch.OutcomeCancelled, true
 	case a.ctx.Err() != nil:
-		if !a.answerBegun {
+		if !a.answerBegun && !g.aborted(a) {
 			g.runBroke(a, v.Server, false)
 		}
 		return dispatch.OutcomeCancelled, g.contextEnded(a)
--- a/gateway/taken_away_test.go
+++ b/gateway/taken_away_test.go
@@ -294,8 +294,8 @@
 	}
 }
 
-// upload is a request of which a part has been sent.
-type upload struct {
+// begunUpload is a request of which a part has been sent.
+type begunUpload struct {
 	path string
 	conn *callerConn
 }
@@ -303,12 +303,12 @@
 const uploadHead = "POST %s HTTP/1.1\r\nHost: a.example\r\nNutmegnotch-Request-Id: %s\r\nNutmegnotch-Key: key-a\r\n" +
 	"Nutmegnotch-Deadline-Ms: 6000\r\nContent-Length: 8\r\n\r\nhalf"
 
-func (p *progress) beginUploads(t *testing.T) []upload {
+func (p *progress) beginUploads(t *testing.T) []begunUpload {
 	t.Helper()
-	var list []upload
+	var list []begunUpload
 	for i, to := range p.gateways {
 		for _, path := range []string{"/book/2", "/draft/2"} {
-			u := upload{path, dial(t, to)}
+			u := begunUpload{path, dial(t, to)}
 			if _, err := fmt.Fprintf(u.conn, uploadHead, path, fmt.Sprint("upload", i, path[1:2])); err != nil {
 				t.Fatalf("send half of a request: %v", err)
 			}
@@ -319,7 +319,7 @@
 }
 
 // finish sends the rest. The answer is a success or a refusal.
-func (u upload) finish(t *testing.T) {
+func (u begunUpload) finish(t *testing.T) {
 	t.Helper()
 	if _, err := io.WriteString(u.conn, "half"); err != nil {
 		t.Errorf("send the rest of %s: %v", u.path, err)
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -31,7 +31,9 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedReplyBytes+1))
 	if err != nil && !errors.Is(err, backend.ErrUnverifiedEnd) {
 		if a.ctx.Err() != nil {
-			g.runBroke(a, v.Server, false)
+			if !g.aborted(a) {
+				g.runBroke(a, v.Server, false)
+			}
 			return dispatch.OutcomeCancelled, g.contextEnded(a)
 		}
 		g.logAttempt(a, v, "reply_cut_short", reply.Status, err)
@@ -106,7 +108,9 @@
 	}
 	if err != nil {
 		g.logAttempt(a, v, "reply_cut_short", head.status, err)
-		g.runBroke(a, v.Server, false)
+		if !g.aborted(a) {
+			g.runBroke(a, v.Server, false)
+		}
 		a.abort()
 	}
 	reply.MarkBodyRead()
