--- a/gateway/stop_answers_test.go
+++ b/gateway/stop_answers_test.go
@@ -168,3 +168,67 @@
 		})
 	}
 }
+
+// Guards against gateways that stop one after the other and cut off what callers of the
+// others have sent to them instead.
+func TestPlannedStopsInTurnAnswerEachWholeRequest(t *testing.T) {
+	t.Parallel()
+	const (
+		apart    = 700 * time.Millisecond
+		interval = 25 * time.Millisecond
+		callers  = 120
+		tries    = 3
+		retryGap = 100 * time.Millisecond
+	)
+	kinds := []string{"lookup", "book", "draft"}
+	cases := []struct {
+		name     string
+		work     time.Duration
+		deadline time.Duration
+	}{
+		{"short requests", 50 * time.Millisecond, time.Second},
+		{"a queue", 500 * time.Millisecond, 3 * time.Second},
+		{"requests that outlast the grace", stopGrace, 4 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := startStopTrial(t, 2, func(n int, w http.ResponseWriter, r *http.Request) bool {
+				switch {
+				case n%7 == 3:
+					return rejectNotRun(w)
+				case r.URL.Path == "/draft/1":
+					sendEvents(stopEvents+1, tc.work/stopEvents, w, r)
+					return true
+				}
+				return workFor(tc.work, w, r)
+			})
+			all := []*process{s.p, s.startReady(), s.startReady(), s.startReady()}
+			eventually(t, "the gateways are connected", s.connected)
+			s.begin()
+			s.later = map[*process]time.Duration{}
+			for i, p := range all[1:3] {
+				s.later[p] = time.Duration(i+1) * apart
+			}
+			for i := range callers {
+				s.wg.Go(func() {
+					s.sleepUntil(time.Duration(i) * interval)
+					for try := range tries {
+						if st := s.sendTo(all[(i+try)%len(all)], kinds[i%len(kinds)], tc.deadline); st != 0 && st != http.StatusServiceUnavailable {
+							return
+						}
+						time.Sleep(retryGap)
+					}
+				})
+			}
+			for _, p := range all[1:3] {
+				s.wg.Go(func() {
+					s.sleepUntil(s.later[p])
+					p.stop()
+					<-p.done
+				})
+			}
+			s.check(callers / 20)
+		})
+	}
+}
