Check that a connection serves on after a refused upload

The rest of a body that is dropped after a refusal must not be taken for the next request, nor the connection be closed.

--- a/gateway/body_memory_test.go
+++ b/gateway/body_memory_test.go
@@ -80,6 +80,14 @@
 	return answer{resp.StatusCode, resp.Header, string(b), err}
 }
 
+// bookAgain sends a request without a body on the connection of an upload that has ended.
+func (u *upload) bookAgain(p *process) answer {
+	id := newRequest(p, http.MethodPost, "/book/1", "", "").Header.Get("Nutmegnotch-Request-Id")
+	u.rest = fmt.Sprintf("POST /book/2 HTTP/1.1\r\nHost: a.example\r\nNutmegnotch-Request-Id: %s\r\nNutmegnotch-Key: key-a\r\n"+
+		"Nutmegnotch-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n", id)
+	return u.end()
+}
+
 // Guards against bodies that together take more memory than they may when they arrive at
 // the same time, which ends the process and all of its requests.
 func TestBodiesThatArriveTogetherAreBounded(t *testing.T) {
@@ -145,6 +153,9 @@
 					if got.header.Get("Retry-After") == "" {
 						t.Error("refusal: got no Retry-After, want one")
 					}
+					if next := u.bookAgain(p); next.status != http.StatusOK || next.body != "booked" {
+						t.Errorf("request after the refusal on its connection: got %+v, want 200", next)
+					}
 					if d.hasRun(u.id) {
 						t.Errorf("request %s was refused as not run, but has run", u.id)
 					}
