Derive the memory of bodies from the soft limit and the rest

The fraction of memory_mb that bodies may hold was a bare 0.2. It is now half of what is left between the rest of the process and the soft limit of the runtime, since ended requests leave as much garbage before the collector runs; the value stays 0.2, so no test changes.

--- a/process/node.go
+++ b/process/node.go
@@ -22,8 +22,13 @@
 	// softMemoryFraction sets the soft memory limit of the Go runtime, near which the
 	// garbage collector runs more often.
 	softMemoryFraction = 0.7
-	// bodyMemoryFraction bounds the request bodies that a gateway holds in memory.
-	bodyMemoryFraction = 0.2
+	// restMemoryFraction is left for what a gateway holds besides bodies, for which the
+	// projection to the design size is 73 MB of 284 (docs/CAPACITY.md).
+	restMemoryFraction = 0.3
+	// bodyMemoryFraction bounds the request bodies that a gateway holds in memory. It is
+	// half of what is left below the soft limit, since bodies of ended requests take as
+	// much again until the garbage collector has run.
+	bodyMemoryFraction = (softMemoryFraction - restMemoryFraction) / 2
 	bytesPerMB         = 1 << 20
 )
 
