Hold heads that were read ahead to the header timeout

A caller that sent a request together with the first part of the next one was cut off at the idle timeout, with 400 or no answer, although the header timeout left it time. With a long idle timeout such a head could stay incomplete beyond the header timeout.

Cause: callerConn sees the begin of a head in what it reads while it waits, but net/http reads ahead, and the bytes were read with the request before. net/http clears the deadline of the wait when the first four bytes of a head are in its buffer. That call tells callerConn of the head. It needs an idle timeout of the http.Server, since otherwise net/http clears the deadline at the begin of the wait, too.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -21,6 +21,9 @@
 const (
 	// headReadAhead is how much of a body net/http may read together with the head.
 	headReadAhead = 4 << 10
+	// headBeginBytes is how much of a head net/http waits for before it clears the deadline
+	// of the wait.
+	headBeginBytes = 4
 	// arrivedReadTime bounds the read of bytes that have arrived already.
 	arrivedReadTime = 100 * time.Millisecond
 	// rejectTime bounds the sending of a rejection, and rejectLinger the reading after it:
@@ -73,15 +76,27 @@
 	return n, err
 }
 
-// SetReadDeadline implements net.Conn. It does nothing while the connection waits for a
-// request or reads a head.
+// SetReadDeadline implements net.Conn. While the connection waits for a request or reads a
+// head, it sets no deadline. net/http clears the one of the wait when it has the first bytes
+// of a head, which it may have read together with the request before.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.active.Load() {
-		return nil
+	if c.active.Load() {
+		return c.TCPConn.SetReadDeadline(t)
+	}
+	if t.IsZero() {
+		c.beginHead()
+		c.headBytes = max(c.headBytes, headBeginBytes)
+	}
+	return nil
+}
+
+// beginHead records that a part of a head has arrived.
+func (c *callerConn) beginHead() {
+	if !c.headBegun {
+		c.headBegun, c.begun, c.limits = true, time.Now(), c.current
 	}
-	return c.TCPConn.SetReadDeadline(t)
 }
 
 // readHead reads within the limits. A part of a line that was read before an error counts as
@@ -155,9 +170,7 @@
 func (c *callerConn) headArrived(n int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.headBegun {
-		c.headBegun, c.begun, c.limits = true, time.Now(), c.current
-	}
+	c.beginHead()
 	c.headBytes += n
 	return c.headBytes <= c.limits.MaxHeaderBytes+headReadAhead
 }
--- a/gateway/caller_server.go
+++ b/gateway/caller_server.go
@@ -33,6 +33,9 @@
 	closeInterval = 5 * time.Millisecond
 )
 
+// unusedIdleTimeout is a deadline that net/http sets and clears and callerConn ignores.
+const unusedIdleTimeout = time.Hour
+
 // callerServer serves callers' connections.
 type callerServer struct {
 	http     *http.Server
@@ -54,7 +57,9 @@
 			ConnState:   open.stateChanged,
 			// callerConn enforces the limits of heads.
 			MaxHeaderBytes: math.MaxInt32,
-			ErrorLog:       zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+			// Without it, net/http would not tell callerConn of the first bytes of a head.
+			IdleTimeout: unusedIdleTimeout,
+			ErrorLog:    zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 		}}
 	c.wg.Go(func() {
 		if err := c.http.Serve(c.handOffs); err != nil && err != http.ErrServerClosed {
