Hold the wait after a request to limits in force during it

A caller that had its answer and waited was cut off at a lowered idle timeout, although its wait had begun under the longer one, if the limit was lowered before the gateway had ended the handling of the request: the answer reaches the caller some time before net/http reports the connection idle, and only then did the wait begin for callerConn.

A change now also counts for connections with an active request: the wait after it is held to the least strict limits that were in force since the request began. The end of a request no longer needs the lock of all connections.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -38,7 +38,8 @@
 
 // callerConn is a caller's connection. It enforces the limits of waiting for a request and of
 // reading its head, since those of an http.Server cannot change while it runs. A wait, or a
-// head, is held to the least strict limits that were in force since it began.
+// head, is held to the least strict limits that were in force since it began; a wait after a
+// request, since that request began.
 type callerConn struct {
 	*net.TCPConn
 	log       *zap.Logger
@@ -50,7 +51,8 @@
 
 	// mu also guards the read deadline while the connection is not active.
 	mu sync.Mutex
-	// current are the limits in force, and limits the least strict ones since begun.
+	// current are the limits in force, and limits the least strict ones since the request,
+	// the wait or the head began.
 	current, limits core.CallerLimits
 	// begun is when the wait for a request began, or the arrival of its head once headBegun
 	// is set.
@@ -236,26 +238,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active.Store(true)
+	c.limits = c.current
 	return c.TCPConn.SetReadDeadline(time.Time{})
 }
 
-// end records that a request has been answered, and begins the wait for the next one.
-func (c *callerConn) end(l core.CallerLimits) {
+// end records that a request has been answered, and begins the wait for the next one. The
+// caller has got the answer before, so limits that were lowered meanwhile do not apply yet.
+func (c *callerConn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answeredBytes.Store(c.readBytes.Load())
-	c.current, c.limits, c.begun, c.headBegun, c.headBytes = l, l, time.Now(), false, 0
+	c.begun, c.headBegun, c.headBytes = time.Now(), false, 0
 	c.active.Store(false)
 }
 
-// loosen applies changed limits to the wait or the head in progress.
+// loosen applies changed limits to the wait or the head in progress, or to the wait after the
+// request that is being handled.
 func (c *callerConn) loosen(l core.CallerLimits) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.current, c.limits = l, c.limits.Loosest(l)
 	if c.active.Load() || c.rejected {
 		return nil
 	}
-	c.current, c.limits = l, c.limits.Loosest(l)
 	return c.TCPConn.SetReadDeadline(c.deadline())
 }
 
--- a/gateway/caller_conn_test.go
+++ b/gateway/caller_conn_test.go
@@ -33,7 +33,7 @@
 	}
 	c := newCallerConn(conn.(*net.TCPConn), l.WithDefaults(), zap.NewNop())
 	t.Cleanup(func() { c.Close() })
-	c.end(l.WithDefaults())
+	c.end()
 	return c, remote
 }
 
@@ -132,3 +132,41 @@
 		t.Errorf("bytes of the head: got %d (%v), want at most %d", got, err, limit+headReadAhead)
 	}
 }
+
+// Guards against a caller that is cut off by a limit which was lowered between the arrival of
+// its answer and the end of the request's handling.
+func TestLimitLoweredAtTheEndOfARequestSparesTheWait(t *testing.T) {
+	t.Parallel()
+	const limit = 50 * time.Millisecond
+	short := core.CallerLimits{IdleTimeout: limit}.WithDefaults()
+	c, remote := acceptedConn(t, core.CallerLimits{IdleTimeout: time.Minute})
+	b := make([]byte, 16)
+	handle := func(during func()) {
+		t.Helper()
+		write(t, remote, "GET ")
+		if _, err := c.Read(b); err != nil {
+			t.Fatalf("read a head: %v", err)
+		}
+		if err := c.begin(); err != nil {
+			t.Fatalf("begin a request: %v", err)
+		}
+		during()
+		c.end()
+	}
+	handle(func() {
+		if err := c.loosen(short); err != nil {
+			t.Fatalf("lower the limits: %v", err)
+		}
+	})
+	time.AfterFunc(4*limit, func() { _, _ = io.WriteString(remote, "GET ") })
+	if _, err := c.Read(b); err != nil {
+		t.Fatalf("read after a wait of %v: got %v, want success", 4*limit, err)
+	}
+	if err := c.begin(); err != nil {
+		t.Fatalf("begin a request: %v", err)
+	}
+	c.end()
+	if n, err := c.Read(b); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read in the next wait: got %d bytes (%v), want a timeout after %v", n, err, limit)
+	}
+}
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -64,9 +64,7 @@
 			s.log.Warn("clear read deadline failed", zap.Error(err))
 		}
 	case http.StateIdle:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		c.end(s.limits)
+		c.end()
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		defer s.mu.Unlock()
