--- a/gateway/stop_answers_test.go
+++ b/gateway/stop_answers_test.go
@@ -139,6 +139,11 @@
 					"Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n", "5\r\n01234\r\n", "0\r\n\r\n")
 			}
 		}},
+		{"large uploads that are refused before they have come", 2, quick, 10, func(s *stopTrial) {
+			for i := range 40 {
+				s.wholeUpload(kinds[i%2], time.Duration(i)*55*time.Millisecond, 3000*(1+i%4*100))
+			}
+		}},
 		{"configurations and settings change", 2,
 			func(_ int, w http.ResponseWriter, r *http.Request) bool { return workFor(700*time.Millisecond, w, r) },
 			10, func(s *stopTrial) {
@@ -169,6 +174,41 @@
 	}
 }
 
+// Guards against a planned stop that cuts off a request on a kept connection.
+func TestPlannedStopAnswersKeptConnections(t *testing.T) {
+	t.Parallel()
+	const (
+		kept     = 100
+		used     = 20
+		interval = stopGrace / kept
+	)
+	s := startStopTrial(t, 2, func(_ int, w http.ResponseWriter, r *http.Request) bool { return workFor(20*time.Millisecond, w, r) })
+	var conns []*callerConn
+	for i := range kept {
+		c := s.dial()
+		conns = append(conns, c)
+		if i%(kept/used) == 0 {
+			q, head := s.head("lookup", time.Second, emptyBody)
+			s.write(c, head)
+			s.end(c, q)
+		}
+	}
+	s.begin()
+	for i, c := range conns {
+		s.wg.Go(func() {
+			defer c.Close()
+			s.sleepUntil(time.Duration(i) * interval)
+			if c.hasInput() {
+				return
+			}
+			q, head := s.head([]string{"lookup", "book"}[i%2], 300*time.Millisecond, emptyBody)
+			s.write(c, head)
+			s.end(c, q)
+		})
+	}
+	s.check(kept / 2)
+}
+
 // Guards against gateways that stop one after the other and cut off what callers of the
 // others have sent to them instead.
 func TestPlannedStopsInTurnAnswerEachWholeRequest(t *testing.T) {
--- a/gateway/stop_trial_test.go
+++ b/gateway/stop_trial_test.go
@@ -305,7 +305,7 @@
 }
 
 // upload sends a request whose body comes in two parts, each at a time after the begin of
-// the stop. It sends the second part only if it has no answer yet.
+// the stop. It sends the second part only if nothing has come yet.
 func (s *stopTrial) upload(kind string, first, second time.Duration, framing, firstPart, secondPart string) {
 	s.wg.Go(func() {
 		s.sleepUntil(first)
@@ -335,3 +335,21 @@
 		s.end(c, q)
 	})
 }
+
+// wholeUpload sends a request with a body of a size at a time after the begin of the stop,
+// also behind a refusal.
+func (s *stopTrial) wholeUpload(kind string, after time.Duration, size int) {
+	s.wg.Go(func() {
+		s.sleepUntil(after)
+		q, head := s.head(kind, unlimited, fmt.Sprintf("Content-Length: %d\r\n", size))
+		c := s.dial()
+		if c == nil {
+			return
+		}
+		defer c.Close()
+		s.write(c, head)
+		time.Sleep(5 * time.Millisecond)
+		s.write(c, strings.Repeat("x", size))
+		s.end(c, q)
+	})
+}
