Keep the send to a silent server until another has taken the request

Callers saw streams cut off, and requests answered 500, 502 or 504, although their silent server went on after 1.3 s: the request had been moved to another server, which rejected it, refused the connection, reset it, answered 500 or sent nothing, and no attempt was left.

The send to the silent server was cancelled as soon as another server had a place for the request. Now both sends run. The first of them that sends an event of the stream, or the head of a sealed answer below 500, serves the request, and the other one is cancelled. The gateway's task decides between them, so no event of the silent server is forwarded once the other has taken the stream, and the other one takes no stream of which an event has come since it was asked to continue behind Last-Event-Id. If the first send fails while the other is in progress, the other takes its place. Sends to other servers count as attempts and in the retry budget.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"nutmegnotch/core/dispatch"
 )
 
@@ -29,8 +31,10 @@
 	// callerAge is how long ago the caller made its first attempt. It is above 0 if
 	// this request is a retry by the caller.
 	callerAge time.Duration
-	// movedTo is the server to which the request was moved during the last send.
-	movedTo *dispatch.Decision
+	// move is the send to another server that goes on with the request after the last send.
+	// moves holds all of them.
+	move  *move
+	moves *conc.WaitGroup
 	// fallback is a complete 5xx reply of a server. It is sent to the caller if no
 	// other server sends a complete reply.
 	fallback *bufferedReply
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"nutmegnotch/core"
@@ -51,7 +52,7 @@
 	// Without this, aborted requests would stay unanswered until their connections are cut
 	// off.
 	defer context.AfterFunc(g.aborting, func() { cancel(errStopAborts) })()
-	a := &attempts{call: c, ctx: ctx}
+	a := &attempts{call: c, ctx: ctx, moves: conc.NewWaitGroup()}
 	if c.route.Kind.Stream() {
 		a.relay = newRelay(g, c)
 	}
@@ -64,10 +65,13 @@
 		g.state.retryBudget.CountRequest(c.service, c.arrived)
 		a.callerAge = g.state.callerAges.age(c.route.Name, c.callerDeadline.Sub(c.arrived), c.route.Timeout, c.arrived)
 	})
-	defer g.releaseMove(a)
+	defer g.endMoves(a, func() { cancel(nil) })
 	for {
-		v, moved := a.takeMove()
-		if !moved {
+		var v dispatch.Decision
+		m := a.takeMove()
+		if m != nil {
+			v = m.to
+		} else {
 			var ok bool
 			if v, ok = g.acquireServer(a); !ok {
 				g.recordEnd(a, "caller_left")
@@ -78,10 +82,10 @@
 			g.giveUp(a, string(v.Rejected), v.RetryAfter)
 			return
 		}
-		if g.attemptOnce(a, v) {
+		if g.attemptOnce(a, v, m) {
 			return
 		}
-		if a.movedTo != nil && a.mayContinue() {
+		if a.move != nil {
 			continue
 		}
 		if reason, ok := g.mayRetry(a); !ok {
@@ -157,12 +161,16 @@
 	return after
 }
 
-// attemptOnce makes one attempt and reports its outcome to the dispatcher, even if
-// the attempt aborts the caller's connection with a panic.
-func (g *Gateway) attemptOnce(a *attempts, v dispatch.Decision) (final bool) {
+// attemptOnce makes one attempt, or goes on with m, and reports its outcome to the
+// dispatcher, even if the attempt aborts the caller's connection with a panic.
+func (g *Gateway) attemptOnce(a *attempts, v dispatch.Decision, m *move) (final bool) {
 	outcome := dispatch.OutcomeCancelled
 	defer func() { g.finished(a, v, outcome) }()
-	outcome, final = g.attempt(a, v)
+	if m != nil {
+		outcome, final = g.attemptMoved(a, m)
+	} else {
+		outcome, final = g.attempt(a, v)
+	}
 	return final
 }
 
@@ -177,7 +185,6 @@
 		// The server was chosen before the pause, and may have left.
 		return dispatch.OutcomeCancelled, false
 	}
-	left := time.Until(a.callerDeadline)
 	if a.outOfTime() {
 		g.giveUp(a, "deadline", g.retryAfter(a.service))
 		return dispatch.OutcomeCancelled, true
@@ -188,23 +195,33 @@
 		return dispatch.OutcomeCancelled, true
 	}
 	a.serverIDs = append(a.serverIDs, v.Server.ID)
+	fields := a.backendFields(v)
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	defer cancel(nil)
+	a.sentAt, a.answerBegun = time.Now(), false
+	s := g.trackSend(a, v.Server, cancel)
+	defer g.untrackSend(s)
+	reply, err := g.client.Send(ctx, v.Server, g.backendRequest(a, fields))
+	return g.handleReply(ctx, a, v, s, reply, err)
+}
+
+// backendFields returns the fields of a send for its server.
+func (a *attempts) backendFields(v dispatch.Decision) core.BackendFields {
 	fields := core.BackendFields{
 		ServerID:     v.Server.ID,
 		Organisation: a.holder.Organisation,
-		TimeLeft:     left,
+		TimeLeft:     time.Until(a.callerDeadline),
 		Urgency:      -1,
 	}
-	if a.relay != nil && a.relay.started {
+	if a.relay != nil && a.relay.events > 0 {
 		fields.LastEventID = a.relay.lastEventID
 		fields.Urgency = 0
 	}
-	ctx, cancel := context.WithCancelCause(a.ctx)
-	defer cancel(nil)
-	if a.route.Kind.Repeatable() && a.sends+1 < a.route.MaxAttempts {
-		defer g.trackSend(a, v.Server.ID, cancel)()
-	}
-	a.sentAt, a.answerBegun = time.Now(), false
-	reply, err := g.client.Send(ctx, v.Server, backend.Request{
+	return fields
+}
+
+func (g *Gateway) backendRequest(a *attempts, fields core.BackendFields) backend.Request {
+	return backend.Request{
 		ID:         a.fields.RequestID,
 		Method:     a.r.Method,
 		Target:     a.r.RequestURI,
@@ -212,31 +229,60 @@
 		Header:     g.cfg.Headers.Backend(a.r.Header, fields),
 		Body:       a.body.data,
 		AtMostOnce: !a.route.Kind.Repeatable(),
-	})
+	}
+}
+
+// handleReply handles the result of a send, which ends with ctx.
+func (g *Gateway) handleReply(ctx context.Context, a *attempts, v dispatch.Decision, s *movableSend, reply *backend.Reply, err error) (dispatch.Outcome, bool) {
 	if err != nil {
 		return g.sendFailed(a, v, err, errors.Is(context.Cause(ctx), errMoved))
 	}
 	defer reply.Close()
 	a.sends++
+	if outcome, rejected := g.replyRejected(a, v, reply); rejected {
+		return outcome, false
+	}
+	a.mayHaveRun = true
+	if a.relay != nil && isStream(reply) {
+		a.relay.send = s
+		return g.attemptStream(ctx, a, v, reply)
+	}
+	if reply.Status < http.StatusInternalServerError {
+		ok := true
+		g.task.Do(func() {
+			if ok = s.answers(); ok && s != nil {
+				s.plain = true
+			}
+		})
+		if !ok {
+			return g.sendMoved(a, v, reply.Status, errMoved), false
+		}
+	}
+	return g.attemptUnary(a, v, reply)
+}
+
+// replyRejected reports whether a reply says that its server has not run the request.
+func (g *Gateway) replyRejected(a *attempts, v dispatch.Decision, reply *backend.Reply) (dispatch.Outcome, bool) {
 	r := g.cfg.Headers.Reply(reply.Status, reply.Header)
 	g.observeServer(v.Server, r, a.sentAt)
 	switch {
 	case r.Misdirected:
 		g.logAttempt(a, v, "misdirected", reply.Status, nil)
 		g.refreshServers()
-		return dispatch.OutcomeMisdirected, false
+		return dispatch.OutcomeMisdirected, true
 	case r.NotRun && r.Pause > 0:
 		g.logAttempt(a, v, "paused", reply.Status, nil)
-		return dispatch.OutcomePaused, false
+		return dispatch.OutcomePaused, true
 	case r.NotRun:
 		g.logAttempt(a, v, "not_run", reply.Status, nil)
-		return dispatch.OutcomeShed, false
-	}
-	a.mayHaveRun = true
-	if a.relay != nil && reply.Status >= 200 && reply.Status < 300 && eventstream.IsContentType(reply.Header.Get("Content-Type")) {
-		return g.attemptStream(ctx, a, v, reply)
+		return dispatch.OutcomeShed, true
 	}
-	return g.attemptUnary(a, v, reply)
+	return dispatch.OutcomeServed, false
+}
+
+// isStream reports whether a reply is a stream of events.
+func isStream(reply *backend.Reply) bool {
+	return reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices && eventstream.IsContentType(reply.Header.Get("Content-Type"))
 }
 
 // sendFailed handles a send without a reply. moved reports that the gateway cancelled the
@@ -272,7 +318,6 @@
 // sendMoved handles the end of a send to a server from which the request was moved.
 func (g *Gateway) sendMoved(a *attempts, v dispatch.Decision, status int, err error) dispatch.Outcome {
 	g.logAttempt(a, v, "server_silent", status, err)
-	g.runBroke(a, v.Server, false)
 	return dispatch.OutcomeCancelled
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -129,16 +129,22 @@
 	var v quarantineVerdict
 	g.task.Do(func() {
 		v = g.quarantineVerdict(a)
-		for _, key := range v.ambiguous {
-			if !g.state.trials[key] {
-				g.state.trials[key] = true
-				a.trials = append(a.trials, key)
-			}
-		}
+		g.beginTrial(a, v)
 	})
 	return a.apply(v)
 }
 
+// beginTrial keeps other requests with the same keys from being sent meanwhile, if it is not
+// known which of them crash servers. It runs in the task.
+func (g *Gateway) beginTrial(a *attempts, v quarantineVerdict) {
+	for _, key := range v.ambiguous {
+		if !g.state.trials[key] {
+			g.state.trials[key] = true
+			a.trials = append(a.trials, key)
+		}
+	}
+}
+
 // apply records a verdict for the log, and returns why the request may not be sent.
 func (a *attempts) apply(v quarantineVerdict) (reason string, retryAfter time.Duration) {
 	if v.reason == reasonCrashes {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,7 +46,10 @@
 	resumed bool
 	// unnumbered is set once an event without an id has been forwarded. No other server can
 	// go on behind it.
-	unnumbered  atomic.Bool
+	unnumbered atomic.Bool
+	// send is the send whose events are being relayed, if it can be moved.
+	send *movableSend
+	// lastEventID and events are written in the gateway's task, which reads them too.
 	lastEventID string
 	lastEventAt time.Time
 	// events counts the events of all replies, and eventsBefore those before this one.
@@ -211,7 +214,14 @@
 		if r.resumed {
 			return false, fmt.Errorf("event without an id: %w", errNotContinued)
 		}
-		r.unnumbered.Store(true)
+		moved := false
+		r.gateway.task.Do(func() {
+			moved = !r.send.answers()
+			r.unnumbered.Store(!moved)
+		})
+		if moved {
+			return false, errMoved
+		}
 		return true, nil
 	}
 	if !eventstream.IsNewerID(id, r.lastEventID) {
@@ -220,18 +230,24 @@
 	if r.resumed && r.events == r.eventsBefore && eventstream.IsError(event) {
 		return false, fmt.Errorf("error event %q: %w", id, errNotContinued)
 	}
-	r.lastEventID = id
 	now := time.Now()
 	pause := time.Duration(0)
 	if r.events > 0 {
 		pause = now.Sub(r.lastEventAt)
 		r.longestPause = max(r.longestPause, pause)
 	}
-	g := r.gateway
+	g, moved := r.gateway, false
 	g.task.Do(func() {
+		if moved = !r.send.answers(); moved {
+			return
+		}
+		r.lastEventID = id
+		r.events++
 		g.state.dispatcher.ObserveEvent(r.call.service, r.serverID, pause, r.call.route.MaxEventGap, now)
 	})
-	r.events++
+	if moved {
+		return false, errMoved
+	}
 	r.lastEventAt = now
 	return true, nil
 }
