--- a/agent/cut_reply_test.go
+++ b/agent/cut_reply_test.go
@@ -30,6 +30,41 @@
 	}
 }
 
+// Guards against a reply whose backend server stops at any byte of the head, of a chunk
+// size or of the trailers, and that is passed on or stored as a whole one.
+func TestReplyCutAtAnyByteIsNotComplete(t *testing.T) {
+	b := &scriptedReplies{}
+	r := startHarness(t, deskService, b, nil)
+	const length, chunks = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nhello, world",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0c\r\nhello, world\r\n0\r\nX-A: b\r\n\r\n"
+	number := 0
+	for _, whole := range []string{length, chunks} {
+		for n := range len(whole) + 1 {
+			reply := whole[:n]
+			b.reply.Store(&reply)
+			b.reset.Store(n%2 == 1 && n < len(whole))
+			for _, once := range []bool{false, true} {
+				number++
+				id, key := fmt.Sprint("q", number), fmt.Sprint("k", number)
+				head := lookupHead(id)
+				if once {
+					head = bookingHead(id, key)
+				}
+				if got := r.do(head, "").end.GetComplete(); got != (n == len(whole)) {
+					t.Errorf("reply %q, once %t: got complete %t, want %t", reply, once, got, n == len(whole))
+				}
+				if !once {
+					continue
+				}
+				holder := r.do(bookingHead(id+"-2", key), "").verdict.GetHolder()
+				if got := r.lookup(holder.GetClaimId(), "inc-1").State == peerpb.LookupResult_STATE_STORED; got != (n == len(whole)) {
+					t.Errorf("reply %q: got stored %t, want %t", reply, got, n == len(whole))
+				}
+			}
+		}
+	}
+}
+
 // Guards against a head that a backend server breaks off and that is merged with another
 // reply on the connection, so that a failed booking seems to be done.
 func TestReplyAfterACutHeadIsNotComplete(t *testing.T) {
--- a/gateway/cut_reply_test.go
+++ b/gateway/cut_reply_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -83,3 +85,68 @@
 		}
 	}
 }
+
+// Guards against a reply to the request for the rest of a stream that breaks off in its
+// head, a chunk size or a trailer, and that ends the stream as a whole one.
+func TestCutRestOfAStream(t *testing.T) {
+	t.Parallel()
+	rest := strings.TrimPrefix(wantStream(6), wantStream(3))
+	const head = "HTTP/1.1 200 OK\r\nNutmegnotch-Request-Id: ID\r\nNutmegnotch-Response-Seal: seal.rest\r\nContent-Type: text/event-stream\r\n"
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n00" + chunk(rest) + "0\r\nX-A: b\r\n\r\n"
+	length := head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(rest)) + rest
+	for _, c := range []struct {
+		whole, cutAfter string
+		attempts        int
+	}{
+		{chunked, "HTTP/1.1 20", 2}, {chunked, "OK", 2}, {chunked, "OK", 3}, {chunked, "OK\r\n", 2}, {chunked, "ID", 2}, {chunked, "seal.re", 2}, {chunked, "text/event-stream", 2},
+		{chunked, "Transfer-Encoding: chunk", 2}, {chunked, "chunked\r\n", 2}, {chunked, "chunked\r\n\r", 2}, {chunked, "\r\n\r\n", 2},
+		{chunked, "\r\n\r\n00", 2}, {chunked, "\r\nid: ", 2}, {chunked, "token 5\n", 2}, {chunked, "token 6\n\n", 2}, {chunked, "\r\n0", 2}, {chunked, "\r\n0\r\n", 2},
+		{chunked, "\r\nX-A: b", 2}, {chunked, "\r\nX-A: b", 3}, {chunked, "\r\nX-A: b\r\n\r", 2},
+		{length, "Content-Length: 6", 2}, {length, "Content-Length: ", 2}, {length, "\r\n\r", 2}, {length, "\r\n\r", 3}, {length, "\r\n\r\n", 2}, {length, "token 5\n\n", 2}, {length, "token 6\n", 2},
+	} {
+		at := strings.Index(c.whole, c.cutAfter)
+		if at < 0 {
+			t.Fatalf("%q does not hold %q", c.whole, c.cutAfter)
+		}
+		n := at + len(c.cutAfter)
+		t.Run(fmt.Sprintf("cut after %q, %d attempts", c.cutAfter, c.attempts), func(t *testing.T) {
+			t.Parallel()
+			cutRestOfAStream(t, c.whole, n, c.attempts)
+		})
+	}
+}
+
+// cutRestOfAStream cuts the second reply to n bytes. Only a third one carries the stream to
+// its end.
+func cutRestOfAStream(t *testing.T, whole string, n, attempts int) {
+	t.Helper()
+	var sends atomic.Int64
+	answer := func(c *net.TCPConn, r *http.Request) {
+		reply := whole
+		switch sends.Add(1) {
+		case 1:
+			reply = streamHead + chunk(wantStream(3))
+		case 2:
+			reply = whole[:n]
+			if n%2 == 1 {
+				_ = c.SetLinger(0)
+			}
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(reply, "ID", r.Header.Get("Nutmegnotch-Request-Id")))
+	}
+	d := newDeployment(t)
+	stream := route("long", "/long/", "streaming", "model", attempts)
+	stream["resumable"] = true
+	d.routes = append(d.routes, stream)
+	d.publish()
+	for i := range 3 {
+		d.announceAddress(fmt.Sprint("m", i), "model", serveScripted(t, answer))
+	}
+	got := send(newRequest(d.startReady(), http.MethodGet, "/long/1", "key-a", ""))
+	if attempts == 3 && (got.err != nil || got.body != wantStream(6)) {
+		t.Errorf("stream: got %q (%v), want it whole", got.body, got.err)
+	}
+	if attempts == 2 && (got.err == nil || !strings.HasPrefix(wantStream(6), got.body)) {
+		t.Errorf("stream: got %q (%v), want a part of it, broken off", got.body, got.err)
+	}
+}
--- a/io/backend/cut_reply_test.go
+++ b/io/backend/cut_reply_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -94,6 +95,51 @@
 	return rep.Status, string(body), err
 }
 
+// Guards against a reply whose server stops at any byte of the head, of the chunk sizes or
+// of the trailers and that is taken for a whole one, and against its connection in use again.
+func TestReplyCutAtAnyByte(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	cases := []struct{ name, method, reply string }{
+		{"length", http.MethodGet, ok + "Content-Length: 12\r\n\r\nhello, world"},
+		{"length in the middle", http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: 1\r\n\r\nhello, world"},
+		{"no body", http.MethodGet, ok + "Content-Length: 0\r\n\r\n"},
+		{"no content", http.MethodGet, "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n"},
+		{"to HEAD", http.MethodHead, ok + "Content-Length: 12\r\n\r\n"},
+		{"HTTP/1.0", http.MethodGet, "HTTP/1.0 200 OK\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\nhello, world"},
+		{"bare line ends", http.MethodGet, "HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 2\n\nok"},
+		{"chunks", http.MethodGet, ok + "Transfer-Encoding: chunked\r\n\r\n0012\r\nhello, whole world\r\n3;a=b\r\nabc\r\n0\r\n\r\n"},
+		{"trailers", http.MethodGet, ok + "Trailer: X-A\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: b\r\nX-B: c\r\n\r\n"},
+		{"neither", http.MethodGet, ok + "\r\n"},
+		{"neither, HTTP/1.0", http.MethodGet, "HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\n"},
+		{"after 100", http.MethodGet, "HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok"},
+		{"after 103", http.MethodGet, "HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nok"},
+		{"after another reply", http.MethodGet, "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 2\r\n\r\nno" + ok + "Content-Length: 2\r\n\r\nok"},
+	}
+	current := &atomic.Pointer[cutReply]{}
+	address := cuttingServer(t, current)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := newClient()
+			defer client.Close()
+			for _, reset := range []bool{false, true} {
+				for n := range len(c.reply) {
+					current.Store(&cutReply{first: c.reply[:n], reset: reset})
+					if status, body, err := exchange(client, address, c.method, "1"); err == nil || errors.Is(err, backend.ErrUnverifiedEnd) {
+						t.Errorf("cut to %q, reset %t: got %d %q (%v), want an error", c.reply[:n], reset, status, body, err)
+					}
+					if _, body, err := exchange(client, address, http.MethodGet, "2"); err != nil || body != "2" {
+						t.Fatalf("request after the cut to %q: got %q (%v), want its own reply", c.reply[:n], body, err)
+					}
+				}
+			}
+			current.Store(&cutReply{first: c.reply})
+			if status, _, err := exchange(client, address, c.method, "1"); status/100 != 2 || err != nil && !errors.Is(err, backend.ErrUnverifiedEnd) {
+				t.Errorf("whole reply: got %d (%v), want it accepted", status, err)
+			}
+		})
+	}
+}
+
 // Guards against a head that a server breaks off and that is merged with a further reply
 // on the same connection: the caller got the status of the one with the body of the other.
 func TestReplyAfterACutHead(t *testing.T) {
