Take no empty line after a body for the begin of a head

A caller that sends an empty line after a body, as some old ones do, got 408 when the header timeout had passed since its answer, although its connection was only idle. Before the idle timeout applied, since net/http waits for four bytes.

Cause: the first byte that arrived in a wait counted as the begin of a head. Line breaks alone no longer do. Four of them end the wait of net/http, which tells callerConn that a head has begun.

Evidence: TestEmptyLineAfterABodyBeginsNoHead/sent_after_the_answer failed 2 of 2 with 408 and passes 3 of 3 with the race detector; both cases pass on.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -116,7 +117,7 @@
 			n, err = c.readArrived(b)
 		}
 		c.readBytes.Add(int64(n))
-		if n > 0 && !c.headArrived(int64(n)) {
+		if n > 0 && !c.headArrived(b[:n]) {
 			return 0, c.reject(http.StatusRequestHeaderFieldsTooLarge)
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -169,11 +170,15 @@
 }
 
 // headArrived records bytes of a head and reports whether it may still be within the limits.
-func (c *callerConn) headArrived(n int64) bool {
+// Some callers send an empty line after a body, which begins no head.
+func (c *callerConn) headArrived(b []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.headBegun && len(bytes.Trim(b, "\r\n")) == 0 {
+		return true
+	}
 	c.beginHead()
-	c.headBytes += n
+	c.headBytes += int64(len(b))
 	return c.headBytes <= c.limits.MaxHeaderBytes+headReadAhead
 }
 
--- a/gateway/pipelined_test.go
+++ b/gateway/pipelined_test.go
@@ -30,9 +30,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			c := dial(t, startLimitsChange(t, callerLimits(tc.limit, shortTime)).p)
-			if _, err := io.WriteString(c, first+second[:tc.sent]); err != nil {
-				t.Fatalf("send a request and a part of the next one: %v", err)
-			}
+			sendText(t, c, first+second[:tc.sent])
 			if got, err := c.readStatus(); got != http.StatusOK {
 				t.Fatalf("first request: got %d (%v), want 200", got, err)
 			}
@@ -48,3 +46,40 @@
 		})
 	}
 }
+
+// Guards against an empty line after a body that counts as the begin of the next head, so that
+// the caller gets 408 while it waits.
+func TestEmptyLineAfterABodyBeginsNoHead(t *testing.T) {
+	t.Parallel()
+	const head = "POST /lookup/1 HTTP/1.1\r\nHost: a.example\r\nNutmegnotch-Request-Id: line-1\r\nNutmegnotch-Key: key-a\r\n" +
+		"Nutmegnotch-Deadline-Ms: 3000\r\nContent-Length: 4\r\n\r\nbody"
+	cases := []struct {
+		name        string
+		with, after string
+	}{
+		{"sent with the request", "\r\n", ""},
+		{"sent after the answer", "", "\r\n"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := dial(t, startLimitsChange(t, callerLimits("header_timeout_ms", shortTime)).p)
+			sendText(t, c, head+tc.with)
+			if got, err := c.readStatus(); got != http.StatusOK {
+				t.Fatalf("first request: got %d (%v), want 200", got, err)
+			}
+			sendText(t, c, tc.after)
+			time.Sleep(afterShortTime)
+			if got, err := c.lookup("line-2", smallHeadBytes); got != http.StatusOK {
+				t.Errorf("request after %v: got %d (%v), want 200", afterShortTime, got, err)
+			}
+		})
+	}
+}
+
+func sendText(t *testing.T, c *callerConn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatalf("send %q: %v", text, err)
+	}
+}
