Bound what is read from a caller after a rejection

A caller whose head was rejected and that sent on at full speed was read for half a second without bounds, which uses processor time that other callers' requests need: about 1.5 GB from one connection on the loopback interface.

Cause: the reading that keeps a close from discarding the rejection was bounded by time only. It now ends after 256 KB; for a caller that sends more the connection stays open without reading for the rest of the time, as net/http does.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -31,6 +31,9 @@
 	// closing with unread bytes would reset the connection and discard the rejection.
 	rejectTime   = time.Second
 	rejectLinger = 500 * time.Millisecond
+	// maxRejectedBytes bounds that reading. A caller that floods its connection would
+	// otherwise use as much processor time as it has bandwidth for.
+	maxRejectedBytes = 256 << 10
 )
 
 // errHeadRejected ends the reading of a connection. As an error of a read it keeps net/http
@@ -229,12 +232,17 @@
 	if err := c.CloseWrite(); err != nil {
 		return fmt.Errorf("end: %w", err)
 	}
-	if err := c.TCPConn.SetReadDeadline(time.Now().Add(rejectLinger)); err != nil {
+	end := time.Now().Add(rejectLinger)
+	if err := c.TCPConn.SetReadDeadline(end); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
-	if _, err := io.Copy(io.Discard, c.TCPConn); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	n, err := io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxRejectedBytes))
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		return fmt.Errorf("read the rest: %w", err)
 	}
+	if n == maxRejectedBytes {
+		time.Sleep(time.Until(end))
+	}
 	return nil
 }
 
--- a/gateway/caller_conn_test.go
+++ b/gateway/caller_conn_test.go
@@ -170,3 +170,30 @@
 		t.Errorf("read in the next wait: got %d bytes (%v), want a timeout after %v", n, err, limit)
 	}
 }
+
+// Guards against a rejected caller that keeps the gateway busy with reading what it sends on.
+func TestRejectedCallerIsNotReadWithoutBounds(t *testing.T) {
+	t.Parallel()
+	// maxBuffered is more than the buffers of a connection hold.
+	const maxBuffered = 64 << 20
+	c, remote := acceptedConn(t, core.CallerLimits{MaxHeaderBytes: 1000})
+	sent := make(chan int64)
+	go func() {
+		n, chunk := int64(0), []byte(strings.Repeat("x", 64<<10))
+		for {
+			w, err := remote.Write(chunk)
+			n += int64(w)
+			if err != nil {
+				sent <- n
+				return
+			}
+		}
+	}()
+	if _, err := io.Copy(io.Discard, struct{ io.Reader }{c}); !errors.Is(err, errHeadRejected) {
+		t.Errorf("read a head beyond the limit: got %v, want %v", err, errHeadRejected)
+	}
+	c.Close()
+	if got := <-sent; got > maxRejectedBytes+maxBuffered {
+		t.Errorf("bytes taken from the caller: got %d, want at most %d", got, maxRejectedBytes+maxBuffered)
+	}
+}
