Give raised limits of callers more time to be in force in tests

Several cases of TestRaisedLimitsHoldOnKeptConnections and TestLoweredIdleTimeoutSparesWaitingCallers raise a limit of 0.5 s while it runs, so a configuration that took longer to be in force would make them fail without a fault. None was seen to fail so.

--- a/gateway/changed_limits_test.go
+++ b/gateway/changed_limits_test.go
@@ -13,9 +13,10 @@
 
 // Limits of callers that the tests of changes switch between.
 const (
-	shortTime, longTime         = 500, 10_000 // Milliseconds.
+	// A configuration takes up to 0.6 s to be in force on a busy machine.
+	shortTime, longTime         = 1500, 20_000 // Milliseconds.
 	smallHeader, largeHeader    = 2048, 65536
-	afterShortTime              = 1200 * time.Millisecond
+	afterShortTime              = 2500 * time.Millisecond
 	withinShortTime             = 100 * time.Millisecond
 	smallHeadBytes, longerBytes = 100, 30_000
 )
