--- a/emulator/day/kept.go
+++ b/emulator/day/kept.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	if status != http.StatusUnauthorized {
+	if status == http.StatusOK {
 		k.inForce = v
 	}
 	return nil
