Let replies that have begun end after the abort of a planned stop

A reply that its server had begun when the requests in progress were aborted was broken off at once, so that a booking whose answer was complete a few milliseconds later got 502, or an answer that was cut if it was larger than 128 KB.

The abort now ends only the requests whose server has not begun its reply. The others are broken off a quarter of the time later that is kept for closing (125 ms of a grace of 8 s). Connections are still cut off after half of that time, and nothing is sent to a server after the abort.

--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -39,6 +39,9 @@
 // AbortAt returns when the requests in progress are aborted.
 func (p Plan) AbortAt() time.Time { return p.begun.Add(p.grace - p.closeTime()) }
 
+// BreakOffAt returns when replies that servers have begun are broken off.
+func (p Plan) BreakOffAt() time.Time { return p.AbortAt().Add(p.closeTime() / 4) }
+
 // CutAt returns when the connections of aborted requests that are not answered yet are cut
 // off.
 func (p Plan) CutAt() time.Time { return p.AbortAt().Add(p.closeTime() / 2) }
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -57,6 +57,9 @@
 		if got, want := p.AbortAt().Sub(begun), grace*5/6; got < want || got >= grace {
 			t.Errorf("grace %v, abort: got %v, want at least %v and less than the grace", grace, got, want)
 		}
+		if got := p.BreakOffAt(); !got.After(p.AbortAt()) || !got.Before(p.CutAt()) {
+			t.Errorf("grace %v, break-off: got %v, want it between the abort and the cut", grace, got.Sub(begun))
+		}
 		if got, end := p.CutAt(), begun.Add(grace); !got.After(p.AbortAt()) || !got.Before(end) {
 			t.Errorf("grace %v, cut: got %v, want it between the abort and the end", grace, got.Sub(begun))
 		}
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -13,6 +14,10 @@
 type attempts struct {
 	*call
 	ctx context.Context
+	// stop ends ctx in a planned stop.
+	stop func()
+	// replying is set while a server's reply is being read.
+	replying *atomic.Bool
 	// trials holds the keys of which no other request may be sent meanwhile.
 	trials []uint64
 	// served is set when the request has been served to its end.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -33,6 +33,8 @@
 		g.log.Warn("grace period is over; aborting requests in progress", zap.Int64("in_progress", n))
 	}
 	g.abort()
+	g.awaitIdle(plan.BreakOffAt())
+	g.breakOff()
 	g.awaitIdle(plan.CutAt())
 	return max(0, time.Until(plan.CutAt()))
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -49,10 +50,15 @@
 	e := expire(c.deadline, func() { cancel(context.DeadlineExceeded) })
 	defer e.stop()
 	defer g.logExtended(c)
+	a := &attempts{call: c, ctx: ctx, stop: func() { cancel(errStopAborts) }, replying: &atomic.Bool{}, moves: conc.NewWaitGroup()}
 	// Without this, aborted requests would stay unanswered until their connections are cut
 	// off.
-	defer context.AfterFunc(g.aborting, func() { cancel(errStopAborts) })()
-	a := &attempts{call: c, ctx: ctx, moves: conc.NewWaitGroup()}
+	defer context.AfterFunc(g.aborting, func() {
+		if !a.replying.Load() {
+			a.stop()
+		}
+	})()
+	defer context.AfterFunc(g.breakingOff, a.stop)()
 	if c.route.Kind.Stream() {
 		a.relay = newRelay(g, c)
 	}
@@ -99,7 +105,12 @@
 // dispatcher, even if the attempt aborts the caller's connection with a panic.
 func (g *Gateway) attemptOnce(a *attempts, v dispatch.Decision, m *move) (final bool) {
 	outcome := dispatch.OutcomeCancelled
-	defer func() { g.finished(a, v, outcome) }()
+	defer func() {
+		g.finished(a, v, outcome)
+		if a.replying.Store(false); g.aborting.Err() != nil {
+			a.stop()
+		}
+	}()
 	if m != nil {
 		outcome, final = g.attemptMoved(a, m)
 	} else {
@@ -177,6 +188,7 @@
 		return outcome, false
 	}
 	a.mayHaveRun = true
+	a.replying.Store(true)
 	if a.relay != nil && isStream(reply) {
 		a.relay.send = s
 		return g.attemptStream(ctx, a, v, reply)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,11 +97,14 @@
 	state         *state
 	currentConfig atomic.Pointer[configSnapshot]
 	// stopPlan is set when a planned stop begins. aborting is done when it aborts the
-	// requests in progress, and abort makes it so.
-	stopPlan atomic.Pointer[shutdown.Plan]
-	aborting context.Context
-	abort    context.CancelFunc
-	ready    atomic.Bool
+	// requests in progress, and abort makes it so. breakingOff and breakOff do the same for
+	// requests whose server has begun its reply, a little later.
+	stopPlan    atomic.Pointer[shutdown.Plan]
+	aborting    context.Context
+	abort       context.CancelFunc
+	breakingOff context.Context
+	breakOff    context.CancelFunc
+	ready       atomic.Bool
 	// hasCrashes is set while there may be crashes or broken runs, so that requests
 	// need no call to the task otherwise.
 	hasCrashes atomic.Bool
@@ -182,6 +185,7 @@
 		livenessChecks:       make(chan livenessCheck, maxQueuedLivenessChecks),
 	}
 	g.aborting, g.abort = context.WithCancel(context.Background())
+	g.breakingOff, g.breakOff = context.WithCancel(context.Background())
 	g.era.Store(noEra)
 	g.activeGateways.Store(1)
 	g.watchers = g.newWatchers()
--- a/gateway/stop_answers_test.go
+++ b/gateway/stop_answers_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -209,6 +211,49 @@
 	s.check(kept / 2)
 }
 
+// Guards against a planned stop that breaks off a reply which ends just after the abort.
+func TestPlannedStopWaitsForRepliesInProgress(t *testing.T) {
+	t.Parallel()
+	const (
+		sent = 100 * time.Millisecond
+		// begins is how long before the abort a reply begins, and ends how long after it
+		// the reply ends.
+		begins   = 70 * time.Millisecond
+		ends     = 15 * time.Millisecond
+		requests = 4
+	)
+	cases := []struct {
+		name  string
+		bytes int
+	}{
+		{"buffered", 10},
+		{"large", 300_000},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := startStopTrial(t, 2, func(_ int, w http.ResponseWriter, _ *http.Request) bool {
+				time.Sleep(stopAbort - sent - begins)
+				_, _ = io.WriteString(w, strings.Repeat("x", tc.bytes))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(begins + ends)
+				_, _ = io.WriteString(w, "end")
+				return true
+			})
+			s.begin()
+			for range requests {
+				s.request("book", sent, unlimited)
+			}
+			s.check(requests)
+			for _, q := range s.sent {
+				if q.status != http.StatusOK {
+					t.Errorf("booking whose server answers around the abort: got %d, want 200", q.status)
+				}
+			}
+		})
+	}
+}
+
 // Guards against gateways that stop one after the other and cut off what callers of the
 // others have sent to them instead.
 func TestPlannedStopsInTurnAnswerEachWholeRequest(t *testing.T) {
