Answer requests that callers have sent behind others in a planned stop

A caller who sends several requests one behind the other lost all but the first during a planned stop: it was answered with "Connection: close", and the connection ended with the others read and neither passed on nor refused, up to 2.7 s after they were sent (LOST counts them from 200 ms on).

Cause: the handler sets that header on each answer of a stop, and net/http then drops what it has read ahead.

The connection now counts the bytes of a request's head. If more bytes have come than its head and its body, the header is left out, so that net/http goes on with the next request; the end of the stop closes the connection once it is idle. What is behind a body in chunks is not known and is dropped as before.

--- a/gateway/caller_conn.go
+++ b/gateway/caller_conn.go
@@ -52,6 +52,10 @@
 	// is set from the end of a request's head to that of its answer.
 	answeredBytes atomic.Int64
 	active        atomic.Bool
+	// head scans the head of the request, and pipelined is set once a request has been sent
+	// behind another one. Only reads before a handler and the handler itself use them.
+	head      headScan
+	pipelined bool
 
 	// mu also guards the read deadline while the connection is not active.
 	mu sync.Mutex
@@ -120,6 +124,7 @@
 			n, err = c.readArrived(b)
 		}
 		c.readBytes.Add(int64(n))
+		c.head.add(b[:max(0, n)])
 		if n > 0 && !c.headArrived(b[:n]) {
 			return 0, c.reject(http.StatusRequestHeaderFieldsTooLarge)
 		}
@@ -261,6 +266,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answeredBytes.Store(c.readBytes.Load())
+	c.head = headScan{}
 	c.begun, c.headBegun, c.headBytes = time.Now(), false, 0
 	c.active.Store(false)
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -233,6 +233,7 @@
 			g.log.Warn("a refusal waits for the body of its request", zap.String("request_id", c.id()), zap.Error(err))
 		}
 	}
+	c.keepForNext()
 	c.w.WriteHeader(ref.status)
 	if _, err := io.WriteString(c.w, text); err != nil {
 		g.log.Debug("writing the refusal to the caller failed", zap.String("request_id", c.id()), zap.Error(err))
--- a/gateway/stop_trial_test.go
+++ b/gateway/stop_trial_test.go
@@ -129,9 +129,11 @@
 	return n
 }
 
-// begin begins the planned stop.
+// begin begins the planned stop. Requests that are sent before it need begun earlier.
 func (s *stopTrial) begin() {
-	s.begun = time.Now()
+	if s.begun.IsZero() {
+		s.begun = time.Now()
+	}
 	s.p.stop()
 	s.wg.Go(func() {
 		<-s.p.done
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -135,6 +135,7 @@
 	case length != unknownLength:
 		c.w.Header().Set("Content-Length", strconv.Itoa(length))
 	}
+	c.keepForNext()
 	c.w.WriteHeader(status)
 }
 
--- a/io/caller/close_delimited.go
+++ b/io/caller/close_delimited.go
@@ -20,6 +20,12 @@
 
 type connKey struct{}
 
+// Conn returns the connection of a request of a server with ConnContext, or nil.
+func Conn(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return c
+}
+
 // ConnContext returns a context with a caller's connection. It is for the field of
 // that name of an http.Server whose handler sends close-delimited replies.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
