Make servers of the tests of resets reset their connections for certain

The server of the test closes its connection, which resets it only if bytes of the request have come that it has not read.

The three servers reset now in any case.

--- a/agent/upload_test.go
+++ b/agent/upload_test.go
@@ -55,6 +55,8 @@
 				}
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nboo")
 				time.Sleep(5 * time.Millisecond)
+				// Without unread bytes of the request, a close alone would not reset.
+				_ = c.(*net.TCPConn).SetLinger(0)
 			}()
 		}
 	}()
--- a/gateway/cut_reply_test.go
+++ b/gateway/cut_reply_test.go
@@ -73,6 +73,8 @@
 	address := serveScripted(t, func(c *net.TCPConn, r *http.Request) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nNutmegnotch-Request-Id: %s\r\nNutmegnotch-Response-Seal: seal.s1\r\n\r\nboo", r.Header.Get("Nutmegnotch-Request-Id"))
 		time.Sleep(5 * time.Millisecond)
+		// Without unread bytes of the request, a close alone would not reset.
+		_ = c.SetLinger(0)
 	})
 	for i := range 10 {
 		d.announceAddress(fmt.Sprint("s", i), "desk", address)
--- a/io/backend/framing_test.go
+++ b/io/backend/framing_test.go
@@ -93,6 +93,8 @@
 				}
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhal")
 				time.Sleep(5 * time.Millisecond)
+				// Without unread bytes of the request, a close alone would not reset.
+				_ = c.(*net.TCPConn).SetLinger(0)
 			}()
 		}
 	}()
