--- a/review/_two/engine.go
+++ b/review/_two/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -17,6 +18,7 @@
 	maxNewExperts  = 4
 	passTime       = 40 * time.Millisecond
 	copyTime       = 400 * time.Millisecond
+	engineSlots    = 12
 	shiftPasses    = 100
 	// maxMixedLines is the number of passes with two maps of which each has its line in the
 	// record.
@@ -34,6 +36,10 @@
 	maps  map[string]bool
 	// onOrder may take an order, which then gets no answer. It is called with mu locked.
 	onOrder func(rank int, o order) (unanswered bool)
+	// passed is closed when the next pass begins, and serving set if the runners serve requests
+	// of clients. Otherwise they report that they have some.
+	passed  chan struct{}
+	serving bool
 }
 
 // rank is one runner of a group.
@@ -52,6 +58,9 @@
 	born             int64
 	// silentUntil is until when the runner sends and does nothing but passes.
 	silentUntil time.Time
+	// muteUntil is until when the runner sends no answers, though it does what it is told.
+	muteUntil time.Time
+	running   int
 }
 
 // order is the body of an order.
@@ -67,7 +76,7 @@
 
 // startGroup starts the runners of a group on hosts from first on.
 func (s *scene) startGroup(first, size int) (*group, error) {
-	g := &group{scene: s, maps: map[string]bool{}}
+	g := &group{scene: s, maps: map[string]bool{}, passed: make(chan struct{})}
 	for i := range size {
 		r := &rank{content: "map 0", armedPass: -1, held: -1, counts: make([]int64, sets*experts), born: time.Now().UnixMilli()}
 		for range sets {
@@ -87,6 +96,7 @@
 		mux.HandleFunc("GET /report", func(w http.ResponseWriter, q *http.Request) { g.awake(i, q, func() { g.report(w, i) }) })
 		mux.HandleFunc("GET /picked", func(w http.ResponseWriter, q *http.Request) { g.awake(i, q, func() { g.picked(w, q, i) }) })
 		mux.HandleFunc("POST /order", func(w http.ResponseWriter, q *http.Request) { g.order(w, q, i) })
+		mux.HandleFunc("POST /stream/", func(w http.ResponseWriter, q *http.Request) { g.stream(w, q, i) })
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 		go func() { _ = server.Serve(l) }()
 		s.atEnd(func() { server.Close() })
@@ -112,7 +122,7 @@
 func (g *group) awake(i int, q *http.Request, f func()) {
 	for {
 		g.mu.Lock()
-		left := time.Until(g.ranks[i].silentUntil)
+		left := max(time.Until(g.ranks[i].silentUntil), time.Until(g.ranks[i].muteUntil))
 		if left <= 0 {
 			f()
 			g.mu.Unlock()
@@ -138,6 +148,8 @@
 		}
 	}
 	g.pass = next
+	close(g.passed)
+	g.passed = make(chan struct{})
 	used := map[string]int{}
 	list := ""
 	for i, r := range g.ranks {
@@ -172,9 +184,13 @@
 
 func (g *group) report(w http.ResponseWriter, i int) {
 	r := g.ranks[i]
+	running := 6
+	if g.serving {
+		running = r.running
+	}
 	out := map[string]any{"stage": "colocated", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false, "seq": 0,
 		"group": map[string]any{"name": "g", "epoch": 1, "rank": i, "state": "open"}, "size": len(g.ranks), "born": r.born,
-		"running": 6, "waiting": 0, "step": g.pass, "map": r.version, "pace": 1.0}
+		"running": running, "waiting": 0, "step": g.pass, "map": r.version, "pace": 1.0}
 	if r.prepared != 0 && !time.Now().Before(r.preparedAt) {
 		out["prepared"] = r.prepared
 	}
@@ -216,10 +232,67 @@
 		if o.Op != "prepare" || status != http.StatusOK {
 			g.scene.recordf("rank %d: %v: %d", i, o, status)
 		}
+		if mute := time.Until(g.ranks[i].muteUntil); mute > 0 {
+			g.mu.Unlock()
+			time.Sleep(mute)
+			g.mu.Lock()
+		}
 		w.WriteHeader(status)
 	})
 }
 
+// streamEvents is the number of events of a stream, of which each pass makes one.
+const streamEvents = 24
+
+// stream serves a request of a client: a stream with an event for each pass.
+func (g *group) stream(w http.ResponseWriter, q *http.Request, i int) {
+	id := q.Header.Get("Nutmegnotch-Request-Id")
+	h := w.Header()
+	h.Set("Nutmegnotch-Request-Id", id)
+	if q.Header.Get("Nutmegnotch-Expect-Instance") != fmt.Sprintf("i-%d", i) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	r := g.ranks[i]
+	g.mu.Lock()
+	full := r.running >= engineSlots
+	if !full {
+		r.running++
+	}
+	g.mu.Unlock()
+	if full {
+		h.Set("Nutmegnotch-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		g.mu.Lock()
+		r.running--
+		g.mu.Unlock()
+	}()
+	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for n := first + 1; n <= streamEvents; n++ {
+		g.mu.Lock()
+		passed := g.passed
+		g.mu.Unlock()
+		select {
+		case <-passed:
+		case <-q.Context().Done():
+			return
+		}
+		if n == first+1 {
+			h.Set("Content-Type", "text/event-stream")
+			h.Set("Nutmegnotch-Response-Seal", fmt.Sprintf("seal.i-%d", i))
+			w.WriteHeader(http.StatusOK)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 func (g *group) awakeAlways(i int, f func()) {
 	for {
 		g.mu.Lock()
--- a/review/_two/main.go
+++ b/review/_two/main.go
@@ -19,13 +19,14 @@
 	exitHeld     = 0
 	exitBroken   = 1
 	exitNotRun   = 2
-	maxCaseTime  = 110 * time.Second
+	maxCaseTime  = 115 * time.Second
 	exitSlowness = 5 * time.Second
 )
 
 var cases = map[string]func(*scene) (bool, error){
 	"map-takeover":  mapTakeover,
 	"older-process": olderProcess,
+	"stale-hold":    staleHold,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_two/map_takeover.go
+++ b/review/_two/map_takeover.go
@@ -34,11 +34,7 @@
 	if err != nil {
 		return false, err
 	}
-	for i, r := range g.ranks {
-		s.store.PutJSON(serversTopic, fmt.Sprintf("i-%d", i), map[string]any{"service": "model", "addr": r.address, "zone": "tamarin", "version": "v1",
-			"slots": 12, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": r.born, "size": groupSize,
-			"group": map[string]any{"name": "g", "epoch": 1, "rank": i, "state": "open"}})
-	}
+	g.register()
 	s.publish(map[string]any{"version": 1, "routes": []any{}, "services": []any{engineConfig()}, "limits": limits})
 	gateways, err := s.startGateways("tamarin")
 	if err != nil {
@@ -66,6 +62,15 @@
 	return g.broken(), nil
 }
 
+// register writes the entries of the runners.
+func (g *group) register() {
+	for i, r := range g.ranks {
+		g.scene.store.PutJSON(serversTopic, fmt.Sprintf("i-%d", i), map[string]any{"service": "model", "addr": r.address, "zone": "tamarin", "version": "v1",
+			"slots": engineSlots, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": r.born, "size": len(g.ranks),
+			"group": map[string]any{"name": "g", "epoch": 1, "rank": i, "state": "open"}})
+	}
+}
+
 func (g *group) broken() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/review/_two/scene.go
+++ b/review/_two/scene.go
@@ -199,6 +199,13 @@
 	<-p.ended
 }
 
+// signal sends a signal to the process.
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(sig)
+}
+
 // publish writes a version of the configuration.
 func (s *scene) publish(config map[string]any) { s.store.PutJSON(operatorTopic, "config", config) }
 
