--- a/review/_two/main.go
+++ b/review/_two/main.go
@@ -16,11 +16,10 @@
 
 // Exit codes.
 const (
-	exitHeld     = 0
-	exitBroken   = 1
-	exitNotRun   = 2
-	maxCaseTime  = 115 * time.Second
-	exitSlowness = 5 * time.Second
+	exitHeld    = 0
+	exitBroken  = 1
+	exitNotRun  = 2
+	maxCaseTime = 115 * time.Second
 )
 
 var cases = map[string]func(*scene) (bool, error){
--- a/review/_two/older_process.go
+++ b/review/_two/older_process.go
@@ -9,7 +9,7 @@
 const (
 	deskRunners = 6
 	deskSlots   = 6
-	deskWork    = 60 * time.Millisecond
+	deskWork    = 120 * time.Millisecond
 	drainTime   = 2 * time.Second
 	// lateWrite is when the store carries out a write that it has not answered.
 	lateWrite = 5200 * time.Millisecond
@@ -19,7 +19,7 @@
 	// drainLength is how long a runner that leaves goes on serving.
 	drainLength    = 6500 * time.Millisecond
 	deskRounds     = 5
-	deskPerGateway = 30.0
+	deskPerGateway = 40.0
 )
 
 // olderProcess lets a runner crash and start again under its id. The last entry of the
