Hold a pass at two ranks before a change is rolled back

Cause: a leader that was killed after it had armed all ranks left its order to release the pass unanswered. Its successor at the same rank found the hold and held the same pass again, which adds nothing, since an engine has one hold for each pass. One engine was silent for 0.8 s, so the successor rolled the change back; the late release then ended the hold with three of four ranks disarmed. The other outcome, releasing because all ranks report to be armed, relies on reports as well: the predecessor may have begun to roll back.

Why it works: the order to release a pass with all ranks armed comes from the leader of the change and goes to its own rank. A takeover now holds the pass at its own rank and at a second one, so one of the two holds stays until no rank is armed or can become armed. The phase that trusted reports is gone.

--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -35,8 +35,6 @@
 	// engine refuses a hold because the pass has begun. There is a bound because
 	// the engine also refuses a hold in another epoch.
 	maxHoldAttempts = 5
-	// checkTimeout bounds the wait of PhaseCheck for new reports.
-	checkTimeout = 500 * time.Millisecond
 	// maxRollbackRefusals is the number of times that a rank without an armed map
 	// may refuse the rollback version before a higher one is tried.
 	maxRollbackRefusals = 2
@@ -55,17 +53,16 @@
 type Phase int
 
 // Phases of a change. A change that succeeds goes through PhasePrepare, PhaseHold,
-// PhaseArm and PhaseRelease. PhaseCheck follows the takeover of a hold at this
-// leader's rank, which its restart during a change leaves behind: it checks
-// whether all ranks are already armed. PhaseRollback undoes a change: it disarms
-// all ranks and prepares a higher version on each, so that engines refuse orders
-// about the old version that are carried out late.
+// PhaseArm and PhaseRelease. A change of another leader, or of this one before a
+// restart, is taken over in PhaseHold and PhaseSecondHold and undone in
+// PhaseRollback: it disarms all ranks and prepares a higher version on each, so
+// that engines refuse orders about the old version that are carried out late.
 const (
 	PhaseIdle Phase = iota
 	PhasePrepare
 	PhaseHold
 	PhaseArm
-	PhaseCheck
+	PhaseSecondHold
 	PhaseRollback
 	PhaseRelease
 )
@@ -75,8 +72,10 @@
 // effect on the leader's own rank before it arms any rank. It releases the pass
 // only when all ranks are known to be armed, or when none is armed and none can
 // become armed any more. Safety does not depend on there being a single leader: a
-// leader arms ranks, and rolls back the changes of others, only while its own
-// hold is in force.
+// leader arms ranks only while its own hold is in force, and rolls back the changes
+// of others only while it holds the pass at two ranks. An order of another leader,
+// or of its own rank before a restart, to release the pass with all ranks armed may
+// be carried out at any time, but only at one rank.
 //
 // It is a state machine without I/O and not safe for concurrent use.
 type ChangeCoordinator struct {
@@ -118,9 +117,8 @@
 	encodeErr      error
 	// nextRank is the rank that is considered first for the next order.
 	nextRank int
-	// tookOverOwnHold is set when the pass that is taken over was held at rank
-	// self.
-	tookOverOwnHold bool
+	// secondRank is the rank of the second hold of PhaseSecondHold.
+	secondRank int
 	// Applied counts changes that took effect, Dropped those that did not.
 	// Rollbacks of changes of other leaders are counted as dropped too.
 	Applied, Dropped int
@@ -144,8 +142,9 @@
 	// to arm it was sent, or 0. lastArmVersion is the last such version.
 	maybeArmedVersion, lastArmVersion int64
 	// foreignHold is set when the rank reported a hold of the pass at the time of
-	// the takeover. A hold that appears later is not released: it may belong to a
-	// later change, or to a leader that rolls back the same one.
+	// the takeover, or was told to hold it by this leader as the second rank. A hold
+	// that appears later is not released: it may belong to a later change, or to a
+	// leader that rolls back the same one.
 	foreignHold bool
 	// refused is set when the rank refuses the version of PhaseRollback. The rank
 	// then gets no order until its next report. refusals counts these refusals.
--- a/core/expertmap/change_orders.go
+++ b/core/expertmap/change_orders.go
@@ -20,6 +20,10 @@
 			break
 		}
 		return core.RankOrder{Kind: core.OrderHold, Pass: c.pass}, true
+	case PhaseSecondHold:
+		if i == c.secondRank {
+			return core.RankOrder{Kind: core.OrderHold, Pass: c.pass}, true
+		}
 	case PhaseArm:
 		if !v.armed {
 			v.maybeArmedVersion, v.lastArmVersion = c.version, c.version
@@ -64,6 +68,9 @@
 	v.orderPending = false
 	if res == core.OrderUnknown {
 		v.retryAt = now.Add(orderRetryDelay)
+		if c.phase == PhaseSecondHold && a.Rank == c.secondRank {
+			c.nextSecondHold()
+		}
 		return
 	}
 	ok := res == core.OrderStarted || res == core.OrderApplied
@@ -71,7 +78,11 @@
 	case core.OrderPrepare:
 		c.handlePrepareResult(v, a.Order, ok, now)
 	case core.OrderHold:
-		c.handleHoldResult(a.Order, ok, now)
+		if a.Rank == c.self {
+			c.handleHoldResult(a.Order, ok, now)
+		} else {
+			c.handleSecondHoldResult(a.Rank, a.Order, ok, now)
+		}
 	case core.OrderArm:
 		c.handleArmResult(v, a.Order, ok, now)
 	case core.OrderDisarm:
@@ -129,12 +140,9 @@
 		return
 	}
 	switch {
-	case ok && c.target == nil && c.tookOverOwnHold:
-		c.holding = true
-		c.enter(PhaseCheck, now)
 	case ok && c.target == nil:
 		c.holding = true
-		c.rollBack(now)
+		c.enterSecondHold(now)
 	case ok:
 		c.holding = true
 	case c.target == nil:
--- a/core/expertmap/change_phases.go
+++ b/core/expertmap/change_phases.go
@@ -87,8 +87,6 @@
 		} else if now.Sub(c.phaseStart) > armTimeout {
 			c.rollBack(now)
 		}
-	case PhaseCheck:
-		c.advanceCheck(now)
 	case PhaseRollback:
 		for i := range c.ranks {
 			c.ranks[i].rolledBack = c.ranks[i].rolledBack || c.ranks[i].superseded(c.maxArmableVersion)
@@ -103,29 +101,6 @@
 	}
 }
 
-// advanceCheck releases the pass if all ranks are armed with the same version:
-// the predecessor of this leader may have released it, and its order may still
-// be carried out. Otherwise the predecessor cannot have released the pass, and
-// the change is rolled back.
-func (c *ChangeCoordinator) advanceCheck(now time.Time) {
-	fresh := c.all(func(v *changeRankState) bool { return v.reportedAt.After(c.phaseStart) })
-	if !fresh && now.Sub(c.phaseStart) < checkTimeout {
-		return
-	}
-	first := c.ranks[0].report.Armed
-	armed := c.all(func(v *changeRankState) bool {
-		return v.report.Armed == first && v.report.ArmedPass == c.pass
-	})
-	if !fresh || !armed || first == 0 {
-		c.rollBack(now)
-		return
-	}
-	for i := range c.ranks {
-		c.ranks[i].foreignHold = false
-	}
-	c.enter(PhaseRelease, now)
-}
-
 func (c *ChangeCoordinator) all(pred func(*changeRankState) bool) bool {
 	for i := range c.ranks {
 		if !pred(&c.ranks[i]) {
--- a/core/expertmap/change_takeover.go
+++ b/core/expertmap/change_takeover.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"nutmegnotch/core"
 )
 
 // checkForeignHold takes over a hold that another leader, or this one before a
@@ -21,7 +23,6 @@
 	}
 	own := c.ranks[c.self].report.HeldPass == pass
 	if pass > c.releasedPass && (own || now.Sub(c.startedAt) > maxOrderDelay) {
-		c.tookOverOwnHold = own
 		c.takeOverHold(pass, now)
 	} else if pass <= c.releasedPass && own {
 		// An order of this leader to hold the pass was carried out after the
@@ -45,7 +46,7 @@
 	return pass
 }
 
-// takeOverHold enters PhaseHold for a pass that another leader holds. The hold of
+// takeOverHold enters PhaseHold for a pass that another leader holds. The holds of
 // this leader must be in force before the change is rolled back.
 func (c *ChangeCoordinator) takeOverHold(pass int64, now time.Time) {
 	c.pass, c.highestPass = pass, max(c.highestPass, pass)
@@ -57,3 +58,41 @@
 	c.target = nil
 	c.enter(PhaseHold, now)
 }
+
+// enterSecondHold selects the rank of the second hold, at best one that does not hold
+// the pass yet: an order to release it there may still be on its way.
+func (c *ChangeCoordinator) enterSecondHold(now time.Time) {
+	if c.size == 1 {
+		c.rollBack(now)
+		return
+	}
+	c.enter(PhaseSecondHold, now)
+	c.secondRank = c.self
+	for n := 1; n < c.size && (c.secondRank == c.self || c.ranks[c.secondRank].foreignHold); n++ {
+		c.secondRank = (c.self + n) % c.size
+	}
+	c.ranks[c.secondRank].foreignHold = true
+}
+
+// nextSecondHold tries the next rank after one has not answered.
+func (c *ChangeCoordinator) nextSecondHold() {
+	c.secondRank = (c.secondRank + 1) % c.size
+	if c.secondRank == c.self {
+		c.secondRank = (c.secondRank + 1) % c.size
+	}
+	c.ranks[c.secondRank].foreignHold = true
+}
+
+// handleSecondHoldResult processes the result of the order of PhaseSecondHold. A
+// refusal means that the pass has begun, or that the rank holds another one: the
+// takeover then starts again if the pass is still held.
+func (c *ChangeCoordinator) handleSecondHoldResult(rank int, o core.RankOrder, ok bool, now time.Time) {
+	if c.phase != PhaseSecondHold || rank != c.secondRank || o.Pass != c.pass {
+		return
+	}
+	if !ok {
+		c.finish(now)
+		return
+	}
+	c.rollBack(now)
+}
--- a/core/expertmap/group_model_test.go
+++ b/core/expertmap/group_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"nutmegnotch/core"
@@ -107,7 +108,7 @@
 			e.version, e.content = e.armed, e.preparedContent
 			e.armed, e.armedAt, e.prepared = 0, -1, 0
 		}
-		maps[fmt.Sprint(e.version, e.content)] = true
+		maps[strconv.FormatInt(e.version, 10)+e.content] = true
 	}
 	return maps
 }
--- /dev/null
+++ b/core/expertmap/takeover_sim_test.go
@@ -0,0 +1,251 @@
+package expertmap
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"nutmegnotch/core"
+)
+
+// Times of takeoverSim.
+const (
+	simTick          = 20 * time.Millisecond
+	simPassTicks     = 2
+	simOrderTimeout  = 150 * time.Millisecond
+	simLeaderTimeout = 1200 * time.Millisecond
+	simRestart       = 700 * time.Millisecond
+)
+
+// takeoverSim simulates the agents of a lock-step group in virtual time. The lowest rank
+// that an agent hears leads. Some orders get no answer and are carried out late, and
+// runners fall silent for about a second.
+type takeoverSim struct {
+	rng    *rand.Rand
+	now    time.Time
+	ticks  int
+	group  *groupModel
+	agents []simAgent
+	// silentUntil is until when a runner neither reports nor does anything.
+	silentUntil []time.Time
+	pending     []pendingOrder
+	late        []scheduledOrder
+	// lateShare is the share of orders that are carried out late.
+	lateShare float64
+	// killOnGo kills a leader whose order to release a pass is carried out late.
+	killOnGo bool
+	silences bool
+	// idles lets the group run out of requests now and then.
+	idles   bool
+	layouts int
+	number  int64
+	mixed   map[string]bool
+	// onOrder takes an order, which the simulation then carries out in no other way.
+	onOrder func(agent int, a AddressedOrder) bool
+}
+
+type simAgent struct {
+	coordinator *ChangeCoordinator
+	// awakeAt is when the agent runs again after a restart or a freeze.
+	awakeAt time.Time
+	heard   []time.Time
+}
+
+// pendingOrder is an order whose result reaches its sender at the time at.
+type pendingOrder struct {
+	coordinator *ChangeCoordinator
+	agent       int
+	order       AddressedOrder
+	result      core.OrderResult
+	at          time.Time
+}
+
+// scheduledOrder is an order that is carried out at the time at.
+type scheduledOrder struct {
+	order AddressedOrder
+	at    time.Time
+}
+
+func newTakeoverSim(ranks int, seed uint64) *takeoverSim {
+	w := &takeoverSim{
+		rng: rand.New(rand.NewPCG(seed, 53)), now: time.Unix(1_000_000, 0), group: newGroupModel(ranks),
+		agents: make([]simAgent, ranks), silentUntil: make([]time.Time, ranks),
+	}
+	for i := range w.agents {
+		w.agents[i].heard = make([]time.Time, ranks)
+		w.restart(i, 0)
+	}
+	return w
+}
+
+// restart starts the agent of a rank anew after d.
+func (w *takeoverSim) restart(i int, d time.Duration) {
+	w.number++
+	a := &w.agents[i]
+	a.awakeAt = w.now.Add(d)
+	a.coordinator = NewChangeCoordinator(i, len(w.agents), w.number, a.awakeAt)
+}
+
+func (w *takeoverSim) freeze(i int, d time.Duration) { w.agents[i].awakeAt = w.now.Add(d) }
+
+// leads reports whether an agent believes that it leads the group.
+func (w *takeoverSim) leads(i int) bool {
+	for r := range i {
+		if w.now.Sub(w.agents[i].heard[r]) < simLeaderTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *takeoverSim) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end) && w.mixed == nil; {
+		w.tick()
+	}
+}
+
+func (w *takeoverSim) tick() {
+	w.now, w.ticks = w.now.Add(simTick), w.ticks+1
+	w.executeLate()
+	if w.silences && w.rng.IntN(125) == 0 {
+		w.silentUntil[w.rng.IntN(len(w.agents))] = w.now.Add(time.Duration(800+w.rng.IntN(500)) * time.Millisecond)
+	}
+	for i := range w.agents {
+		if w.now.Before(w.agents[i].awakeAt) {
+			continue
+		}
+		for r := range w.agents {
+			w.agents[r].heard[i] = w.now
+		}
+	}
+	for i := range w.agents {
+		if !w.now.Before(w.agents[i].awakeAt) && w.leads(i) {
+			w.lead(i)
+		}
+	}
+	if w.idles && w.rng.IntN(100) == 0 {
+		w.group.busy = !w.group.busy
+	}
+	if w.ticks%simPassTicks == 0 && w.group.busy {
+		w.begin()
+	}
+}
+
+func (w *takeoverSim) silent(rank int) bool { return w.now.Before(w.silentUntil[rank]) }
+
+func (w *takeoverSim) begin() {
+	for r := range w.agents {
+		if w.silent(r) {
+			return
+		}
+	}
+	maps := w.group.begin()
+	if maps == nil {
+		return
+	}
+	if len(maps) > 1 {
+		w.mixed = maps
+	}
+}
+
+func (w *takeoverSim) executeLate() {
+	var left []scheduledOrder
+	for _, s := range w.late {
+		if w.now.Before(s.at) || w.silent(s.order.Rank) {
+			left = append(left, s)
+			continue
+		}
+		w.group.execute(s.order)
+	}
+	w.late = left
+}
+
+// lead lets an agent act as the leader for one tick.
+func (w *takeoverSim) lead(i int) {
+	c := w.agents[i].coordinator
+	var left []pendingOrder
+	for _, p := range w.pending {
+		switch {
+		case p.agent != i:
+			left = append(left, p)
+		case p.coordinator != c:
+		case w.now.Before(p.at):
+			left = append(left, p)
+		default:
+			c.HandleResult(p.order, p.result, w.now)
+		}
+	}
+	w.pending = left
+	for r := range w.agents {
+		if !w.silent(r) {
+			c.HandleReport(r, w.group.report(r), w.now)
+		}
+	}
+	if c.Current() == nil {
+		c.SetCurrent(numberedLayout(0, len(w.agents)))
+	}
+	if c.Ready(w.now) {
+		w.layouts++
+		c.Propose(numberedLayout(w.layouts, len(w.agents)), w.now)
+	}
+	for _, a := range c.Poll(w.now) {
+		w.send(i, a)
+	}
+}
+
+func (w *takeoverSim) send(i int, a AddressedOrder) {
+	p := pendingOrder{coordinator: w.agents[i].coordinator, agent: i, order: a, result: core.OrderUnknown, at: w.now.Add(simOrderTimeout)}
+	switch {
+	case w.onOrder != nil && w.onOrder(i, a):
+	case w.rng.Float64() < w.lateShare:
+		w.late = append(w.late, scheduledOrder{a, w.now.Add(time.Duration(2000+w.rng.IntN(10000)) * time.Millisecond)})
+		if w.killOnGo && a.Order.Kind == core.OrderGo {
+			w.restart(i, simRestart)
+		}
+	case w.silent(a.Rank):
+		w.late = append(w.late, scheduledOrder{a, w.silentUntil[a.Rank]})
+	default:
+		p.result, p.at = w.group.execute(a), w.now.Add(simTick)
+	}
+	w.pending = append(w.pending, p)
+}
+
+// Guards against passes with two maps after the kill of a leader whose order to release
+// the pass is carried out while its successor at the same rank takes the change back.
+func TestLateReleaseOfARestartedLeaderMixesNoMaps(t *testing.T) {
+	for _, unheard := range []bool{true, false} {
+		w := newTakeoverSim(4, 1)
+		w.run(time.Second)
+		var release AddressedOrder
+		killed, disarmed := false, false
+		w.onOrder = func(i int, a AddressedOrder) bool {
+			switch {
+			case i == 0 && a.Rank == 0 && a.Order.Kind == core.OrderGo && !killed:
+				killed, release = true, a
+				w.restart(0, simRestart)
+				return true
+			case killed && !disarmed && a.Order.Kind == core.OrderHold && unheard && w.silentUntil[3].IsZero():
+				w.silentUntil[3] = w.now.Add(800 * time.Millisecond)
+			case killed && a.Order.Kind == core.OrderDisarm && !disarmed:
+				// The order is carried out between two orders to disarm.
+				disarmed = true
+				w.late = append(w.late, scheduledOrder{release, w.now.Add(simTick)})
+				return false
+			case disarmed && a.Order.Kind == core.OrderDisarm:
+				return a.Rank != 0
+			}
+			return false
+		}
+		w.run(2 * time.Second)
+		if !killed {
+			t.Fatal("no change reached its release")
+		}
+		if !disarmed {
+			w.group.execute(release)
+		}
+		w.run(5 * time.Second)
+		if w.mixed != nil {
+			t.Errorf("a rank unheard: %v: pass %d began with maps %v", unheard, w.group.pass, w.mixed)
+		}
+	}
+}
