Hold no pass that an unknown leader may have released

Cause: a coordinator uses no pass twice, but knows only its own passes and those that ranks report as held or armed. A pass that its predecessor has released shows in no report until it begins, and while an engine is silent it does not begin. The successor held it again, and a late order of the predecessor released it with two of four ranks armed.

Why it works: orders are carried out for 12 s at most. A leader that has heard the ranks for less than 13 s, or not for a second, holds a pass only once those have begun that leaders before it may have used. It prepares meanwhile.

TestNoPassBeginsWithTwoMaps lets up to eight passes begin in one action, each checked, and TestChangeOfDeadLeaderIsRolledBack ten before its change in place of two: else a leader that has just started would hold no pass in them, and they would guard less.

--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -35,6 +35,9 @@
 	// engine refuses a hold because the pass has begun. There is a bound because
 	// the engine also refuses a hold in another epoch.
 	maxHoldAttempts = 5
+	// maxUnusedPasses bounds how far the pass of a change lies ahead of the newest one: by
+	// passOffset, and by one for each change that was rolled back since a pass began.
+	maxUnusedPasses = passOffset + maxHoldAttempts
 	// maxRollbackRefusals is the number of times that a rank without an armed map
 	// may refuse the rollback version before a higher one is tried.
 	maxRollbackRefusals = 2
@@ -94,6 +97,11 @@
 	// highestPass is the highest pass of a hold or an armed map in this epoch. No
 	// pass is used twice, since an order about it may be carried out late.
 	highestPass int64
+	// reportedAt is when a rank reported last, and informedAt since when reports have come
+	// without a gap in this epoch. Other leaders may have used the passes up to unknownPass
+	// before.
+	reportedAt, informedAt time.Time
+	unknownPass            int64
 	// releasedPass is the highest pass that this leader has released. It is not
 	// held again, since the order to release it may be carried out once more.
 	releasedPass int64
@@ -201,6 +209,10 @@
 	if r.Place.Epoch > c.epoch {
 		c.reset(r.Place.Epoch, now)
 	}
+	if now.Sub(c.reportedAt) > maxReportAge {
+		c.informedAt, c.unknownPass = now, r.Pass+maxUnusedPasses
+	}
+	c.reportedAt = now
 	v := &c.ranks[rank]
 	v.report, v.reportedAt, v.hasReport, v.refused = r, now, true, false
 	c.highestVersion = max(c.highestVersion, r.Map, r.Prepared, r.Armed)
@@ -215,7 +227,7 @@
 	}
 	c.epoch, c.ranks, c.current = epoch, make([]changeRankState, c.size), nil
 	c.highestPass, c.releasedPass = 0, 0
-	c.foreignHoldSince = time.Time{}
+	c.foreignHoldSince, c.reportedAt = time.Time{}, time.Time{}
 	c.enter(PhaseIdle, now)
 }
 
@@ -274,6 +286,12 @@
 	return c.highestVersion
 }
 
+// knowsUsedPasses reports whether no order of a leader that this one knows nothing of can
+// release a later pass any more.
+func (c *ChangeCoordinator) knowsUsedPasses(now time.Time) bool {
+	return c.newestPass() >= c.unknownPass || now.Sub(c.informedAt) > maxOrderDelay
+}
+
 // newestPass returns the highest pass that is known to have begun.
 func (c *ChangeCoordinator) newestPass() int64 {
 	p := int64(0)
--- a/core/expertmap/change_coordinator_test.go
+++ b/core/expertmap/change_coordinator_test.go
@@ -91,8 +91,13 @@
 		}
 	case 15:
 		w.group.busy = rapid.IntRange(0, 3).Draw(t, "busy") > 0
-		if w.group.busy {
-			return w.group.begin()
+		if !w.group.busy {
+			break
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "passes") {
+			if maps := w.group.begin(); len(maps) != 1 {
+				return maps
+			}
 		}
 	}
 	return nil
@@ -238,7 +243,7 @@
 	for orders := 1; orders <= 14; orders++ {
 		g, now := newGroupModel(4), time.Unix(1_000_000, 0)
 		dead := NewChangeCoordinator(0, 4, 7, now)
-		now = runWithoutFaults(g, dead, now, 2, true)
+		now = runWithoutFaults(g, dead, now, 10, true)
 		dead.SetCurrent(numberedLayout(0, 4))
 		dead.Propose(numberedLayout(9, 4), now.Add(time.Millisecond))
 		remaining := orders
--- a/core/expertmap/change_phases.go
+++ b/core/expertmap/change_phases.go
@@ -113,7 +113,7 @@
 func (c *ChangeCoordinator) advancePrepare(now time.Time) {
 	done := c.all(func(v *changeRankState) bool { return v.prepared && v.report.Prepared == c.version })
 	switch {
-	case done:
+	case done && c.knowsUsedPasses(now):
 		c.pass = max(c.newestPass(), c.highestPass) + passOffset
 		c.highestPass = c.pass
 		c.holdAttempts = 0
--- a/core/expertmap/takeover_sim_test.go
+++ b/core/expertmap/takeover_sim_test.go
@@ -1,6 +1,7 @@
 package expertmap
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	"nutmegnotch/core"
 )
 
+var takeoverSeeds = flag.Int("takeover-seeds", 100, "simulations of takeovers")
+
 // Times of takeoverSim.
 const (
 	simTick          = 20 * time.Millisecond
@@ -249,3 +252,67 @@
 		}
 	}
 }
+
+// Guards against a pass that a restarted leader uses again although an order of its
+// predecessor to release it may still be carried out.
+func TestRestartedLeaderUsesNoPassAgain(t *testing.T) {
+	g, now := newGroupModel(4), time.Unix(1_000_000, 0)
+	propose := func(c *ChangeCoordinator) {
+		c.SetCurrent(numberedLayout(0, 4))
+		now = now.Add(time.Millisecond)
+		if !c.Propose(numberedLayout(9, 4), now) {
+			t.Fatal("propose: got false, want true")
+		}
+	}
+	first := NewChangeCoordinator(0, 4, 7, now)
+	now = runWithoutFaults(g, first, now, 10, true)
+	propose(first)
+	released := int64(-1)
+	for range 50 {
+		if now = runWithoutFaults(g, first, now, 1, false); g.ranks[0].held >= 0 {
+			released = g.ranks[0].held
+			// A rank that lost its prepared map makes the leader roll the change back.
+			g.ranks[2].prepared = 0
+		}
+	}
+	if released < 0 || first.Dropped != 1 {
+		t.Fatalf("first leader: got pass %d released and %d changes rolled back, want one", released, first.Dropped)
+	}
+	second := NewChangeCoordinator(0, 4, 8, now)
+	now = runWithoutFaults(g, second, now, 2, false)
+	propose(second)
+	for range 100 {
+		if now = runWithoutFaults(g, second, now, 1, false); g.ranks[0].held >= 0 && g.ranks[0].held <= released {
+			t.Fatalf("pass of the second leader: got %d, want one after %d", g.ranks[0].held, released)
+		}
+	}
+	runWithoutFaults(g, second, now, 20, true)
+	if got, want := second.Applied, 1; got != want {
+		t.Errorf("changes of the second leader once passes begin: got %d, want %d", got, want)
+	}
+}
+
+// Guards against passes with two maps after leaders were killed or frozen while orders are
+// carried out late and runners fall silent.
+func TestTakeoversMixNoMaps(t *testing.T) {
+	const settleTime = 20 * time.Second
+	for seed := range uint64(*takeoverSeeds) {
+		w := newTakeoverSim(4, seed)
+		w.lateShare, w.silences, w.idles, w.killOnGo = 0.3, true, seed%4 >= 2, seed%2 == 0
+		for range 20 {
+			w.run(time.Duration(500+w.rng.IntN(4000)) * time.Millisecond)
+			switch i := w.rng.IntN(3); {
+			case w.rng.IntN(3) == 0:
+				w.restart(i, simRestart)
+			case w.rng.IntN(2) == 0:
+				w.freeze(i, time.Duration(1000+w.rng.IntN(3500))*time.Millisecond)
+			}
+		}
+		w.lateShare, w.silences, w.idles, w.killOnGo = 0, false, false, false
+		w.group.busy = true
+		w.run(settleTime)
+		if w.mixed != nil {
+			t.Errorf("seed %d: pass %d began with maps %v", seed, w.group.pass, w.mixed)
+		}
+	}
+}
