Take over holds of passes that this leader has released

Cause: the agent of rank 1 led during the freeze and held the leader's pass at its own rank. The first leader went on and released the pass at rank 0 only. It took over no hold of a pass that it had released itself, since its own order to release could have ended its new hold in the middle of a roll-back.

TestHoldOfAFormerLeaderIsReleased failed before: no pass until its end, 24 s.

Why it works: a takeover holds the pass at two ranks, and a late order of this leader ends one hold at most.

--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -102,8 +102,8 @@
 	// before.
 	reportedAt, informedAt time.Time
 	unknownPass            int64
-	// releasedPass is the highest pass that this leader has released. It is not
-	// held again, since the order to release it may be carried out once more.
+	// releasedPass is the highest pass that this leader has released. A change does not
+	// hold it again, since the order to release it may be carried out once more.
 	releasedPass int64
 	// highestVersion is the highest version that was seen or used.
 	highestVersion int64
--- a/core/expertmap/change_takeover.go
+++ b/core/expertmap/change_takeover.go
@@ -22,14 +22,15 @@
 		return
 	}
 	own := c.ranks[c.self].report.HeldPass == pass
-	if pass > c.releasedPass && (own || now.Sub(c.startedAt) > maxOrderDelay) {
-		c.takeOverHold(pass, now)
-	} else if pass <= c.releasedPass && own {
+	switch {
+	case own && pass <= c.releasedPass:
 		// An order of this leader to hold the pass was carried out after the
 		// release: release it again.
 		c.ranks[c.self].released = false
 		c.pass = pass
 		c.enter(PhaseRelease, now)
+	case own || now.Sub(c.startedAt) > maxOrderDelay:
+		c.takeOverHold(pass, now)
 	}
 }
 
--- a/core/expertmap/takeover_sim_test.go
+++ b/core/expertmap/takeover_sim_test.go
@@ -39,10 +39,11 @@
 	killOnGo bool
 	silences bool
 	// idles lets the group run out of requests now and then.
-	idles   bool
-	layouts int
-	number  int64
-	mixed   map[string]bool
+	idles    bool
+	layouts  int
+	number   int64
+	mixed    map[string]bool
+	lastPass time.Time
 	// onOrder takes an order, which the simulation then carries out in no other way.
 	onOrder func(agent int, a AddressedOrder) bool
 }
@@ -74,6 +75,7 @@
 		rng: rand.New(rand.NewPCG(seed, 53)), now: time.Unix(1_000_000, 0), group: newGroupModel(ranks),
 		agents: make([]simAgent, ranks), silentUntil: make([]time.Time, ranks),
 	}
+	w.lastPass = w.now
 	for i := range w.agents {
 		w.agents[i].heard = make([]time.Time, ranks)
 		w.restart(i, 0)
@@ -146,6 +148,7 @@
 	if maps == nil {
 		return
 	}
+	w.lastPass = w.now
 	if len(maps) > 1 {
 		w.mixed = maps
 	}
@@ -292,8 +295,8 @@
 	}
 }
 
-// Guards against passes with two maps after leaders were killed or frozen while orders are
-// carried out late and runners fall silent.
+// Guards against passes with two maps, and against groups that stay held, after leaders
+// were killed or frozen while orders are carried out late and runners fall silent.
 func TestTakeoversMixNoMaps(t *testing.T) {
 	const settleTime = 20 * time.Second
 	for seed := range uint64(*takeoverSeeds) {
@@ -313,6 +316,38 @@
 		w.run(settleTime)
 		if w.mixed != nil {
 			t.Errorf("seed %d: pass %d began with maps %v", seed, w.group.pass, w.mixed)
+		} else if got := w.now.Sub(w.lastPass); got > time.Second {
+			t.Errorf("seed %d: last pass %v before the end, want at most 1s", seed, got)
 		}
 	}
 }
+
+// Guards against a hold that another leader placed for a pass which this one has released:
+// nobody released it, and the group began no pass any more.
+func TestHoldOfAFormerLeaderIsReleased(t *testing.T) {
+	w := newTakeoverSim(4, 1)
+	w.run(time.Second)
+	frozen, held := false, false
+	w.onOrder = func(i int, a AddressedOrder) bool {
+		switch {
+		case i == 0 && a.Order.Kind == core.OrderArm && !frozen:
+			frozen = true
+			w.freeze(0, simLeaderTimeout+foreignHoldTimeout+2*simTick)
+		case i == 1 && a.Rank == 1 && a.Order.Kind == core.OrderHold && !held:
+			// The engine holds the pass, and its answer is lost.
+			held = true
+			w.group.execute(a)
+			return true
+		}
+		return false
+	}
+	w.agents[1].coordinator = NewChangeCoordinator(1, 4, 99, w.now.Add(-time.Minute))
+	w.run(4 * time.Second)
+	if !held {
+		t.Fatal("the second agent did not take the hold over")
+	}
+	w.run(20 * time.Second)
+	if got := w.now.Sub(w.lastPass); got > time.Second || w.mixed != nil {
+		t.Errorf("last pass %v before the end with maps %v, want at most 1s and one map", got, w.mixed)
+	}
+}
