Take over holds of other leaders without a wait

Callers of a group whose leader was killed during a change of map waited for 13 s of the next leader's life: a leader that had started less than 13 s ago took over no hold at another rank.

Cause: the wait protected against an order of its own predecessor that ends its hold. Takeovers hold the pass at two ranks now, so one hold stays.

--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -25,8 +25,7 @@
 	// of a change and the detection of holds.
 	maxReportAge = time.Second
 	// maxOrderDelay is the time after which an order that was sent is no longer
-	// carried out (engine fault applied_late: 2 to 12 s). Within this time of its
-	// start a leader does not know whether its predecessor has released a pass.
+	// carried out (engine fault applied_late: 2 to 12 s).
 	maxOrderDelay = 13 * time.Second
 	// orderRetryDelay is the time after which an order without an answer is sent
 	// again. It prevents a busy loop when connections are refused at once.
@@ -85,7 +84,6 @@
 	self         int
 	size         int
 	leaderNumber int64
-	startedAt    time.Time
 	epoch        int64
 	ranks        []changeRankState
 	phase        Phase
@@ -170,8 +168,8 @@
 
 // NewChangeCoordinator returns the coordinator of the agent of rank self. Leaders
 // with different numbers never assign one version to two maps.
-func NewChangeCoordinator(self, size int, leaderNumber int64, startedAt time.Time) *ChangeCoordinator {
-	return &ChangeCoordinator{self: self, size: size, leaderNumber: leaderNumber % versionStride, startedAt: startedAt, ranks: make([]changeRankState, size), epoch: -1, maxPrepareBytes: defaultMaxPrepareBytes}
+func NewChangeCoordinator(self, size int, leaderNumber int64) *ChangeCoordinator {
+	return &ChangeCoordinator{self: self, size: size, leaderNumber: leaderNumber % versionStride, ranks: make([]changeRankState, size), epoch: -1, maxPrepareBytes: defaultMaxPrepareBytes}
 }
 
 // Phase returns the phase of the change.
--- a/core/expertmap/change_coordinator_test.go
+++ b/core/expertmap/change_coordinator_test.go
@@ -40,7 +40,7 @@
 
 func (w *changeSim) restart(i int) {
 	w.number++
-	w.leaders[i] = NewChangeCoordinator(i, len(w.group.ranks), w.number, w.now)
+	w.leaders[i] = NewChangeCoordinator(i, len(w.group.ranks), w.number)
 }
 
 func (w *changeSim) reports(i int) {
@@ -215,7 +215,7 @@
 // Guards against changes that never take effect in a group without faults.
 func TestChangeTakesEffect(t *testing.T) {
 	g, now := newGroupModel(4), time.Unix(1_000_000, 0)
-	c := NewChangeCoordinator(0, 4, 7, now)
+	c := NewChangeCoordinator(0, 4, 7)
 	now = runWithoutFaults(g, c, now, 2, true)
 	c.SetCurrent(numberedLayout(0, 4))
 	next := numberedLayout(9, 4)
@@ -242,7 +242,7 @@
 func TestChangeOfDeadLeaderIsRolledBack(t *testing.T) {
 	for orders := 1; orders <= 14; orders++ {
 		g, now := newGroupModel(4), time.Unix(1_000_000, 0)
-		dead := NewChangeCoordinator(0, 4, 7, now)
+		dead := NewChangeCoordinator(0, 4, 7)
 		now = runWithoutFaults(g, dead, now, 10, true)
 		dead.SetCurrent(numberedLayout(0, 4))
 		dead.Propose(numberedLayout(9, 4), now.Add(time.Millisecond))
@@ -259,7 +259,7 @@
 				}
 			}
 		}
-		c := NewChangeCoordinator(1, 4, 8, now.Add(-time.Minute))
+		c := NewChangeCoordinator(1, 4, 8)
 		for range 200 {
 			now = now.Add(20 * time.Millisecond)
 			for r := range g.ranks {
--- a/core/expertmap/change_orders_test.go
+++ b/core/expertmap/change_orders_test.go
@@ -19,7 +19,7 @@
 func proposeMap(t *testing.T, ranks, sets, experts int) (*groupModel, *ChangeCoordinator, time.Time) {
 	t.Helper()
 	g, now := newGroupModel(ranks), time.Unix(1_000_000, 0)
-	c := NewChangeCoordinator(0, ranks, 7, now)
+	c := NewChangeCoordinator(0, ranks, 7)
 	now = runWithoutFaults(g, c, now, 2, true)
 	layout := make(Layout, ranks)
 	for r := range layout {
--- a/core/expertmap/change_takeover.go
+++ b/core/expertmap/change_takeover.go
@@ -21,17 +21,15 @@
 	if now.Sub(c.foreignHoldSince) < foreignHoldTimeout {
 		return
 	}
-	own := c.ranks[c.self].report.HeldPass == pass
-	switch {
-	case own && pass <= c.releasedPass:
+	if c.ranks[c.self].report.HeldPass == pass && pass <= c.releasedPass {
 		// An order of this leader to hold the pass was carried out after the
 		// release: release it again.
 		c.ranks[c.self].released = false
 		c.pass = pass
 		c.enter(PhaseRelease, now)
-	case own || now.Sub(c.startedAt) > maxOrderDelay:
-		c.takeOverHold(pass, now)
+		return
 	}
+	c.takeOverHold(pass, now)
 }
 
 // lowestHeldPass returns the lowest pass that a rank holds according to its
--- a/core/expertmap/takeover_sim_test.go
+++ b/core/expertmap/takeover_sim_test.go
@@ -88,7 +88,7 @@
 	w.number++
 	a := &w.agents[i]
 	a.awakeAt = w.now.Add(d)
-	a.coordinator = NewChangeCoordinator(i, len(w.agents), w.number, a.awakeAt)
+	a.coordinator = NewChangeCoordinator(i, len(w.agents), w.number)
 }
 
 func (w *takeoverSim) freeze(i int, d time.Duration) { w.agents[i].awakeAt = w.now.Add(d) }
@@ -267,7 +267,7 @@
 			t.Fatal("propose: got false, want true")
 		}
 	}
-	first := NewChangeCoordinator(0, 4, 7, now)
+	first := NewChangeCoordinator(0, 4, 7)
 	now = runWithoutFaults(g, first, now, 10, true)
 	propose(first)
 	released := int64(-1)
@@ -281,7 +281,7 @@
 	if released < 0 || first.Dropped != 1 {
 		t.Fatalf("first leader: got pass %d released and %d changes rolled back, want one", released, first.Dropped)
 	}
-	second := NewChangeCoordinator(0, 4, 8, now)
+	second := NewChangeCoordinator(0, 4, 8)
 	now = runWithoutFaults(g, second, now, 2, false)
 	propose(second)
 	for range 100 {
@@ -341,7 +341,7 @@
 		}
 		return false
 	}
-	w.agents[1].coordinator = NewChangeCoordinator(1, 4, 99, w.now.Add(-time.Minute))
+	w.agents[1].coordinator = NewChangeCoordinator(1, 4, 99)
 	w.run(4 * time.Second)
 	if !held {
 		t.Fatal("the second agent did not take the hold over")
--- a/rankagent/leader.go
+++ b/rankagent/leader.go
@@ -82,7 +82,7 @@
 
 func newLeaderState(a *Agent, size int) *leaderState {
 	s := a.state
-	coordinator := expertmap.NewChangeCoordinator(s.report.Place.Rank, size, leaderNumber(a.cfg.Incarnation), s.started)
+	coordinator := expertmap.NewChangeCoordinator(s.report.Place.Rank, size, leaderNumber(a.cfg.Incarnation))
 	coordinator.SetMaxPrepareBytes(maxPrepareBytes(a.cfg.LinkRate))
 	return &leaderState{
 		agent:       a,
