Heed no late reports of ended server processes

Cause: the directory compared the numbers of reports of the known process only. The report of an earlier process of the same id, which the store carried out after its server had started again, counted as one of a new process and replaced all that was known of the present one.

Why it works: processes of one id follow each other. The directory keeps them in the order in which they were seen, since start times do not order them: a replaced process does not come back. An unknown one with an earlier start is doubtful unless this is its first report, and must report again while the present one is silent. If the order was mistaken, a replaced process that goes on reporting for longer than reports are late counts again.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -65,7 +65,7 @@
 
 // New returns an empty directory.
 func New(decoder core.RecordDecoder) *Directory {
-	d := &Directory{decoder: decoder, drained: map[string]bool{}, servers: map[string]*serverEntry{}, processes: processes{byID: map[string]process{}}}
+	d := &Directory{decoder: decoder, drained: map[string]bool{}, servers: map[string]*serverEntry{}, processes: processes{byID: map[string]*succession{}}}
 	for i := range d.topics {
 		d.topics[i].records = map[string]core.KeyedRecord{}
 	}
@@ -181,10 +181,10 @@
 	if s == nil {
 		return d.dropServer(id, now)
 	}
-	if d.processes.isOutdated(s, r.Position.Era) {
+	known, ok := d.processes.report(s, r.Position.Era, now)
+	if !ok {
 		return ChangeNone
 	}
-	known := d.processes.report(s, r.Position.Era)
 	old := d.servers[id]
 	e := &serverEntry{server: known, position: r.Position, appliedAt: now, coldUntil: now.Add(s.ColdLeft)}
 	d.servers[id] = e
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -239,7 +239,7 @@
 // is "store" or the id of a peer. It runs in the task.
 func (g *Gateway) applyRecords(t core.Topic, b core.KeyedBatch, full bool, source string, now time.Time) {
 	d := g.state.directory
-	before := d.Next(t)
+	before, lateReports := d.Next(t), d.LateReports()
 	var changes []directory.Change
 	var err error
 	if full {
@@ -250,6 +250,9 @@
 	if err != nil {
 		g.log.Warn("invalid record", zap.String("source", source), zap.Error(err))
 	}
+	if n := d.LateReports() - lateReports; n > 0 {
+		g.log.Info("reports of ended server processes not heeded", zap.Int("reports", n), zap.String("source", source))
+	}
 	if t == core.TopicServers && (source == sourceStore || before.Before(d.Next(t))) {
 		g.state.serversLearnedAt = now
 	}
