Bound the memory of all replies of servers together

Cause: request bodies share a budget, replies had none.

Evidence: TestRepliesWithoutEndAreBoundedTogether, 200 requests at a server that writes 1.6 MB/s to each.

Why it works: what exceeds 4 KiB of a body or of an unfinished event, or 8 KiB of a head, is reserved in a budget of 5 % of the memory before it is read. A plain reply for which there is none is passed on as it comes; a stream goes on at another server. The buffer of request bodies and its tests moved to io/membuf unchanged, since replies and the platform's clients use it too.

--- a/gateway/body_memory_test.go
+++ b/gateway/body_memory_test.go
@@ -18,6 +18,9 @@
 // bodyMemoryBytes is the memory for bodies of the gateways in tests.
 const bodyMemoryBytes = 1 << 20
 
+// replyMemoryBytes is the memory for replies of the gateways in tests.
+const replyMemoryBytes = 4 << 20
+
 // upload is a request whose body is sent in two parts.
 type upload struct {
 	conn       net.Conn
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -63,6 +63,11 @@
 		a.relay = newRelay(g, c)
 	}
 	defer g.endTrial(a)
+	defer func() {
+		if a.fallback != nil {
+			a.fallback.body.Free()
+		}
+	}()
 	if reason, retryAfter := g.checkQuarantine(a); reason != "" {
 		g.refuse(c, refusal{http.StatusServiceUnavailable, reason, retryAfter})
 		return
@@ -172,7 +177,7 @@
 		Target:     a.r.RequestURI,
 		Host:       a.r.Host,
 		Header:     g.cfg.Headers.Backend(a.r.Header, fields),
-		Body:       a.body.data,
+		Body:       a.body.Data,
 		AtMostOnce: !a.route.Kind.Repeatable(),
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"nutmegnotch/core/retry"
 	"nutmegnotch/core/shutdown"
 	"nutmegnotch/io/backend"
+	"nutmegnotch/io/membuf"
 	"nutmegnotch/io/peer"
 	"nutmegnotch/io/peer/peerpb"
 	"nutmegnotch/task"
@@ -56,6 +57,9 @@
 	Reloadable  ReloadableConfig
 	// BodyMemoryBytes limits the total size of the request bodies in memory.
 	BodyMemoryBytes int64
+	// ReplyMemoryBytes limits the total size of the replies of servers in memory, beyond
+	// the first few KiB of each.
+	ReplyMemoryBytes int64
 
 	Store   core.KeyedStore
 	Decoder core.RecordDecoder
@@ -111,7 +115,8 @@
 	// hasLimits is set while a server has a rate limit, for the same reason.
 	hasLimits            atomic.Bool
 	inFlight             atomic.Int64
-	bodyMemory           bodyMemory
+	bodyMemory           *membuf.Budget
+	replyMemory          *membuf.Budget
 	nextID               atomic.Uint64
 	refreshServersSignal chan struct{}
 	registerSignal       chan struct{}
@@ -175,7 +180,8 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg:                  cfg,
-		bodyMemory:           bodyMemory{limit: cfg.BodyMemoryBytes},
+		bodyMemory:           membuf.NewBudget(cfg.BodyMemoryBytes),
+		replyMemory:          membuf.NewBudget(cfg.ReplyMemoryBytes),
 		log:                  cfg.Logger,
 		task:                 task.New(),
 		wg:                   conc.NewWaitGroup(),
@@ -193,6 +199,7 @@
 	g.startedAt = time.Now()
 	g.client = backend.New(backend.Config{
 		MaxIdleConnsPerServer: maxIdleConnsPerServer,
+		HeadMemory:            g.replyMemory,
 		RequestID:             func(h http.Header) string { return cfg.Headers.Reply(0, h).RequestID },
 	})
 	g.state = &state{
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,6 +16,7 @@
 	"nutmegnotch/core"
 	"nutmegnotch/core/directory"
 	"nutmegnotch/core/retry"
+	"nutmegnotch/io/membuf"
 )
 
 // Timeouts, limits and Retry-After values of callers' requests.
@@ -45,7 +46,7 @@
 	holder  core.KeyHolder
 	version int64
 	service string
-	body    bodyBuffer
+	body    membuf.Buffer
 	// fingerprint is the key of the request in the quarantine, and keys holds those of
 	// its shared parts too.
 	fingerprint uint64
@@ -77,14 +78,14 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), body: bodyBuffer{memory: &g.bodyMemory}}
+	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), body: membuf.NewBuffer(g.bodyMemory, 0)}
 	defer g.requestPanicked(c)
 	defer g.flushAborted(c)
 	defer c.observe()
 	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	defer c.body.free()
+	defer c.body.Free()
 	if ref := g.admit(c); ref != nil {
 		g.refuse(c, *ref)
 		return
@@ -148,7 +149,7 @@
 		return ref
 	}
 	c.service = directory.PickService(route, rand.Float64())
-	c.fingerprint = fingerprint(c.holder.Organisation, c.r.RequestURI, c.body.data)
+	c.fingerprint = fingerprint(c.holder.Organisation, c.r.RequestURI, c.body.Data)
 	c.keys = retry.Keys{Request: c.fingerprint, Parts: partFingerprints(c.service, c.fields.SharedPromptParts)}
 	return nil
 }
@@ -184,12 +185,12 @@
 	// A read deadline that has passed cannot be extended, so it is set once it is due.
 	setReadDeadline(c.arrived.Add(uploadTimeout))
 	e := expire(c.deadline, func() { setReadDeadline(time.Now()) })
-	err := c.body.read(http.MaxBytesReader(c.w, c.r.Body, maxBytes), c.r.ContentLength, maxBytes)
+	err := c.body.Read(http.MaxBytesReader(c.w, c.r.Body, maxBytes), c.r.ContentLength, maxBytes)
 	e.stop()
 	if err != nil {
-		c.body.free()
+		c.body.Free()
 		// A caller that waits for status 100 sends no body after a refusal.
-		if errors.Is(err, errNoBodyMemory) && c.r.Header.Get("Expect") == "" {
+		if errors.Is(err, membuf.ErrNoMemory) && c.r.Header.Get("Expect") == "" {
 			c.discardBytes = maxBytes
 		}
 		return bodyRefusal(err)
@@ -201,7 +202,7 @@
 func bodyRefusal(err error) *refusal {
 	var large *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoBodyMemory):
+	case errors.Is(err, membuf.ErrNoMemory):
 		return &refusal{http.StatusServiceUnavailable, "body_memory", unavailableRetryAfter}
 	case errors.As(err, &large):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -12,6 +12,7 @@
 	"nutmegnotch/core/dispatch"
 	"nutmegnotch/core/eventstream"
 	"nutmegnotch/io/backend"
+	"nutmegnotch/io/membuf"
 )
 
 // move is a send to another server while an unresponsive one may still go on. The first of
@@ -29,6 +30,8 @@
 	given bool
 	reply *backend.Reply
 	err   error
+	// read is what was read of the body to decide about the result.
+	read membuf.Buffer
 }
 
 // startMove sends a request to another server. It runs in the task.
@@ -90,12 +93,11 @@
 	if m.attempts.relay == nil || !isStream(m.reply) {
 		return !begun
 	}
-	var read []byte
-	defer func() { m.reply.Body = io.MultiReader(bytes.NewReader(read), m.reply.Body) }()
-	buf := make([]byte, initialBufferBytes)
-	for used := 0; len(read) < maxEventBytes; {
-		n, err := m.reply.Body.Read(buf)
-		read = append(read, buf[:n]...)
+	m.read = membuf.NewBuffer(g.replyMemory, initialBufferBytes)
+	defer func() { m.reply.Body = io.MultiReader(bytes.NewReader(m.read.Data), m.reply.Body) }()
+	for used := 0; ; {
+		_, err := readEventBytes(&m.read, m.reply.Body)
+		read := m.read.Data
 		for end := eventstream.EventEnd(read[used:]); end >= 0; end = eventstream.EventEnd(read[used:]) {
 			event := read[used : used+end]
 			used += end
@@ -108,12 +110,17 @@
 			return errors.Is(err, io.EOF) && !eventstream.EndsInside(read[used:])
 		}
 	}
-	return false
+}
+
+// end releases what the send holds, once its result was handled.
+func (m *move) end() {
+	m.cancel(nil)
+	m.read.Free()
 }
 
 // moveFailed handles the result of a send to another server that the request does not need.
 func (g *Gateway) moveFailed(m *move) dispatch.Outcome {
-	defer m.cancel(nil)
+	defer m.end()
 	a, v := m.attempts, m.to
 	if m.reply != nil {
 		defer m.reply.Close()
@@ -148,7 +155,7 @@
 // attemptMoved goes on with the send to another server that has taken the place of one to
 // an unresponsive server.
 func (g *Gateway) attemptMoved(a *attempts, m *move) (dispatch.Outcome, bool) {
-	defer m.cancel(nil)
+	defer m.end()
 	<-m.done
 	if errors.Is(context.Cause(m.ctx), errNotNeeded) {
 		return dispatch.OutcomeCancelled, false
--- a/gateway/unary.go
+++ b/gateway/unary.go
@@ -12,6 +12,7 @@
 	"nutmegnotch/core/dispatch"
 	"nutmegnotch/io/backend"
 	"nutmegnotch/io/caller"
+	"nutmegnotch/io/membuf"
 )
 
 // maxBufferedReplyBytes is the size up to which a reply is buffered before anything
@@ -22,14 +23,21 @@
 type bufferedReply struct {
 	status  int
 	header  http.Header
-	body    []byte
+	body    membuf.Buffer
 	framing backend.Framing
 }
 
 // attemptUnary forwards a reply that is not a stream.
 func (g *Gateway) attemptUnary(a *attempts, v dispatch.Decision, reply *backend.Reply) (dispatch.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedReplyBytes+1))
-	if err != nil && !errors.Is(err, backend.ErrUnverifiedEnd) {
+	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: membuf.NewBuffer(g.replyMemory, initialBufferBytes), framing: reply.Framing}
+	defer func() {
+		if a.fallback != buffered {
+			buffered.body.Free()
+		}
+	}()
+	err := buffered.body.Read(io.LimitReader(reply.Body, maxBufferedReplyBytes+1), unknownLength, maxBufferedReplyBytes)
+	noMemory := errors.Is(err, membuf.ErrNoMemory)
+	if err != nil && !noMemory && !errors.Is(err, backend.ErrUnverifiedEnd) {
 		if a.ctx.Err() != nil {
 			if !g.aborted(a) {
 				g.runBroke(a, v.Server, false)
@@ -40,7 +48,6 @@
 		g.runBroke(a, v.Server, true)
 		return dispatch.OutcomeFailed, false
 	}
-	buffered := &bufferedReply{status: reply.Status, header: reply.Header, body: body, framing: reply.Framing}
 	sealed := g.cfg.Headers.Reply(reply.Status, reply.Header).Sealed
 	if !sealed {
 		g.logAttempt(a, v, "not_sealed", reply.Status, nil)
@@ -50,7 +57,7 @@
 		g.recordEnd(a, "resumed_stream_failed")
 		a.abort()
 	}
-	if len(body) > maxBufferedReplyBytes {
+	if noMemory || len(buffered.body.Data) > maxBufferedReplyBytes {
 		return g.forwardLarge(a, v, buffered, reply), true
 	}
 	reply.MarkBodyRead()
@@ -76,12 +83,12 @@
 
 // sendBuffered sends a buffered reply to the caller.
 func (g *Gateway) sendBuffered(a *attempts, b *bufferedReply) {
-	length := len(b.body)
+	length := len(b.body.Data)
 	if a.r.Method == http.MethodHead {
 		length = unknownLength
 	}
 	g.beginReply(a.call, b.status, b.header, b.framing, length)
-	_, err := a.w.Write(b.body)
+	_, err := a.w.Write(b.body.Data)
 	if err == nil {
 		err = g.endReply(a.call)
 	}
@@ -92,11 +99,12 @@
 	g.logForwarded(a, b.status, b.framing)
 }
 
-// forwardLarge forwards a reply that is too large to buffer. If the reply breaks
+// forwardLarge forwards a reply that is too large to buffer, or for which no memory is left. If the reply breaks
 // off, it aborts the caller's connection so that the reply does not look complete.
 func (g *Gateway) forwardLarge(a *attempts, v dispatch.Decision, head *bufferedReply, reply *backend.Reply) dispatch.Outcome {
 	g.beginReply(a.call, head.status, head.header, head.framing, unknownLength)
-	_, err := a.w.Write(head.body)
+	_, err := a.w.Write(head.body.Data)
+	head.body.Free()
 	if err == nil {
 		_, err = io.Copy(a.w, reply.Body)
 	}
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"nutmegnotch/core"
+	"nutmegnotch/io/membuf"
 	"nutmegnotch/io/tcp"
 )
 
@@ -29,9 +30,9 @@
 	// ErrUnverifiedEnd means that a body with neither a length nor chunks has ended with
 	// its connection. It may be whole or cut short.
 	ErrUnverifiedEnd = errors.ConstError("reply ended with its connection")
-	// ErrReplyTooLarge means that a server has sent more than core.MaxReplyHeadBytes
-	// without completing the head of its reply, or more than maxSkippedBodyBytes of a
-	// reply to another request.
+	// ErrReplyTooLarge means that a server has sent more than core.MaxReplyHeadBytes, or
+	// more than there is memory for, without completing the head of its reply, or more than
+	// maxSkippedBodyBytes of a reply to another request.
 	ErrReplyTooLarge = errors.ConstError("reply is too large")
 )
 
@@ -74,6 +75,8 @@
 // Config configures a Client. RequestID returns the request id that a reply echoes.
 type Config struct {
 	RequestID func(http.Header) string
+	// HeadMemory limits the memory of large heads of replies; nil means no limit.
+	HeadMemory *membuf.Budget
 	// MaxIdleConnsPerServer bounds the number of idle connections to each server.
 	MaxIdleConnsPerServer int
 }
@@ -187,18 +190,18 @@
 	if k := c.takeIdle(poolKey(server), atMostOnce); k != nil {
 		return k, nil
 	}
-	return dial(ctx, server)
+	return c.dial(ctx, server)
 }
 
-func dial(ctx context.Context, server core.BackendServer) (*conn, error) {
+func (c *Client) dial(ctx context.Context, server core.BackendServer) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w: %w", server.Address, err, ErrNotSent)
 	}
-	c := tcp.Wrap(nc)
-	l := &readLimiter{r: c}
-	return &conn{Conn: c, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes), key: poolKey(server), maxIdleTime: defaultIdleTimeout}, nil
+	tc := tcp.Wrap(nc)
+	l := &readLimiter{r: tc, memory: c.cfg.HeadMemory}
+	return &conn{Conn: tc, limiter: l, r: bufio.NewReaderSize(l, readBufferBytes), key: poolKey(server), maxIdleTime: defaultIdleTimeout}, nil
 }
 
 // poolKey returns the key of the idle connections to a server.
--- a/io/backend/probe.go
+++ b/io/backend/probe.go
@@ -35,7 +35,7 @@
 // Probe connects to a server to find out whether its process runs. The connection is
 // kept for the next request. The context bounds the time.
 func (c *Client) Probe(ctx context.Context, server core.BackendServer) Liveness {
-	k, err := dial(ctx, server)
+	k, err := c.dial(ctx, server)
 	switch {
 	case err == nil:
 		c.putIdle(k)
--- a/io/backend/send.go
+++ b/io/backend/send.go
@@ -98,7 +98,7 @@
 	for range maxReplyHeads {
 		// Reply.Close closes the connection instead of the body, since closing the
 		// body would first read it to its end.
-		rep.conn.limiter.begin(core.MaxReplyHeadBytes)
+		rep.conn.limiter.beginHead()
 		resp, err := http.ReadResponse(rep.conn.r, &http.Request{Method: r.Method}) //nolint:bodyclose
 		rep.conn.limiter.end()
 		if err != nil {
@@ -161,6 +161,7 @@
 // written, the body was read to its end and nothing else was received. Otherwise it
 // is reset, which cancels the request at the server.
 func (rep *Reply) Close() {
+	rep.conn.limiter.free()
 	if !rep.stopCancel() || !rep.reusable() {
 		rep.conn.reset()
 		return
@@ -184,6 +185,7 @@
 }
 
 func (rep *Reply) discard() {
+	rep.conn.limiter.free()
 	rep.stopCancel()
 	rep.conn.reset()
 }
--- a/process/node.go
+++ b/process/node.go
@@ -29,7 +29,10 @@
 	// half of what is left below the soft limit, since bodies of ended requests take as
 	// much again until the garbage collector has run.
 	bodyMemoryFraction = (softMemoryFraction - restMemoryFraction) / 2
-	bytesPerMB         = 1 << 20
+	// replyMemoryFraction bounds the replies of servers that a gateway holds in memory,
+	// beyond the first few KiB of each.
+	replyMemoryFraction = 0.05
+	bytesPerMB          = 1 << 20
 )
 
 // RunGateway runs a gateway until ctx is done, then shuts it down gracefully. Settings
@@ -40,21 +43,22 @@
 	store := platform.NewStoreClient(cfg.Store.Address, cfg.Store.Timeout.AsDuration())
 	defer store.Close()
 	g := gateway.New(gateway.Config{
-		ID:              cfg.ID,
-		Incarnation:     uuid.NewString(),
-		FailureDomain:   cfg.FailureDomain,
-		Region:          cfg.Region,
-		Deployment:      cfg.Store.Address,
-		CallerAddress:   cfg.Listen.Caller,
-		ReadyAddress:    cfg.Listen.Ready,
-		PeerAddress:     cfg.Listen.Peer,
-		ServersInterval: cfg.Store.ServersInterval.AsDuration(),
-		Reloadable:      reloadableConfig(cfg),
-		BodyMemoryBytes: int64(bodyMemoryFraction * memory),
-		Store:           store,
-		Decoder:         platform.RecordDecoder{},
-		Headers:         platform.Headers{},
-		Logger:          logger,
+		ID:               cfg.ID,
+		Incarnation:      uuid.NewString(),
+		FailureDomain:    cfg.FailureDomain,
+		Region:           cfg.Region,
+		Deployment:       cfg.Store.Address,
+		CallerAddress:    cfg.Listen.Caller,
+		ReadyAddress:     cfg.Listen.Ready,
+		PeerAddress:      cfg.Listen.Peer,
+		ServersInterval:  cfg.Store.ServersInterval.AsDuration(),
+		Reloadable:       reloadableConfig(cfg),
+		BodyMemoryBytes:  int64(bodyMemoryFraction * memory),
+		ReplyMemoryBytes: int64(replyMemoryFraction * memory),
+		Store:            store,
+		Decoder:          platform.RecordDecoder{},
+		Headers:          platform.Headers{},
+		Logger:           logger,
 	})
 	stop := serveMetrics(cfg.Listen.Metrics, logger)
 	defer stop()
