Try further ranks for the second hold of a takeover

Found by reading: a takeover beside a hold of another pass never ended, and the group stayed held.

Cause: a refusal of the second hold counted as "the pass has begun", and the next takeover asked the same rank again. A rank that holds another pass, by an order that was carried out late, refuses as well.

Why it works: while no report says that the pass has begun, the next rank is asked. If none takes the hold for a second, a leader that has heard the ranks for longer than orders are late rolls back with its own hold.

--- a/core/expertmap/change_coordinator.go
+++ b/core/expertmap/change_coordinator.go
@@ -21,6 +21,9 @@
 	// is taken over. It is longer than a report normally takes to arrive, so that a
 	// report from before this leader released a pass does not count as such a hold.
 	foreignHoldTimeout = 600 * time.Millisecond
+	// secondHoldTimeout bounds the search for a rank that takes the second hold of a
+	// takeover.
+	secondHoldTimeout = time.Second
 	// maxReportAge is the age of a report above which it is ignored for the start
 	// of a change and the detection of holds.
 	maxReportAge = time.Second
--- a/core/expertmap/change_takeover.go
+++ b/core/expertmap/change_takeover.go
@@ -73,7 +73,7 @@
 	c.ranks[c.secondRank].foreignHold = true
 }
 
-// nextSecondHold tries the next rank after one has not answered.
+// nextSecondHold tries the next rank after one has refused or not answered.
 func (c *ChangeCoordinator) nextSecondHold() {
 	c.secondRank = (c.secondRank + 1) % c.size
 	if c.secondRank == c.self {
@@ -82,16 +82,24 @@
 	c.ranks[c.secondRank].foreignHold = true
 }
 
-// handleSecondHoldResult processes the result of the order of PhaseSecondHold. A
-// refusal means that the pass has begun, or that the rank holds another one: the
-// takeover then starts again if the pass is still held.
+// handleSecondHoldResult processes the result of the order of PhaseSecondHold. A rank
+// refuses it if the pass has begun, or if it holds another one.
 func (c *ChangeCoordinator) handleSecondHoldResult(rank int, o core.RankOrder, ok bool, now time.Time) {
 	if c.phase != PhaseSecondHold || rank != c.secondRank || o.Pass != c.pass {
 		return
 	}
-	if !ok {
+	tried := now.Sub(c.phaseStart) > secondHoldTimeout
+	switch {
+	case ok:
+		c.rollBack(now)
+	case tried && c.pass > c.releasedPass && now.Sub(c.informedAt) > maxOrderDelay:
+		// No order to release the pass at rank self can be carried out any more.
+		c.rollBack(now)
+	case tried, c.newestPass() >= c.pass:
+		// If the pass is still held, the takeover starts again.
 		c.finish(now)
-		return
+	default:
+		c.ranks[rank].foreignHold = false
+		c.nextSecondHold()
 	}
-	c.rollBack(now)
 }
--- a/core/expertmap/takeover_sim_test.go
+++ b/core/expertmap/takeover_sim_test.go
@@ -351,3 +351,23 @@
 		t.Errorf("last pass %v before the end with maps %v, want at most 1s and one map", got, w.mixed)
 	}
 }
+
+// Guards against a takeover that waits for ever for its second hold, since the rank that it
+// asks holds another pass.
+func TestTakeoverBesideAHoldOfAnotherPass(t *testing.T) {
+	for _, c := range []struct {
+		ranks, other int
+		within       time.Duration
+	}{{4, 1, 3 * time.Second}, {4, 2, 3 * time.Second}, {4, 3, 3 * time.Second}, {2, 1, 20 * time.Second}} {
+		g, now := newGroupModel(c.ranks), time.Unix(1_000_000, 0)
+		g.pass = 4
+		g.ranks[0].held, g.ranks[c.other].held = 5, 9
+		leader := NewChangeCoordinator(0, c.ranks, 7)
+		now = runWithoutFaults(g, leader, now, 1, true)
+		leader.SetCurrent(numberedLayout(0, c.ranks))
+		runWithoutFaults(g, leader, now, int(c.within/(20*time.Millisecond)), true)
+		if g.pass < 50 {
+			t.Errorf("rank %d of %d holds another pass: got pass %d after %v, want at least 50", c.other, c.ranks, g.pass, c.within)
+		}
+	}
+}
