Close connections that the endless server accepts during its end

Cause: the test's server closes its connections once at its end. The gateway is not involved.

A connection that is accepted after that is closed at once, as in serveScripted. What the tests check is unchanged.

--- a/gateway/endless_reply_test.go
+++ b/gateway/endless_reply_test.go
@@ -38,9 +38,11 @@
 	var mu sync.Mutex
 	var conns []net.Conn
 	var wg sync.WaitGroup
+	closed := false
 	t.Cleanup(func() {
 		l.Close()
 		mu.Lock()
+		closed = true
 		for _, c := range conns {
 			c.Close()
 		}
@@ -56,7 +58,9 @@
 				return
 			}
 			mu.Lock()
-			conns = append(conns, c)
+			if conns = append(conns, c); closed {
+				c.Close()
+			}
 			mu.Unlock()
 			wg.Go(func() { writeEndless(c, head, block, pause, written) })
 		}
