--- a/review/_three/cold_restart.go
+++ b/review/_three/cold_restart.go
@@ -106,6 +106,10 @@
 	s.mu.Unlock()
 	most, at := s.mostInASecond()
 	bound := coldPerSecond*coldExcess + coldSlack
+	if most == 0 {
+		r.add("no request reached a cold server")
+		return false
+	}
 	r.add("cold server: at most %d requests in a second (from %.3f s on), the bound is %.0f", most, r.since(at), bound)
 	return float64(most) > bound
 }
