Replace review case 12 by the return of a cold failure domain

Case 12 (FAILBACK): the take-back of an evacuated zone is applied before the older entry of its server, which says that it is cold.

--- a/review/_three/main.go
+++ b/review/_three/main.go
@@ -16,7 +16,7 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"cold-again":     coldAgain,
+	"cold-back":      coldBack,
 	"cold-restart":   coldRestart,
 	"part-bursts":    partBursts,
 	"long-prompt":    longPrompt,
