Add review case 12: a server that leaves after the store fell silent

Case 12 (DRAIN, from an entry): the open connections to the store go silent five times, and a server leaves 1 s after each.

--- a/review/_three/clients.go
+++ b/review/_three/clients.go
@@ -23,11 +23,13 @@
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	statuses map[string]int
-	sent     atomic.Int64
+	// sentAt is when each request was sent, by its id.
+	sentAt map[string]time.Time
+	sent   atomic.Int64
 }
 
 func newLoad(d *deployment, prefix, path string, timeout time.Duration) *load {
-	return &load{d: d, prefix: prefix, path: path, timeout: timeout, statuses: map[string]int{},
+	return &load{d: d, prefix: prefix, path: path, timeout: timeout, statuses: map[string]int{}, sentAt: map[string]time.Time{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
 }
 
@@ -65,6 +67,9 @@
 	r.Header.Set("Nutmegnotch-Request-Id", fmt.Sprintf("%s-%d", l.prefix, n))
 	r.Header.Set("Nutmegnotch-Deadline-Ms", fmt.Sprint(l.timeout.Milliseconds()))
 	l.sent.Add(1)
+	l.mu.Lock()
+	l.sentAt[r.Header.Get("Nutmegnotch-Request-Id")] = time.Now()
+	l.mu.Unlock()
 	resp, err := l.client.Do(r)
 	if err != nil {
 		l.count(method + " no answer")
@@ -78,6 +83,13 @@
 	l.count(fmt.Sprint(method, " ", resp.StatusCode))
 }
 
+// sentAfter reports whether a request was sent later than a time.
+func (l *load) sentAfter(id string, t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sentAt[id].After(t)
+}
+
 func (l *load) count(s string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/_three/cold_restart.go
+++ b/review/_three/cold_restart.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -67,7 +68,12 @@
 
 // newDeskDeployment prepares two gateways and starts three servers of a plain service.
 func newDeskDeployment(r *record) (*deployment, []*backendServer, error) {
-	d, err := newDeployment(r, []string{"z1", "z2"})
+	return newDesks(r, []string{"z1", "z2"}, 3)
+}
+
+// newDesks prepares gateways in zones and starts servers of a plain service.
+func newDesks(r *record, zones []string, count int) (*deployment, []*backendServer, error) {
+	d, err := newDeployment(r, zones)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -82,8 +88,8 @@
 		},
 	})
 	var servers []*backendServer
-	for i, zone := range []string{"z1", "z2", "z3"} {
-		s, err := newBackendServer(d, "i-"+string(rune('a'+i)), "desk", zone, 12, 60*time.Millisecond, coldStart)
+	for i := range count {
+		s, err := newBackendServer(d, "i-"+string(rune('a'+i)), "desk", fmt.Sprintf("z%d", i%3+1), 12, 60*time.Millisecond, coldStart)
 		if err == nil {
 			s.collapseAt = coldCollapse * (coldPerSecond*coldExcess + coldSlack)
 			err = s.start(false)
--- a/review/_three/deployment.go
+++ b/review/_three/deployment.go
@@ -34,7 +34,8 @@
 	record *record
 	dir    string
 	store  *metastore.Store
-	// storeAddress is the address that the gateways know.
+	// proxy stands before the store, and storeAddress is its address.
+	proxy        *proxy
 	storeAddress string
 	gateways     []*gatewayProcess
 	closers      []func()
@@ -94,7 +95,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for the store: %w", err)
 	}
-	d.storeAddress = l.Addr().String()
+	proxy, pl, err := newProxy(l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	d.closers = append(d.closers, func() { pl.Close() })
+	d.proxy, d.storeAddress = proxy, pl.Addr().String()
 	s := &http.Server{Handler: d.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.Serve(l) }()
 	d.closers = append(d.closers, func() { s.Close() })
--- a/review/_three/main.go
+++ b/review/_three/main.go
@@ -19,7 +19,7 @@
 	"cold-back":      coldBack,
 	"cold-restart":   coldRestart,
 	"part-bursts":    partBursts,
-	"long-prompt":    longPrompt,
+	"silent-store":   silentStore,
 	"sound-requests": soundRequests,
 }
 
--- a/review/_three/server.go
+++ b/review/_three/server.go
@@ -137,6 +137,15 @@
 	s.d.record.add("server %s has become cold and has written so", s.id)
 }
 
+// leave removes the entry of the process, which goes on to serve.
+func (s *backendServer) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.stopBeats)
+	s.stopBeats = make(chan struct{})
+	s.d.store.Put("keyed.servers", s.id, nil)
+}
+
 // crash ends the process: its connections are reset and its port refuses.
 func (s *backendServer) crash() {
 	s.mu.Lock()
