--- a/review/_three/clients.go
+++ b/review/_three/clients.go
@@ -7,29 +7,24 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
-// load sends requests at a rate to gateways in turn and counts their answers.
+// load sends requests at a rate to gateways in turn.
 type load struct {
 	d      *deployment
 	prefix string
-	path   string
-	// postPath is the path of each second request, which may run once at most; empty for none.
-	postPath string
-	timeout  time.Duration
-	client   *http.Client
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	statuses map[string]int
-	// sentAt is when each request was sent, by its id.
-	sentAt map[string]time.Time
-	sent   atomic.Int64
+	// path is that of requests that may be repeated, and postPath that of each second request,
+	// which may run once at most.
+	path, postPath string
+	timeout        time.Duration
+	client         *http.Client
+	wg             sync.WaitGroup
+	log            *requestLog
 }
 
-func newLoad(d *deployment, prefix, path string, timeout time.Duration) *load {
-	return &load{d: d, prefix: prefix, path: path, timeout: timeout, statuses: map[string]int{}, sentAt: map[string]time.Time{},
+func newLoad(d *deployment, prefix, path, postPath string, timeout time.Duration) *load {
+	return &load{d: d, prefix: prefix, path: path, postPath: postPath, timeout: timeout, log: newRequestLog(),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
 }
 
@@ -55,8 +50,8 @@
 func (l *load) send(g *gatewayProcess, n int) {
 	ctx, cancel := context.WithTimeout(context.Background(), l.timeout)
 	defer cancel()
-	method, path, body := http.MethodGet, l.path, ""
-	if n%2 == 1 && l.postPath != "" {
+	id, method, path, body := fmt.Sprintf("%s-%d", l.prefix, n), http.MethodGet, l.path, ""
+	if n%2 == 1 {
 		method, path, body = http.MethodPost, l.postPath, fmt.Sprintf("work %d", n)
 	}
 	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s%d", g.caller, path, n), strings.NewReader(body))
@@ -64,40 +59,22 @@
 		return
 	}
 	r.Host = host
-	r.Header.Set("Nutmegnotch-Request-Id", fmt.Sprintf("%s-%d", l.prefix, n))
+	r.Header.Set("Nutmegnotch-Request-Id", id)
 	r.Header.Set("Nutmegnotch-Deadline-Ms", fmt.Sprint(l.timeout.Milliseconds()))
-	l.sent.Add(1)
-	l.mu.Lock()
-	l.sentAt[r.Header.Get("Nutmegnotch-Request-Id")] = time.Now()
-	l.mu.Unlock()
-	resp, err := l.client.Do(r)
+	l.log.sent(id, g.id, method)
+	l.log.answered(id, exchange(l.client, r))
+}
+
+// exchange sends a request and reads its answer to the end. It returns the status, or how the
+// answer has failed.
+func exchange(c *http.Client, r *http.Request) string {
+	resp, err := c.Do(r)
 	if err != nil {
-		l.count(method + " no answer")
-		return
+		return "no answer"
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		l.count(method + " cut short")
-		return
+		return "cut short"
 	}
-	l.count(fmt.Sprint(method, " ", resp.StatusCode))
-}
-
-// sentAfter reports whether a request was sent later than a time.
-func (l *load) sentAfter(id string, t time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.sentAt[id].After(t)
-}
-
-func (l *load) count(s string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.statuses[s]++
-}
-
-func (l *load) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return fmt.Sprintf("%d requests, answers %v", l.sent.Load(), l.statuses)
+	return fmt.Sprint(resp.StatusCode)
 }
--- a/review/_three/cold_back.go
+++ b/review/_three/cold_back.go
@@ -31,8 +31,7 @@
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l := newLoad(d, "c", "/lookup/", 4*time.Second)
-	l.postPath = "/reserve/"
+	l := newLoad(d, "c", lookupPath, reservePath, 4*time.Second)
 	done := make(chan struct{})
 	go func() { defer close(done); l.run(ctx, coldBackRate) }()
 	for range coldBackTimes {
@@ -50,5 +49,5 @@
 	time.Sleep(coldBackPause)
 	cancel()
 	<-done
-	return judgeCold(r, servers[1], l), nil
+	return judgeCold(r, servers, servers[1], l), nil
 }
--- a/review/_three/cold_restart.go
+++ b/review/_three/cold_restart.go
@@ -38,8 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 24*time.Second)
 	defer cancel()
-	l := newLoad(d, "c", "/lookup/", 4*time.Second)
-	l.postPath = "/reserve/"
+	l := newLoad(d, "c", lookupPath, reservePath, 4*time.Second)
 	done := make(chan struct{})
 	go func() { defer close(done); l.run(ctx, coldRate) }()
 	time.Sleep(8 * time.Second)
@@ -63,9 +62,15 @@
 		r.add("the store is up")
 	}
 	<-done
-	return judgeCold(r, servers[1], l), nil
+	return judgeCold(r, servers, servers[1], l), nil
 }
 
+// Paths of the routes of newDesks.
+const (
+	lookupPath  = "/lookup/"
+	reservePath = "/reserve/"
+)
+
 // newDeskDeployment prepares two gateways and starts three servers of a plain service.
 func newDeskDeployment(r *record) (*deployment, []*backendServer, error) {
 	return newDesks(r, []string{"z1", "z2"}, 3)
@@ -81,9 +86,9 @@
 		"version":  1,
 		"services": []map[string]any{{"name": "desk", "health_path": "/health", "max_conns": 200, "cold_start_s": coldStart.Seconds(), "cold_per_s": coldPerSecond}},
 		"routes": []map[string]any{
-			{"name": "lookup", "host": host, "path_prefix": "/lookup/", "kind": "idempotent", "service": "desk", "max_attempts": 2,
+			{"name": "lookup", "host": host, "path_prefix": lookupPath, "kind": "idempotent", "service": "desk", "max_attempts": 2,
 				"timeout_ms": 4000, "slo_ms": 300, "priority": 1, "public": true},
-			{"name": "reserve", "host": host, "path_prefix": "/reserve/", "kind": "non_idempotent", "service": "desk", "max_attempts": 2,
+			{"name": "reserve", "host": host, "path_prefix": reservePath, "kind": "non_idempotent", "service": "desk", "max_attempts": 2,
 				"timeout_ms": 4000, "slo_ms": 300, "priority": 1, "public": true},
 		},
 	})
@@ -105,8 +110,9 @@
 
 // judgeCold reports whether a cold server got more requests within a second than the rule
 // allows.
-func judgeCold(r *record, s *backendServer, l *load) bool {
-	r.add("%v", l)
+func judgeCold(r *record, servers []*backendServer, s *backendServer, l *load) bool {
+	l.log.addTo(r, reachedServers(servers))
+	r.add("answers: %v", l.log.counts())
 	s.mu.Lock()
 	r.add("the cold server collapsed %d times under its requests", s.collapses)
 	s.mu.Unlock()
--- a/review/_three/part_bursts.go
+++ b/review/_three/part_bursts.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +24,12 @@
 	badPart        = "bad0bad0"
 )
 
+// Kinds of requests.
+const (
+	soundKind = "sound"
+	badKind   = "bad"
+)
+
 // partBursts sends two bursts of requests that share a part which crashes engines.
 func partBursts(r *record, trouble bool) (bool, error) {
 	d, engines, err := newDraftDeployment(r, []string{"z1", "z2", "z3", "z1", "z2"}[:partGateways], partEngines, shortAnswers, trouble)
@@ -38,7 +43,7 @@
 	if err := d.startGateways(); err != nil {
 		return false, err
 	}
-	c := &draftCallers{d: d, statuses: map[string]int{}}
+	c := &draftCallers{d: d, log: newRequestLog()}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.sound(ctx, soundRate) }()
@@ -97,16 +102,11 @@
 		e.mu.Unlock()
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	slices.SortFunc(runs, func(a, b engineRun) int { return a.at.Compare(b.at) })
 	for _, at := range crashes {
 		r.add("an engine crashed at %.3f s", r.since(at))
 	}
-	for _, run := range runs {
-		r.add("request %s with the part reached an engine at %.3f s", run.id, r.since(run.at))
-	}
-	c.mu.Lock()
-	r.add("answers: %v", c.statuses)
-	c.mu.Unlock()
+	c.log.addTo(r, reachedEngines(engines))
+	r.add("answers: %v", c.log.counts())
 	if len(crashes) < crashesToCount {
 		r.add("%d crashes, so that nothing is counted", len(crashes))
 		return false
@@ -122,20 +122,24 @@
 	return late > maxLateRuns
 }
 
-// draftCallers send requests for drafts.
-type draftCallers struct {
-	d        *deployment
-	n        atomic.Int64
-	mu       sync.Mutex
-	statuses map[string]int
-	sent     []draft
+// reachedEngines returns the engines that each request has reached.
+func reachedEngines(engines []*engineServer) map[string][]reached {
+	out := map[string][]reached{}
+	for _, e := range engines {
+		e.mu.Lock()
+		for _, run := range e.runs {
+			out[run.id] = append(out[run.id], reached{e.name, run.at})
+		}
+		e.mu.Unlock()
+	}
+	return out
 }
 
-// draft is a request that was sent.
-type draft struct {
-	id  string
-	bad bool
-	at  time.Time
+// draftCallers send requests for drafts.
+type draftCallers struct {
+	d   *deployment
+	n   atomic.Int64
+	log *requestLog
 }
 
 // sound sends requests without the part at a steady rate.
@@ -154,7 +158,7 @@
 		go func() {
 			defer wg.Done()
 			n := c.n.Add(1)
-			c.send("good", n, "5eed0001:40")
+			c.send(soundKind, n, "5eed0001:40")
 		}()
 	}
 }
@@ -167,7 +171,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c.send("bad", int64(i), "5eed0001:40,"+badPart+":200")
+			c.send(badKind, int64(i), "5eed0001:40,"+badPart+":200")
 		}()
 	}
 	wg.Wait()
@@ -189,18 +193,6 @@
 	r.Header.Set("Nutmegnotch-Token-Counts", "714,96")
 	r.Header.Set("Nutmegnotch-Prompt-Prefix", fmt.Sprintf("%s,%08x:474", shared, time.Now().UnixNano()&0xffffffff))
 	r.Header.Set("Nutmegnotch-Deadline-Ms", "8000")
-	c.mu.Lock()
-	c.sent = append(c.sent, draft{id, kind == "bad", time.Now()})
-	c.mu.Unlock()
-	status := "no answer"
-	if resp, err := http.DefaultClient.Do(r); err == nil {
-		status = fmt.Sprint(resp.StatusCode)
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			status = "cut short"
-		}
-		resp.Body.Close()
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.statuses[kind+" "+status]++
+	c.log.sent(id, g.id, kind)
+	c.log.answered(id, exchange(http.DefaultClient, r))
 }
--- a/review/_three/server.go
+++ b/review/_three/server.go
@@ -254,3 +254,16 @@
 	}
 	return most, at
 }
+
+// reachedServers returns the servers that each request has reached.
+func reachedServers(servers []*backendServer) map[string][]reached {
+	out := map[string][]reached{}
+	for _, s := range servers {
+		s.mu.Lock()
+		for _, a := range s.arrivals {
+			out[a.id] = append(out[a.id], reached{s.id, a.at})
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
--- a/review/_three/silent_store.go
+++ b/review/_three/silent_store.go
@@ -142,8 +142,7 @@
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l := newLoad(d, "s", "/lookup/", 4*time.Second)
-	l.postPath = "/reserve/"
+	l := newLoad(d, "s", lookupPath, reservePath, 4*time.Second)
 	done := make(chan struct{})
 	go func() { defer close(done); l.run(ctx, silentRate) }()
 	var left []leaving
@@ -170,13 +169,14 @@
 	time.Sleep(time.Second)
 	cancel()
 	<-done
-	r.add("%v", l)
+	l.log.addTo(r, reachedServers(servers))
+	r.add("answers: %v", l.log.counts())
 	late := 0
 	for _, x := range left {
 		n := 0
 		x.server.mu.Lock()
 		for _, a := range x.server.arrivals {
-			if a.at.After(x.from) && l.sentAfter(a.id, x.from.Add(-inTouchMargin)) {
+			if a.at.After(x.from) && l.log.sentAfter(a.id, x.from.Add(-inTouchMargin)) {
 				n++
 			}
 		}
--- a/review/_three/sound_requests.go
+++ b/review/_three/sound_requests.go
@@ -40,7 +40,7 @@
 	if err := d.startGateways(); err != nil {
 		return false, err
 	}
-	c := &draftCallers{d: d, statuses: map[string]int{}}
+	c := &draftCallers{d: d, log: newRequestLog()}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	begun := time.Now()
@@ -51,7 +51,7 @@
 	time.Sleep(soundBadPause)
 	for n := 0; time.Since(burstAt) < soundBadTime; n++ {
 		time.Sleep(soundBadEvery)
-		go c.send("bad", int64(n), "5eed0001:40,"+badPart+":200")
+		go c.send(badKind, int64(n), "5eed0001:40,"+badPart+":200")
 	}
 	time.Sleep(time.Second)
 	cancel()
@@ -64,18 +64,13 @@
 // fewer) until the last request with the part.
 func judgeSound(r *record, engines []*engineServer, c *draftCallers, begun, burstAt time.Time) bool {
 	var crashes []time.Time
-	ran := map[string]bool{}
 	for _, e := range engines {
 		e.mu.Lock()
 		crashes = append(crashes, e.crashes...)
-		for _, run := range e.runs {
-			ran[run.id] = true
-			if run.hasPart {
-				r.add("request %s with the part reached an engine at %.3f s", run.id, r.since(run.at))
-			}
-		}
 		e.mu.Unlock()
 	}
+	ran := reachedEngines(engines)
+	c.log.addTo(r, ran)
 	slices.SortFunc(crashes, time.Time.Compare)
 	for _, at := range crashes {
 		r.add("an engine crashed at %.3f s", r.since(at))
@@ -84,23 +79,21 @@
 	if len(crashes) > 0 {
 		counted = crashes[min(len(crashes), crashesToCount)-1]
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r.add("answers: %v", c.statuses)
+	r.add("answers: %v", c.log.counts())
 	var lastBad time.Time
-	for _, s := range c.sent {
-		if s.bad && s.at.After(lastBad) {
-			lastBad = s.at
+	for _, s := range c.log.all() {
+		if s.kind == badKind && s.sent.After(lastBad) {
+			lastBad = s.sent
 		}
 	}
 	share := func(from, to time.Time) (float64, int) {
 		n, served := 0, 0
-		for _, s := range c.sent {
-			if s.bad || s.at.Before(from) || s.at.After(to) {
+		for _, s := range c.log.all() {
+			if s.kind == badKind || s.sent.Before(from) || s.sent.After(to) {
 				continue
 			}
 			n++
-			if ran[s.id] {
+			if len(ran[s.id]) > 0 {
 				served++
 			}
 		}
